--- /dev/null
+++ b/.ci/run_tests.py
@@ -0,0 +1,69 @@
+"""Runs all tests and passes over the known failures of KNOWN-RED.txt."""
+
+import pathlib
+import sys
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+TEST_PREFIX = "test: "
+
+
+def list_known_red():
+    """Lists the ids of tests that are known to fail.
+
+    :return: set of test ids.
+    """
+    if not KNOWN_RED.exists():
+        return set()
+    lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
+    return {
+        line.removeprefix(TEST_PREFIX).strip()
+        for line in lines
+        if line.startswith(TEST_PREFIX)
+    }
+
+
+def load_tests(directory, pattern):
+    """Loads the tests of one or of all packages.
+
+    :param directory: directory of tests, or ``None`` for all packages.
+    :param pattern: file name pattern.
+    :return: test suite.
+    """
+    suite = unittest.TestSuite()
+    directories = [directory] if directory else sorted(ROOT.glob("packages/*/tests"))
+    for item in directories:
+        found = unittest.TestLoader().discover(
+            str(item), pattern=pattern, top_level_dir=str(item)
+        )
+        suite.addTests(found)
+    return suite
+
+
+def main():
+    """Runs the tests and prints the closing line.
+
+    :return: exit code.
+    """
+    directory = sys.argv[1] if len(sys.argv) > 1 else None
+    pattern = sys.argv[2] if len(sys.argv) > 2 else "test_*.py"
+    suite = load_tests(directory, pattern)
+    outcome = unittest.TextTestRunner(verbosity=1).run(suite)
+    failures = [*outcome.failures, *outcome.errors]
+    failed = {test.id() for test, _ in failures}
+    failed |= {test.id() for test in outcome.unexpectedSuccesses}
+    known = list_known_red()
+    for name in sorted(failed & known):
+        print(f"known red: {name}")
+    for name in sorted(known - failed):
+        print(f"known red passes now, remove its entry: {name}")
+    unexpected = failed - known
+    skipped = len(outcome.skipped)
+    passed = outcome.testsRun - len(failed) - skipped
+    print(f"{passed} passed, {len(unexpected)} failed")
+    return 1 if unexpected or not outcome.testsRun else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+PACKAGES := kernel entry operator standins
+
+.PHONY: demo demo-saddle-road test lint format fuzz clean
+
+$(STAMP): requirements.lock $(PACKAGES:%=packages/%/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation \
+		$(PACKAGES:%=--editable packages/%)
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m wasabiknot_standins demo --deployment marktgeld
+
+demo-saddle-road: $(STAMP)
+	$(BIN)/python -m wasabiknot_standins demo --deployment saddle-road
+
+test: $(STAMP)
+	$(BIN)/python .ci/run_tests.py
+
+fuzz: $(STAMP)
+	FUZZ_EXAMPLES=$${FUZZ_EXAMPLES:-2000} $(BIN)/python .ci/run_tests.py \
+		packages/kernel/tests test_promises.py
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/packages/entry/wasabiknot_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry program: tasks that own sockets around one scheduling node."""
--- /dev/null
+++ b/packages/entry/wasabiknot_entry/settings.py
@@ -0,0 +1,92 @@
+"""Settings of an entry, read from a YAML file."""
+
+import pathlib
+import typing
+
+import msgspec
+
+from wasabiknot_kernel import documents, node, placements, services
+
+Address = typing.Annotated[
+    str, msgspec.Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")
+]
+Url = typing.Annotated[str, msgspec.Meta(pattern=r"^http://[^/]+$")]
+DEFAULT_MAX_BODY_BYTES = 1_048_576
+DEFAULT_DRAIN_S = 60.0
+DEFAULT_MAX_REQUESTS = 4_096
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of one entry.
+
+    :param name: name of the entry, as in the platform's list of VMs.
+    :param region: region in which it runs.
+    :param domain: failure domain in which it runs.
+    :param caller_address: address for callers.
+    :param control_address: address for peers and operators.
+    :param datagram_address: address for digests from peers.
+    :param log_url: base URL of the log service.
+    :param vms_url: base URL of the list of VMs.
+    :param statsd_address: address for metrics; none are sent if it is absent.
+    :param placement: name of the placement policy.
+    :param queue_limit: largest number of waiting requests.
+    :param max_requests: largest number of open requests.
+    :param max_body_bytes: largest request body.
+    :param drain_s: time that a graceful shutdown may take, in seconds.
+    :param log_level: lowest level of log events.
+    """
+
+    name: services.Name
+    region: services.Name
+    domain: services.Name
+    caller_address: Address
+    control_address: Address
+    datagram_address: Address
+    log_url: Url
+    vms_url: Url
+    statsd_address: Address | None = None
+    placement: str = node.DEFAULT_PLACEMENT
+    queue_limit: typing.Annotated[int, msgspec.Meta(ge=1)] = node.DEFAULT_QUEUE_LIMIT
+    max_requests: typing.Annotated[int, msgspec.Meta(ge=1)] = DEFAULT_MAX_REQUESTS
+    max_body_bytes: typing.Annotated[int, msgspec.Meta(ge=1)] = DEFAULT_MAX_BODY_BYTES
+    drain_s: typing.Annotated[float, msgspec.Meta(gt=0)] = DEFAULT_DRAIN_S
+    log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+
+
+class Endpoint(msgspec.Struct, frozen=True):
+    """A host and a port.
+
+    :param host: IP number.
+    :param port: port number.
+    """
+
+    host: str
+    port: int
+
+
+def parse_address(address):
+    """Splits an address.
+
+    :param address: host and port, separated by a colon.
+    :return: an ``Endpoint``.
+    """
+    host, _, port = address.rpartition(":")
+    return Endpoint(host.strip("[]"), int(port))
+
+
+def load_settings(path):
+    """Reads and checks a settings file.
+
+    :param path: path of the YAML file.
+    :return: ``Success(Settings)`` or ``Failure(DocumentError)``.
+    """
+    text = pathlib.Path(path).read_text(encoding="utf-8")
+    return documents.read_document(text, Settings, str(path)).bind(_check_names)
+
+
+def _check_names(document):
+    names = placements.list_names()
+    if document.value.placement not in names:
+        expected = f"expected one of: {', '.join(names)}"
+        return documents.fail([document.fault("placement", expected)])
+    return documents.succeed(document.value)
--- /dev/null
+++ b/packages/kernel/wasabiknot_kernel/admission.py
@@ -0,0 +1,135 @@
+"""Refuses early what cannot finish in time, and bounds the queue."""
+
+from wasabiknot_kernel import exceptions, fleet
+
+Kind = exceptions.ErrorKind
+URGENT_OVERFLOW_FACTOR = 2
+HOPELESS_FACTOR = 1.0
+
+
+def find_refusal(node, request):
+    """Decides whether a request is refused on arrival.
+
+    Only work of the same or a more urgent tier counts as ahead of it, since less
+    urgent work gives way.
+
+    :param node: the node.
+    :param request: the request.
+    :return: kind of error, or ``None`` if it may wait.
+    """
+    service = request.message.service
+    workers = node.fleet.list_service(service)
+    if not any(worker.is_open(node.now_ms) for worker in workers):
+        return Kind.NO_WORKER
+    if not node.placement.uses_deadlines:
+        return None
+    least_ms = estimate_least_ms(node, request)
+    ahead_ms = _estimate_wait_ms(node, request)
+    if node.now_ms + ahead_ms + least_ms > request.deadline_ms:
+        return Kind.DEADLINE_UNREACHABLE
+    return None
+
+
+def estimate_least_ms(node, request):
+    """Estimates the duration of a request on the fastest backend server.
+
+    :param node: the node.
+    :param request: the request.
+    :return: milliseconds.
+    """
+    workers = node.fleet.list_service(request.message.service)
+    return min(
+        (
+            estimate_duration_ms(worker, request)
+            for worker in workers
+            if worker.is_open(node.now_ms)
+        ),
+        default=0.0,
+    )
+
+
+def estimate_duration_ms(worker, request):
+    """Estimates the duration of a request on one backend server.
+
+    :param worker: ``fleet.Worker``.
+    :param request: the request.
+    :return: milliseconds.
+    """
+    if not request.message.max_tokens:
+        return worker.speed.service.value
+    return worker.speed.estimate_stream(
+        request.message.prompt_tokens, request.expected_tokens
+    )
+
+
+def _estimate_wait_ms(node, request):
+    service = request.message.service
+    queue = node.queue(service)
+    ahead = [
+        item
+        for rank in queue.tiers()
+        if rank <= request.rank
+        for item in queue.heads(rank, 1)
+    ]
+    if not ahead:
+        return 0.0
+    count = sum(queue.count(rank) for rank in queue.tiers() if rank <= request.rank)
+    workers = [
+        worker
+        for worker in node.fleet.list_service(service)
+        if worker.is_open(node.now_ms)
+    ]
+    slots = sum(_own_slots(worker) for worker in workers)
+    mean_ms = sum(estimate_duration_ms(workers[0], item) for item in ahead)
+    return count * mean_ms / len(ahead) / max(1, slots)
+
+
+def _own_slots(worker: fleet.Worker):
+    return worker.vm.slots if worker.allowance is None else worker.allowance
+
+
+def enforce_limit(node):
+    """Drops the least urgent waiting requests beyond the limit.
+
+    A request of the most urgent waiting tier is dropped only when nothing less
+    urgent waits and the queue is full twice over.
+
+    :param node: the node.
+    """
+    limit = node.settings.queue_limit
+    waiting = sum(len(queue) for queue in node.queues.values())
+    while waiting > limit:
+        victim = _find_least_urgent(node)
+        if victim.rank == 0 and waiting <= limit * URGENT_OVERFLOW_FACTOR:
+            return
+        node.queue(victim.message.service).remove(victim)
+        node.refuse(victim, Kind.QUEUE_FULL)
+        waiting -= 1
+
+
+def _find_least_urgent(node):
+    newest = [queue.newest_below(-1) for queue in node.queues.values() if len(queue)]
+    return max(newest, key=lambda request: (request.rank, request.arrived_ms))
+
+
+def refuse_hopeless(node):
+    """Refuses waiting requests that can no longer finish in time.
+
+    :param node: the node.
+    """
+    for queue in node.queues.values():
+        for request in list(queue):
+            least_ms = _least_remaining_ms(node, request)
+            if node.now_ms + least_ms * HOPELESS_FACTOR > request.deadline_ms:
+                queue.remove(request)
+                node.refuse(request, Kind.DEADLINE_EXCEEDED)
+
+
+def _least_remaining_ms(node, request):
+    if not node.placement.uses_deadlines:
+        return 0.0
+    if request.tokens:
+        worker = node.fleet.find(request.worker)
+        left = max(0.0, request.expected_tokens - request.tokens)
+        return left * worker.speed.decode.value if worker is not None else 0.0
+    return estimate_least_ms(node, request)
--- /dev/null
+++ b/packages/kernel/wasabiknot_kernel/attempts.py
@@ -0,0 +1,193 @@
+"""Handles what happens to requests on backend servers."""
+
+from wasabiknot_kernel import (
+    digests,
+    effects,
+    events,
+    evidence,
+    exceptions,
+    handlers,
+    messages,
+    moves,
+    records,
+    requests,
+    scheduling,
+)
+
+Kind = exceptions.ErrorKind
+Outcome = messages.Outcome
+Ran = exceptions.Ran
+MAX_DISPATCHES = 3
+
+
+@handlers.handle.register
+def _(message: messages.AttemptStarted, node):
+    request = node.requests.get(message.request_id)
+    if request is not None and request.first_ms is None:
+        request.first_ms = node.now_ms
+
+
+@handlers.handle.register
+def _(message: messages.AttemptEnded, node):
+    request = node.requests.get(message.request_id)
+    if request is None or request.state is not requests.RequestState.DISPATCHED:
+        return
+    request.tokens = max(request.tokens, message.tokens)
+    worker = node.fleet.find(request.worker)
+    if worker is not None:
+        worker.running.pop(request.request_id, None)
+    _ENDINGS[message.outcome](node, request)
+    scheduling.pump(node, request.message.service)
+
+
+def _end_whole(node, request):
+    _learn(node, request)
+    move = node.state.moves.get(request.message.service)
+    if move is not None:
+        key = moves.select_target_key(move, request)
+        pace = evidence.measure_pace(request, node.now_ms)
+        node.observations.note_good(key, pace)
+    node.complete(request)
+
+
+def _learn(node, request):
+    worker = node.fleet.find(request.worker)
+    message = request.message
+    if message.max_tokens:
+        node.lengths.learn(
+            message.service, message.call, message.customer, request.tokens
+        )
+    if worker is None or request.pauses:
+        return
+    total_ms = node.now_ms - request.dispatched_ms
+    if not message.max_tokens or request.first_ms is None:
+        worker.speed.service.add(total_ms)
+        return
+    worker.speed.learn_stream(
+        message.prompt_tokens,
+        request.first_ms - request.dispatched_ms,
+        request.tokens,
+        node.now_ms - request.first_ms,
+    )
+
+
+def _end_not_sent(node, request):
+    node.fleet.mark_unreachable(request.worker, node.now_ms)
+    _requeue_not_run(node, request)
+
+
+def _end_rejected(node, request):
+    node.fleet.mark_leaving(request.worker, node.now_ms)
+    node.note(events.Event.WORKER_LEAVING, worker=request.worker)
+    _requeue_not_run(node, request)
+
+
+def _requeue_not_run(node, request):
+    if request.pauses:
+        node.refuse(request, Kind.INCOMPLETE, request.ran)
+        return
+    request.life.withdraw()
+    _requeue(node, request)
+
+
+def _requeue(node, request):
+    kind = Kind.QUARANTINED if node.is_quarantined(request.message.content) else None
+    if node.is_stopping:
+        kind = Kind.STOPPING
+    if kind is not None:
+        node.refuse(request, kind)
+        return
+    request.version = None
+    request.first_ms = None
+    node.queue(request.message.service).push(request, front=True)
+
+
+def _end_failed(node, request):
+    _note_failure(node, request, request.message.content)
+    _retry_or_refuse(node, request, Kind.WORKER_FAILED, Ran.YES)
+
+
+def _end_crashed(node, request):
+    worker = node.fleet.find(request.worker)
+    boot = worker.boot if worker is not None else ""
+    crash = f"{request.worker}/{boot}"
+    node.fleet.mark_unreachable(request.worker, node.now_ms)
+    _note_failure(node, request, f"crash:{crash}")
+    if node.crashes.note_reported(crash):
+        _report_crash(node, request, worker, crash)
+    ran = Ran.YES if request.tokens else Ran.UNKNOWN
+    _retry_or_refuse(node, request, Kind.OUTCOME_UNKNOWN, ran)
+
+
+def _report_crash(node, request, worker, crash):
+    running = list(worker.running.values()) if worker is not None else []
+    contents = {item.message.content for item in [request, *running]}
+    record = records.Crash(
+        record_id=f"{node.settings.name}/{node.settings.incarnation}/{crash}",
+        contents=tuple(sorted(contents)),
+        worker=request.worker,
+        crash=crash,
+    )
+    node.note(events.Event.WORKER_CRASHED, worker=request.worker, crash=crash)
+    node.crashes.take(record)
+    node.emit(effects.SendCrash(record))
+    node.emit(effects.Append(record))
+
+
+def _note_failure(node, request, content):
+    move = node.state.moves.get(request.message.service)
+    if move is None:
+        return
+    key = moves.select_target_key(move, request)
+    failure = digests.Failure(request.message.customer, content)
+    node.observations.note_failure(key, failure)
+    request.avoided_versions.add(request.version)
+
+
+def _retry_or_refuse(node, request, kind, ran):
+    may_retry = request.call.repeatable and not request.tokens
+    if may_retry and request.dispatches < MAX_DISPATCHES:
+        request.life.retry()
+        _requeue(node, request)
+        return
+    node.refuse(request, kind, ran)
+
+
+def _end_lost(node, request):
+    ran = Ran.YES if request.tokens else Ran.UNKNOWN
+    _retry_or_refuse(node, request, Kind.OUTCOME_UNKNOWN, ran)
+
+
+def _end_cancelled(node, request):
+    if request.is_abandoned:
+        request.life.end()
+        del node.requests[request.request_id]
+        return
+    if not request.is_yielding or node.now_ms >= request.deadline_ms:
+        node.refuse(request, Kind.DEADLINE_EXCEEDED, request.ran)
+        return
+    request.pauses += 1
+    request.life.pause()
+    node.queue(request.message.service).push(request, front=True)
+
+
+_ENDINGS = {
+    Outcome.WHOLE: _end_whole,
+    Outcome.NOT_SENT: _end_not_sent,
+    Outcome.REJECTED: _end_rejected,
+    Outcome.FAILED: _end_failed,
+    Outcome.CRASHED: _end_crashed,
+    Outcome.CANCELLED: _end_cancelled,
+    Outcome.LOST: _end_lost,
+}
+
+
+@handlers.handle.register
+def _(message: messages.WorkerUnreachable, node):
+    node.fleet.mark_unreachable(message.worker, node.now_ms)
+
+
+@handlers.handle.register
+def _(message: messages.LoadReported, node):
+    if node.fleet.take_report(message.report, node.now_ms):
+        node.own_reports[message.report.worker] = message.report
--- /dev/null
+++ b/packages/kernel/wasabiknot_kernel/estimates.py
@@ -0,0 +1,139 @@
+"""Learned estimates: answer lengths, speeds of backend servers, prefixes."""
+
+import collections
+
+DEFAULT_ANSWER_TOKENS = 64.0
+DEFAULT_PREFILL_MS = 0.2
+DEFAULT_DECODE_MS = 10.0
+DEFAULT_SERVICE_MS = 20.0
+LENGTH_WEIGHT = 0.15
+SPEED_WEIGHT = 0.2
+MAX_CUSTOMER_LENGTHS = 4096
+MAX_PREFIXES = 8192
+
+
+class Average:
+    """An exponentially weighted moving average.
+
+    :param start: value before the first sample.
+    :param weight: weight of a new sample.
+    """
+
+    __slots__ = ("count", "value", "weight")
+
+    def __init__(self, start, weight):
+        self.value = start
+        self.weight = weight
+        self.count = 0
+
+    def add(self, sample):
+        """Adds a sample.
+
+        :param sample: new value.
+        """
+        self.count += 1
+        weight = max(self.weight, 1 / self.count)
+        self.value += (sample - self.value) * weight
+
+
+class LengthEstimator:
+    """Estimates answer lengths by customer and call, in tokens."""
+
+    def __init__(self):
+        self._by_call = {}
+        self._by_customer = collections.OrderedDict()
+
+    def estimate(self, service, call, customer):
+        """Estimates the length of an answer.
+
+        :param service: service name.
+        :param call: call name.
+        :param customer: customer name.
+        :return: expected tokens.
+        """
+        own = self._by_customer.get((service, call, customer))
+        if own is not None:
+            return own.value
+        shared = self._by_call.get((service, call))
+        return shared.value if shared is not None else DEFAULT_ANSWER_TOKENS
+
+    def learn(self, service, call, customer, tokens):
+        """Learns from a whole answer.
+
+        :param service: service name.
+        :param call: call name.
+        :param customer: customer name.
+        :param tokens: length of the answer.
+        """
+        shared = self._by_call.setdefault(
+            (service, call), Average(DEFAULT_ANSWER_TOKENS, LENGTH_WEIGHT)
+        )
+        shared.add(tokens)
+        key = (service, call, customer)
+        if key not in self._by_customer:
+            self._by_customer[key] = Average(shared.value, LENGTH_WEIGHT)
+        self._by_customer.move_to_end(key)
+        self._by_customer[key].add(tokens)
+        if len(self._by_customer) > MAX_CUSTOMER_LENGTHS:
+            self._by_customer.popitem(last=False)
+
+
+class Speed:
+    """Learned speed of one backend server; prefill and decode apart."""
+
+    __slots__ = ("decode", "prefill", "service")
+
+    def __init__(self):
+        self.prefill = Average(DEFAULT_PREFILL_MS, SPEED_WEIGHT)
+        self.decode = Average(DEFAULT_DECODE_MS, SPEED_WEIGHT)
+        self.service = Average(DEFAULT_SERVICE_MS, SPEED_WEIGHT)
+
+    def learn_stream(self, prompt_tokens, first_ms, answer_tokens, decode_ms):
+        """Learns from a whole stream.
+
+        :param prompt_tokens: length of the prompt.
+        :param first_ms: time from dispatch to the first token.
+        :param answer_tokens: length of the answer.
+        :param decode_ms: time from the first token to the last.
+        """
+        if prompt_tokens:
+            self.prefill.add(first_ms / prompt_tokens)
+        if answer_tokens > 1:
+            self.decode.add(decode_ms / (answer_tokens - 1))
+
+    def estimate_stream(self, prompt_tokens, answer_tokens):
+        """Estimates the duration of a stream.
+
+        :param prompt_tokens: prompt tokens that are not cached.
+        :param answer_tokens: expected length of the answer.
+        :return: milliseconds from dispatch to the end.
+        """
+        return prompt_tokens * self.prefill.value + answer_tokens * self.decode.value
+
+
+class PrefixIndex:
+    """Remembers which backend server last saw each prompt prefix."""
+
+    def __init__(self):
+        self._workers = collections.OrderedDict()
+
+    def find(self, prefix):
+        """Finds the backend server that probably caches a prefix.
+
+        :param prefix: hash of the start of a prompt.
+        :return: its id, or ``None``.
+        """
+        return self._workers.get(prefix)
+
+    def note(self, prefix, worker):
+        """Notes a dispatch.
+
+        :param prefix: hash of the start of the prompt.
+        :param worker: id of the backend server.
+        """
+        if not prefix:
+            return
+        self._workers[prefix] = worker
+        self._workers.move_to_end(prefix)
+        if len(self._workers) > MAX_PREFIXES:
+            self._workers.popitem(last=False)
--- /dev/null
+++ b/packages/kernel/wasabiknot_kernel/exceptions.py
@@ -0,0 +1,98 @@
+"""Error kinds, the answers they map to, and the exceptions of the project."""
+
+import enum
+
+import msgspec
+
+
+class Ran(enum.Enum):
+    """Says whether the request of an answer was run by a backend server."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(enum.Enum):
+    """The closed list of reasons for an answer that is not a whole result."""
+
+    BAD_REQUEST = "bad-request"
+    BODY_TOO_LARGE = "body-too-large"
+    UNKNOWN_CALL = "unknown-call"
+    NOT_READY = "not-ready"
+    QUEUE_FULL = "queue-full"
+    DEADLINE_UNREACHABLE = "deadline-unreachable"
+    DEADLINE_EXCEEDED = "deadline-exceeded"
+    NO_WORKER = "no-worker"
+    STOPPING = "stopping"
+    KEY_MALFORMED = "key-malformed"
+    KEY_EXPIRED = "key-expired"
+    KEY_REUSED = "key-reused"
+    KEY_ELSEWHERE = "key-elsewhere"
+    LOG_UNAVAILABLE = "log-unavailable"
+    OWNER_GONE = "owner-gone"
+    QUARANTINED = "quarantined"
+    WORKER_FAILED = "worker-failed"
+    OUTCOME_UNKNOWN = "outcome-unknown"
+    ALREADY_RAN = "already-ran"
+    INCOMPLETE = "incomplete"
+
+
+class Reply(msgspec.Struct, frozen=True):
+    """The answer of one error kind.
+
+    :param status: HTTP status code.
+    :param title: short text for the caller.
+    :param retry_after_s: seconds until a retry can succeed; ``None`` if never.
+    """
+
+    status: int
+    title: str
+    retry_after_s: int | None
+
+
+REPLIES = {
+    ErrorKind.BAD_REQUEST: Reply(400, "The request is malformed.", None),
+    ErrorKind.BODY_TOO_LARGE: Reply(413, "The request body is too large.", None),
+    ErrorKind.UNKNOWN_CALL: Reply(404, "No service offers this call.", None),
+    ErrorKind.NOT_READY: Reply(503, "This VM has no configuration yet.", 2),
+    ErrorKind.QUEUE_FULL: Reply(503, "The queue of this tier is full.", 2),
+    ErrorKind.DEADLINE_UNREACHABLE: Reply(
+        503, "The request cannot finish by its deadline.", 2
+    ),
+    ErrorKind.DEADLINE_EXCEEDED: Reply(504, "The deadline has passed.", 2),
+    ErrorKind.NO_WORKER: Reply(503, "No backend server offers this call.", 2),
+    ErrorKind.STOPPING: Reply(503, "This VM is shutting down.", 1),
+    ErrorKind.KEY_MALFORMED: Reply(400, "The idempotency key is malformed.", None),
+    ErrorKind.KEY_EXPIRED: Reply(409, "The idempotency key is too old.", None),
+    ErrorKind.KEY_REUSED: Reply(
+        422, "The idempotency key belongs to another request.", None
+    ),
+    ErrorKind.KEY_ELSEWHERE: Reply(
+        409, "Another VM holds the idempotency key and cannot be reached.", 2
+    ),
+    ErrorKind.LOG_UNAVAILABLE: Reply(503, "The log service is unavailable.", 5),
+    ErrorKind.OWNER_GONE: Reply(409, "The VM that held this key is gone.", None),
+    ErrorKind.QUARANTINED: Reply(
+        422, "The content has crashed two backend servers.", None
+    ),
+    ErrorKind.WORKER_FAILED: Reply(502, "The backend server failed.", 1),
+    ErrorKind.OUTCOME_UNKNOWN: Reply(502, "The outcome was lost.", None),
+    ErrorKind.ALREADY_RAN: Reply(409, "The request has run already.", None),
+    ErrorKind.INCOMPLETE: Reply(502, "The answer was cut short.", None),
+}
+
+
+class WasabiknotError(Exception):
+    """Base class of every exception of the project."""
+
+
+class DocumentError(WasabiknotError):
+    """A document does not match its schema.
+
+    :param faults: every fault that was found.
+    """
+
+    def __init__(self, faults):
+        super().__init__("\n".join(str(fault) for fault in faults))
+        self.faults = tuple(faults)
--- /dev/null
+++ b/packages/kernel/wasabiknot_kernel/following.py
@@ -0,0 +1,95 @@
+"""Follows the platform: log, list of VMs, state of a peer."""
+
+from wasabiknot_kernel import (
+    calls,
+    events,
+    exceptions,
+    fold,
+    handlers,
+    messages,
+    records,
+    scheduling,
+)
+
+
+@handlers.handle.register
+def _(message: messages.LogRead, node):
+    node.log_heard_ms = node.now_ms
+    node.log_head = message.head
+    node.log_time_ms = message.time_ms
+    before = node.state.publication
+    node.replica.extend(message.records)
+    if message.head == 0:
+        node.replica.confirm_empty()
+    for stamped in message.records:
+        _take_record(node, stamped)
+    if node.state.publication != before:
+        node.note(events.Event.CONFIGURED, publication=node.state.publication)
+        _drop_unknown(node)
+
+
+def _take_record(node, stamped):
+    record = stamped.record
+    if record is None:
+        return
+    node.appended.pop(record.record_id, None)
+    if isinstance(record, records.Crash):
+        _note_quarantine(node, record)
+    if isinstance(record, records.MoveEnd):
+        _note_move_end(node, record)
+    for claim in node.claims.settle(record):
+        calls.settle_claim(node, claim)
+
+
+def _note_quarantine(node, record):
+    for content in record.contents:
+        if node.is_quarantined(content):
+            node.note(events.Event.QUARANTINED, content=content)
+
+
+def _note_move_end(node, record):
+    move = node.state.moves.get(record.service)
+    if move is None or move.offset != record.move:
+        return
+    node.note(
+        events.Event.MOVE_ENDED,
+        service=record.service,
+        target=move.target,
+        state=move.state.value,
+        reason=move.reason,
+    )
+
+
+def _drop_unknown(node):
+    for queue in node.queues.values():
+        for request in list(queue):
+            service = node.configuration.find_service(request.message.service)
+            if service is not None and service.find_call(request.call.name):
+                continue
+            queue.remove(request)
+            node.refuse(request, exceptions.ErrorKind.UNKNOWN_CALL)
+
+
+@handlers.handle.register
+def _(message: messages.LogFailed, node):
+    """Needs no action: the time of the last answer tells."""
+
+
+@handlers.handle.register
+def _(message: messages.VmsListed, node):
+    node.has_vms = True
+    before = {worker.id for worker in node.fleet}
+    node.fleet.update(message.vms)
+    node.roster.update(message.entries)
+    for worker_id in before - {worker.id for worker in node.fleet}:
+        node.own_reports.pop(worker_id, None)
+    for service in node.queues:
+        scheduling.pump(node, service)
+
+
+@handlers.handle.register
+def _(message: messages.StateReceived, node):
+    before = node.state.offset
+    node.replica.restore(fold.decode_state(message.state))
+    if node.state.offset != before:
+        node.note(events.Event.STATE_COPIED, offset=node.state.offset)
--- /dev/null
+++ b/packages/kernel/wasabiknot_kernel/peers.py
@@ -0,0 +1,235 @@
+"""Other entries: what their digests say and how slots are shared with them."""
+
+import msgspec
+
+from wasabiknot_kernel import hashing
+
+SILENT_MS = 1_500
+GONE_MS = 10_000
+IDLE_DEMAND = 0.5
+
+
+class Peer:
+    """Another entry.
+
+    :param vm: its entry in the platform's list.
+    """
+
+    def __init__(self, vm):
+        self.vm = vm
+        self.digest = None
+        self.heard_ms = None
+        self.uses = {}
+        self.demands = {}
+
+    def take(self, digest, now_ms):
+        """Takes a digest unless a newer one is known.
+
+        :param digest: the digest.
+        :param now_ms: present time.
+        :return: whether it was news.
+        """
+        known = self.digest
+        if known is not None and known.incarnation == digest.incarnation:
+            if digest.sequence <= known.sequence:
+                return False
+        self.digest = digest
+        self.heard_ms = now_ms
+        self.uses = {use.worker: use.running for use in digest.uses}
+        self.demands = {item.service: item.waiting for item in digest.demands}
+        return True
+
+    def is_silent(self, now_ms):
+        """Whether its last digest is too old to be trusted.
+
+        :param now_ms: present time.
+        :return: ``True`` if nothing was heard lately.
+        """
+        return self.heard_ms is None or now_ms - self.heard_ms > SILENT_MS
+
+    def is_gone(self, now_ms):
+        """Whether it has been silent for so long that it cannot hold slots.
+
+        :param now_ms: present time.
+        :return: ``True`` if it is taken for gone.
+        """
+        return self.heard_ms is None or now_ms - self.heard_ms > GONE_MS
+
+    def count_running(self, worker_id, worst_rank=None):
+        """Counts its requests in flight on a backend server.
+
+        :param worker_id: the backend server.
+        :param worst_rank: if given, only tiers up to this rank count.
+        :return: their number.
+        """
+        running = self.uses.get(worker_id, ())
+        return sum(running if worst_rank is None else running[: worst_rank + 1])
+
+
+class PeerStatus(msgspec.Struct, frozen=True):
+    """A line of the operators' list of VMs.
+
+    :param entry: name of the entry.
+    :param offset: log offset in force there.
+    :param publication: offset of the configuration in force there.
+    :param heard_ms_ago: age of its last digest; ``None`` if never heard.
+    :param stopping: whether it is shutting down.
+    """
+
+    entry: str
+    offset: int
+    publication: int
+    heard_ms_ago: int | None
+    stopping: bool
+
+
+class Roster:
+    """The peers of one entry.
+
+    :param own: name of this entry.
+    """
+
+    def __init__(self, own):
+        self.own = own
+        self._peers = {}
+
+    def __iter__(self):
+        return iter(self._peers.values())
+
+    def update(self, vms):
+        """Takes the list of the system's VMs.
+
+        :param vms: listed ``EntryVm`` items, this entry among them.
+        """
+        listed = {vm.name: vm for vm in vms if vm.name != self.own}
+        for name in set(self._peers) - set(listed):
+            del self._peers[name]
+        for name, vm in listed.items():
+            if name not in self._peers:
+                self._peers[name] = Peer(vm)
+            self._peers[name].vm = vm
+
+    def find(self, name):
+        """Finds a peer.
+
+        :param name: name of the entry.
+        :return: the ``Peer``, or ``None``.
+        """
+        return self._peers.get(name)
+
+    def take(self, digest, now_ms):
+        """Takes a digest from a listed peer.
+
+        :param digest: the digest.
+        :param now_ms: present time.
+        :return: whether it was news.
+        """
+        peer = self._peers.get(digest.entry)
+        return peer is not None and peer.take(digest, now_ms)
+
+    def holds(self, entry, incarnation, now_ms):
+        """Whether an incarnation is known to be alive.
+
+        :param entry: name of the entry.
+        :param incarnation: its incarnation.
+        :param now_ms: present time.
+        :return: ``True``, ``False`` if it is gone, ``None`` if unknown.
+        """
+        peer = self._peers.get(entry)
+        if peer is None:
+            return False
+        if peer.digest is None:
+            return None
+        if peer.digest.incarnation != incarnation:
+            return False
+        return None if peer.is_silent(now_ms) else True
+
+    def count_running(self, worker_id, now_ms, worst_rank=None):
+        """Counts the peers' requests in flight on a backend server.
+
+        A silent peer is taken to hold what it last reported until it is gone.
+
+        :param worker_id: the backend server.
+        :param now_ms: present time.
+        :param worst_rank: if given, only tiers up to this rank count.
+        :return: their number.
+        """
+        return sum(
+            peer.count_running(worker_id, worst_rank)
+            for peer in self._peers.values()
+            if not peer.is_gone(now_ms)
+        )
+
+    def list_demands(self, service, now_ms):
+        """Lists the demand of every peer that may want slots.
+
+        :param service: service name.
+        :param now_ms: present time.
+        :return: list of ``(name, demand)`` pairs.
+        """
+        return [
+            Share(peer.vm.name, IDLE_DEMAND + sum(peer.demands.get(service, ())))
+            for peer in self._peers.values()
+            if not peer.is_gone(now_ms) and not peer.digest.stopping
+        ]
+
+    def rank_self(self, key, now_ms):
+        """Ranks this entry among the live entries for a piece of work.
+
+        :param key: text that names the work.
+        :param now_ms: present time.
+        :return: 0 for the entry that should do it.
+        """
+        live = [peer.vm.name for peer in self if not peer.is_silent(now_ms)]
+        return hashing.rank_nodes(key, [self.own, *live]).index(self.own)
+
+    def list_status(self, now_ms):
+        """Lists what is known of each peer.
+
+        :param now_ms: present time.
+        :return: list of ``PeerStatus``.
+        """
+        return [_describe_peer(peer, now_ms) for peer in self]
+
+
+class Share(msgspec.Struct, frozen=True):
+    """An entry's demand for slots.
+
+    :param entry: name of the entry.
+    :param demand: waiting requests, never below the idle demand.
+    """
+
+    entry: str
+    demand: float
+
+
+def _describe_peer(peer, now_ms):
+    digest = peer.digest
+    if digest is None:
+        return PeerStatus(peer.vm.name, -1, -1, None, False)
+    age = int(now_ms - peer.heard_ms)
+    return PeerStatus(
+        peer.vm.name, digest.offset, digest.publication, age, digest.stopping
+    )
+
+
+def share_slots(worker_id, free, shares, own):
+    """Divides free slots among entries in proportion to their demand.
+
+    Every entry that has the same digests works out the same division, so no
+    message is needed to agree on it. Slots left by rounding go to entries in
+    rendezvous order, which differs from worker to worker.
+
+    :param worker_id: the backend server.
+    :param free: free slots.
+    :param shares: demand of every entry, the own one included.
+    :param own: name of this entry.
+    :return: free slots that this entry may use.
+    """
+    if free <= 0:
+        return 0
+    total = sum(share.demand for share in shares)
+    floors = {share.entry: int(free * share.demand / total) for share in shares}
+    left = free - sum(floors.values())
+    order = hashing.rank_nodes(worker_id, list(floors))
+    return floors[own] + (1 if order.index(own) < left else 0)
--- /dev/null
+++ b/packages/kernel/wasabiknot_kernel/preemption.py
@@ -0,0 +1,149 @@
+"""Takes slots from less urgent streams, here or at a peer."""
+
+import msgspec
+
+from wasabiknot_kernel import digests, effects, events
+
+YIELD_INTERVAL_MS = 150
+HOLD_MS = 400
+MAX_PAUSES = 3
+PREFILL_WASTE_MS = 1.0
+
+
+class Hold(msgspec.Struct, frozen=True):
+    """A slot that was freed for a more urgent request of a peer.
+
+    :param rank: tier rank of that request.
+    :param until_ms: time until which less urgent requests may not take the slot.
+    """
+
+    rank: int
+    until_ms: int
+
+
+def make_room(node, service, rank, wanted):
+    """Frees slots for waiting requests of a tier.
+
+    :param node: the node.
+    :param service: service name.
+    :param rank: tier rank of the waiting requests.
+    :param wanted: number of waiting requests.
+    """
+    workers = [
+        worker
+        for worker in node.fleet.list_service(service)
+        if worker.is_open(node.now_ms)
+    ]
+    wanted -= _count_yielding(workers)
+    while wanted > 0:
+        victim = _find_victim(workers, rank)
+        if victim is None:
+            break
+        _cancel(node, victim)
+        wanted -= 1
+    if wanted > 0:
+        _ask_peers(node, workers, rank, wanted)
+
+
+def _count_yielding(workers):
+    return sum(
+        1
+        for worker in workers
+        for request in worker.running.values()
+        if request.is_yielding
+    )
+
+
+def _find_victim(workers, rank):
+    victims = [
+        request
+        for worker in workers
+        for request in worker.running.values()
+        if request.rank > rank and _can_pause(request)
+    ]
+    return min(victims, key=_measure_waste, default=None)
+
+
+def _can_pause(request):
+    if not request.message.max_tokens:
+        return False
+    return not (request.is_yielding or request.is_abandoned)
+
+
+def _measure_waste(request):
+    # Least urgent first; then those that were paused least often; then the ones
+    # whose prompt is cheapest to prefill again.
+    often = request.pauses >= MAX_PAUSES
+    return (often, -request.rank, request.message.prompt_tokens + request.tokens)
+
+
+def _cancel(node, victim):
+    victim.is_yielding = True
+    node.note(events.Event.PREEMPTED, victim=victim.request_id, request="waiting")
+    node.emit(effects.Cancel(victim.request_id))
+
+
+def _ask_peers(node, workers, rank, wanted):
+    for worker in workers:
+        asked_ms = node.yields.get(worker.id, 0)
+        if node.now_ms - asked_ms < YIELD_INTERVAL_MS:
+            continue
+        peer = _find_lower_peer(node, worker.id, rank)
+        if peer is None:
+            continue
+        node.yields[worker.id] = node.now_ms
+        demand = digests.YieldDemand(node.settings.name, worker.id, rank)
+        node.emit(effects.SendYield(peer.vm.name, demand))
+        wanted -= 1
+        if wanted <= 0:
+            return
+
+
+def _find_lower_peer(node, worker_id, rank):
+    best = None
+    most = 0
+    for peer in node.roster:
+        if peer.is_silent(node.now_ms):
+            continue
+        lower = sum(peer.uses.get(worker_id, ())[rank + 1 :])
+        if lower > most:
+            best = peer
+            most = lower
+    return best
+
+
+def yield_slot(node, demand):
+    """Cancels a less urgent stream for a peer.
+
+    :param node: the node.
+    :param demand: ``digests.YieldDemand``.
+    """
+    worker = node.fleet.find(demand.worker)
+    if worker is None:
+        return
+    victim = _find_victim([worker], demand.rank)
+    if victim is None:
+        return
+    node.holds.setdefault(worker.id, []).append(
+        Hold(demand.rank, node.now_ms + HOLD_MS)
+    )
+    _cancel(node, victim)
+
+
+def count_held(node, worker_id, rank):
+    """Counts slots that are kept free for more urgent requests of peers.
+
+    :param node: the node.
+    :param worker_id: the backend server.
+    :param rank: tier rank of the request that looks for a slot.
+    :return: number of slots.
+    """
+    holds = node.holds.get(worker_id)
+    if not holds:
+        return 0
+    live = [hold for hold in holds if hold.until_ms > node.now_ms]
+    if live:
+        node.holds[worker_id] = live
+    else:
+        del node.holds[worker_id]
+    return sum(1 for hold in live if hold.rank < rank)
--- /dev/null
+++ b/packages/kernel/wasabiknot_kernel/services.py
@@ -0,0 +1,187 @@
+"""The configuration that operators publish: deployment and service files."""
+
+import datetime
+import enum
+import typing
+
+import msgspec
+
+Name = typing.Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
+Milliseconds = typing.Annotated[int, msgspec.Meta(ge=1, le=3_600_000)]
+Percent = typing.Annotated[float, msgspec.Meta(ge=0, le=100)]
+Weight = typing.Annotated[float, msgspec.Meta(gt=0, le=1000)]
+DEFAULT_CLAIM_RETENTION_MS = 300_000
+
+
+class Kind(enum.Enum):
+    """The kinds of backend server."""
+
+    ENGINE = "engine"
+    PLAIN = "plain"
+
+
+class Call(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One call that a service offers.
+
+    :param name: name of the call.
+    :param tier: tier name of the deployment file.
+    :param deadline_ms: time from arrival to the whole answer, in milliseconds.
+    :param repeatable: whether running the call twice does no harm.
+    """
+
+    name: Name
+    tier: Name
+    deadline_ms: Milliseconds
+    repeatable: bool = False
+
+
+class Version(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The wanted share of one backend server version.
+
+    :param name: version name, as the VM list reports it.
+    :param share_percent: share of the service's traffic, in percent.
+    :param by: time by which the share is reached; ``None`` means at once.
+    """
+
+    name: Name
+    share_percent: Percent
+    by: datetime.datetime | None = None
+
+
+class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The file of one service.
+
+    :param service: name of the service.
+    :param kind: model engine or plain service.
+    :param calls: the calls that it offers.
+    :param versions: wanted shares of its versions.
+    :param checks_fencing: whether its workers refuse orders with an old fencing
+        number.
+    """
+
+    service: Name
+    kind: Kind
+    calls: tuple[Call, ...]
+    versions: tuple[Version, ...]
+    checks_fencing: bool = False
+
+    def find_call(self, name):
+        """Finds a call by its name.
+
+        :param name: name of the call.
+        :return: the call, or ``None``.
+        """
+        return next((call for call in self.calls if call.name == name), None)
+
+
+class Customer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A customer with a weight that differs from the default of 1.
+
+    :param name: name of the customer.
+    :param weight: share of a tier relative to other customers.
+    """
+
+    name: Name
+    weight: Weight = 1.0
+
+
+class Deployment(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The file of a deployment.
+
+    :param tiers: tier names, most urgent first.
+    :param customers: customers with a weight of their own.
+    :param claim_retention_ms: age at which a caller's key is refused.
+    """
+
+    tiers: tuple[Name, ...]
+    customers: tuple[Customer, ...] = ()
+    claim_retention_ms: Milliseconds = DEFAULT_CLAIM_RETENTION_MS
+
+    def rank(self, tier):
+        """Ranks a tier; 0 is the most urgent.
+
+        :param tier: tier name.
+        :return: position of the tier.
+        """
+        return self.tiers.index(tier)
+
+    def weight(self, customer):
+        """Finds the weight of a customer.
+
+        :param customer: customer name.
+        :return: its weight, 1 by default.
+        """
+        for item in self.customers:
+            if item.name == customer:
+                return item.weight
+        return 1.0
+
+
+class Configuration(msgspec.Struct, frozen=True):
+    """Everything that one publication puts in force.
+
+    :param deployment: the deployment file.
+    :param services: the service files.
+    """
+
+    deployment: Deployment
+    services: tuple[Service, ...]
+
+    def find_service(self, name):
+        """Finds a service by its name.
+
+        :param name: name of the service.
+        :return: the service, or ``None``.
+        """
+        return next((item for item in self.services if item.service == name), None)
+
+
+def check_configuration(deployment, services):
+    """Checks deployment and service documents against each other.
+
+    :param deployment: ``Document`` of the deployment.
+    :param services: ``Document`` of each service.
+    :return: list of faults; empty when all is well.
+    """
+    faults = []
+    if not deployment.value.tiers:
+        faults.append(deployment.fault("tiers", "expected at least one tier"))
+    if len(set(deployment.value.tiers)) < len(deployment.value.tiers):
+        faults.append(deployment.fault("tiers", "expected different names"))
+    seen = set()
+    for document in services:
+        faults.extend(_check_service(document, deployment.value.tiers))
+        if document.value.service in seen:
+            faults.append(document.fault("service", "expected a name used once"))
+        seen.add(document.value.service)
+    return faults
+
+
+def _check_service(document, tiers):
+    service = document.value
+    names = [call.name for call in service.calls]
+    for index, call in enumerate(service.calls):
+        if call.tier not in tiers:
+            expected = f"expected one of: {', '.join(tiers)} (found {call.tier!r})"
+            yield document.fault(f"calls[{index}].tier", expected)
+        if call.name in names[:index]:
+            yield document.fault(f"calls[{index}].name", "expected a name used once")
+    if not service.calls:
+        yield document.fault("calls", "expected at least one call")
+    yield from _check_versions(document)
+
+
+def _check_versions(document):
+    versions = document.value.versions
+    total = sum(version.share_percent for version in versions)
+    if abs(total - 100) > 0.01:
+        expected = f"expected shares that add up to 100 (found {total:g})"
+        yield document.fault("versions", expected)
+    names = [version.name for version in versions]
+    for index, version in enumerate(versions):
+        if version.name in names[:index]:
+            path = f"versions[{index}].name"
+            yield document.fault(path, "expected a name used once")
+        if version.by is not None and version.by.tzinfo is None:
+            path = f"versions[{index}].by"
+            yield document.fault(path, "expected a time with a time zone")
--- /dev/null
+++ b/packages/kernel/wasabiknot_kernel/sharing.py
@@ -0,0 +1,107 @@
+"""Exchanges digests and demands with peers."""
+
+from wasabiknot_kernel import (
+    digests,
+    effects,
+    evidence,
+    handlers,
+    messages,
+    moves,
+    preemption,
+    scheduling,
+)
+
+DIGEST_INTERVAL_MS = 200
+
+
+@handlers.handle.register
+def _(message: messages.DigestReceived, node):
+    digest = message.digest
+    if not node.roster.take(digest, node.now_ms):
+        return
+    for report in digest.reports:
+        node.fleet.take_report(report, node.now_ms)
+    if digest.evidence:
+        judge_moves(node)
+    for service, queue in node.queues.items():
+        if len(queue):
+            scheduling.pump(node, service)
+
+
+@handlers.handle.register
+def _(message: messages.YieldReceived, node):
+    preemption.yield_slot(node, message.demand)
+
+
+@handlers.handle.register
+def _(message: messages.CrashReceived, node):
+    node.crashes.take(message.crash)
+
+
+def judge_moves(node):
+    """Judges the target of every watched move by all known evidence.
+
+    :param node: the node.
+    """
+    watched = moves.select_watched(node.state, node.now_ms)
+    if not watched and not node.verdicts:
+        return
+    known = list(node.observations.list_evidence())
+    for peer in node.roster:
+        if peer.digest is not None:
+            known.extend(peer.digest.evidence)
+    node.verdicts = {move.offset: _judge_once(node, move, known) for move in watched}
+    node.observations.drop_except(set(node.verdicts))
+
+
+def _judge_once(node, move, known):
+    before = node.verdicts.get(move.offset)
+    if before is not None and before.is_bad:
+        return before
+    return evidence.judge(move, known, node.is_quarantined)
+
+
+def send_digest(node):
+    """Sends a digest to the peers.
+
+    :param node: the node.
+    """
+    node.digest_sequence += 1
+    node.digest_ms = node.now_ms
+    digest = digests.Digest(
+        entry=node.settings.name,
+        incarnation=node.settings.incarnation,
+        sequence=node.digest_sequence,
+        offset=node.state.offset,
+        publication=node.state.publication,
+        stopping=node.is_stopping,
+        uses=_list_uses(node),
+        demands=_list_demands(node),
+        reports=tuple(node.own_reports.values()),
+        evidence=node.observations.list_evidence(),
+    )
+    node.own_reports.clear()
+    node.emit(effects.SendDigest(digest))
+
+
+def _list_uses(node):
+    return tuple(
+        digests.WorkerUse(worker.id, _count_by_rank(node, worker.running.values()))
+        for worker in node.fleet
+        if worker.running
+    )
+
+
+def _list_demands(node):
+    return tuple(
+        digests.Demand(service, _count_by_rank(node, queue))
+        for service, queue in node.queues.items()
+        if len(queue)
+    )
+
+
+def _count_by_rank(node, requests):
+    counts = [0] * len(node.configuration.deployment.tiers)
+    for request in requests:
+        counts[min(request.rank, len(counts) - 1)] += 1
+    return tuple(counts)
--- /dev/null
+++ b/packages/operator/wasabiknot_operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' program: check, publish, status, explain, vms."""
--- /dev/null
+++ b/packages/operator/wasabiknot_operator/main.py
@@ -0,0 +1,201 @@
+"""The operators' program."""
+
+import enum
+import pathlib
+import sys
+
+import defopt
+import msgspec
+from returns import pipeline
+from twisted.internet import defer, task
+
+from wasabiknot_operator import (
+    configurations,
+    publications,
+    reports,
+    sites,
+    systems,
+)
+
+DEFAULT_WAIT_S = 10.0
+
+
+class ExitCode(enum.IntEnum):
+    """Exit codes of the program."""
+
+    OK = 0
+    BAD_INPUT = 2
+    CONFLICT = 3
+    NOT_IN_FORCE = 4
+    UNREACHABLE = 5
+    NOT_FOUND = 6
+
+
+PUBLISH_CODES = {
+    publications.PublishState.IN_FORCE: ExitCode.OK,
+    publications.PublishState.CONFLICT: ExitCode.CONFLICT,
+    publications.PublishState.LAGGING: ExitCode.NOT_IN_FORCE,
+    publications.PublishState.UNKNOWN: ExitCode.NOT_IN_FORCE,
+}
+
+
+class CheckReport(msgspec.Struct, frozen=True):
+    """The result of a check.
+
+    :param faults: all faults; empty when all is well.
+    """
+
+    faults: tuple
+
+
+def check(*files: pathlib.Path, json: bool = False):
+    """Check service files; with deployment.yaml among them, all together.
+
+    Each fault is printed as FILE:LINE: FIELD: EXPECTED VALUE.
+    Exit codes: 0 all is well, 2 there are faults.
+
+    :param files: service files, and deployment.yaml to check them together
+    :param json: print JSON
+    """
+    if not files:
+        print("expected at least one file", file=sys.stderr)
+        return ExitCode.BAD_INPUT
+    together = any(path.name == configurations.DEPLOYMENT_FILE for path in files)
+    if together:
+        results = [configurations.load_configuration(files)]
+    else:
+        results = [configurations.check_single(path) for path in files]
+    failed = [item for item in results if not pipeline.is_successful(item)]
+    faults = tuple(fault for item in failed for fault in item.failure().faults)
+    lines = [str(fault) for fault in faults] or [f"{len(files)} files are valid"]
+    _print(CheckReport(faults), lines, json)
+    return ExitCode.BAD_INPUT if faults else ExitCode.OK
+
+
+def publish(
+    directory: pathlib.Path,
+    *,
+    site: pathlib.Path = pathlib.Path(sites.DEFAULT_FILE),
+    wait_s: float = DEFAULT_WAIT_S,
+    json: bool = False,
+):
+    """Publish all files below a directory and wait until they are in force.
+
+    Nothing is published unless all files are valid together. Exit codes:
+    0 in force everywhere, 2 there are faults, 3 another operator published first,
+    4 not in force everywhere in time, 5 log or entries unreachable.
+
+    :param directory: directory with deployment.yaml and the service files
+    :param site: file with the addresses of the deployment
+    :param wait_s: time to wait, in seconds
+    :param json: print JSON
+    """
+    paths = configurations.list_files(directory)
+    loaded = configurations.load_configuration(paths)
+    if not pipeline.is_successful(loaded):
+        print(loaded.failure(), file=sys.stderr)
+        return ExitCode.BAD_INPUT
+
+    async def act(reactor, system):
+        return await publications.publish(system, loaded.unwrap(), wait_s, reactor)
+
+    return _run(site, act, json, lambda report: PUBLISH_CODES[report.state])
+
+
+def status(
+    *, site: pathlib.Path = pathlib.Path(sites.DEFAULT_FILE), json: bool = False
+):
+    """Show the configuration in force and one line for each move.
+
+    Exit codes: 0 shown, 5 no entry answers.
+
+    :param site: file with the addresses of the deployment
+    :param json: print JSON
+    """
+    return _run(site, lambda reactor, system: system.read_status(), json)
+
+
+def vms(*, site: pathlib.Path = pathlib.Path(sites.DEFAULT_FILE), json: bool = False):
+    """Show the entries and backend servers as one entry sees them.
+
+    Exit codes: 0 shown, 5 no entry answers.
+
+    :param site: file with the addresses of the deployment
+    :param json: print JSON
+    """
+    return _run(site, lambda reactor, system: system.read_vms(), json)
+
+
+def explain(
+    request: str,
+    *,
+    site: pathlib.Path = pathlib.Path(sites.DEFAULT_FILE),
+    json: bool = False,
+):
+    """Show what became of a request, step by step.
+
+    Exit codes: 0 shown, 5 no entry answers, 6 no entry knows the request.
+
+    :param request: id from the header Wasabiknot-Request-Id
+    :param site: file with the addresses of the deployment
+    :param json: print JSON
+    """
+    return _run(
+        site,
+        lambda reactor, system: system.explain(request),
+        json,
+        lambda lines: ExitCode.OK if lines else ExitCode.NOT_FOUND,
+    )
+
+
+def _run(site_path, act, json, choose_code=lambda report: ExitCode.OK):
+    site = sites.load_site(site_path)
+    if not pipeline.is_successful(site):
+        print(site.failure(), file=sys.stderr)
+        return ExitCode.BAD_INPUT
+    codes = []
+
+    async def main(reactor):
+        try:
+            report = await act(reactor, systems.System(site.unwrap()))
+        except systems.SystemUnreachableError as error:
+            print(error, file=sys.stderr)
+            codes.append(ExitCode.UNREACHABLE)
+            return
+        _print(report, reports.list_lines(report), json)
+        codes.append(choose_code(report))
+
+    try:
+        task.react(lambda reactor: defer.ensureDeferred(main(reactor)))
+    except SystemExit as error:
+        if error.code:
+            return error.code
+    return codes[0]
+
+
+def _print(report, lines, json):
+    if json:
+        print(msgspec.json.encode(report).decode())
+    else:
+        print("\n".join(lines))
+
+
+def run(arguments=None):
+    """Runs the operators' program.
+
+    :param arguments: command line; by default that of the process.
+    """
+    code = defopt.run(
+        [check, publish, status, vms, explain],
+        argv=arguments,
+        short={},
+        argparse_kwargs={
+            "prog": "wasabiknot",
+            "description": "Checks, publishes and explains what wasabiknot does.",
+        },
+    )
+    sys.exit(int(code))
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/packages/standins/wasabiknot_standins/__main__.py
@@ -0,0 +1,85 @@
+"""Command line of the stand-ins."""
+
+import sys
+
+import defopt
+
+
+def engine(
+    *,
+    port: int,
+    slots: int = 4,
+    prefill_ms: float = 0.2,
+    decode_ms: float = 10.0,
+    checks_fencing: bool = False,
+):
+    """Run a model engine.
+
+    :param port: TCP port on loopback
+    :param slots: streams that run at once
+    :param prefill_ms: time per prompt token
+    :param decode_ms: time per answer token
+    :param checks_fencing: refuse orders with an old fencing number
+    """
+    from wasabiknot_standins import batching, engines
+
+    speed = batching.Speed(slots=slots, prefill_ms=prefill_ms, decode_ms=decode_ms)
+    engines.run(port, speed, checks_fencing)
+
+
+def plain(*, port: int, service_ms: float = 20.0):
+    """Run a plain service.
+
+    :param port: TCP port on loopback
+    :param service_ms: service time
+    """
+    from wasabiknot_standins import plains
+
+    plains.run(port, service_ms)
+
+
+def log(*, port: int):
+    """Run the log service.
+
+    :param port: TCP port on loopback
+    """
+    from wasabiknot_standins import logs
+
+    logs.run(port)
+
+
+def vms(*, port: int, lag_ms: int = 1500):
+    """Run the list of VMs.
+
+    :param port: TCP port on loopback
+    :param lag_ms: age of what is shown
+    """
+    from wasabiknot_standins import platforms
+
+    platforms.run_vms(port, lag_ms)
+
+
+def weights(*, port: int, loads_per_s: int = 2):
+    """Run the weight store.
+
+    :param port: TCP port on loopback
+    :param loads_per_s: loads that are allowed each second
+    """
+    from wasabiknot_standins import platforms
+
+    platforms.run_weights(port, loads_per_s)
+
+
+def demo(*, deployment: str = "marktgeld", seconds: float = 12.0):
+    """Run a whole deployment, send calls of each tier and print a table.
+
+    :param deployment: marktgeld or saddle-road
+    :param seconds: duration of the load
+    """
+    from wasabiknot_standins import demos
+
+    sys.exit(demos.run(deployment, seconds))
+
+
+if __name__ == "__main__":
+    defopt.run([engine, plain, log, vms, weights, demo])
--- /dev/null
+++ b/packages/standins/wasabiknot_standins/servers.py
@@ -0,0 +1,76 @@
+"""Serves a stand-in over HTTP on a loopback port."""
+
+import msgspec
+from twisted.internet import reactor
+from twisted.web import server
+
+JSON_TYPE = "application/json"
+HOST = "127.0.0.1"
+BACKLOG = 512
+
+
+class Listening:
+    """An HTTP server that can stop and start listening.
+
+    :param app: ``klein.Klein`` application.
+    :param port: TCP port.
+    """
+
+    def __init__(self, app, port):
+        self._site = server.Site(app.resource(), timeout=120)
+        self._port = port
+        self._listener = None
+        self.connections = set()
+
+    def open(self):
+        """Begins to listen."""
+        if self._listener is None:
+            self._listener = reactor.listenTCP(
+                self._port, self._site, backlog=BACKLOG, interface=HOST
+            )
+
+    def close(self):
+        """Stops listening; new connections are refused."""
+        if self._listener is not None:
+            self._listener.stopListening()
+            self._listener = None
+
+
+def wait_for_end(request):
+    """Tells the router that the request is finished elsewhere.
+
+    :param request: Twisted web request.
+    :return: deferred that fires at its end.
+    """
+    return request.notifyFinish().addBoth(lambda _: None)
+
+
+def send_json(request, value):
+    """Encodes a response.
+
+    :param request: Twisted web request.
+    :param value: structure to encode.
+    :return: JSON bytes.
+    """
+    request.setHeader("Content-Type", JSON_TYPE)
+    return msgspec.json.encode(value)
+
+
+def read_json(request, schema):
+    """Decodes a request body.
+
+    :param request: Twisted web request.
+    :param schema: type of the body.
+    :return: the decoded body.
+    """
+    return msgspec.json.decode(request.content.read(), type=schema)
+
+
+def run(app, port):
+    """Serves an application until the process is stopped.
+
+    :param app: ``klein.Klein`` application.
+    :param port: TCP port.
+    """
+    Listening(app, port).open()
+    reactor.run()
