--- a/packages/kernel/wasabiknot_kernel/node.py
+++ b/packages/kernel/wasabiknot_kernel/node.py
@@ -29,6 +29,8 @@
 HANDLER_MODULES = (attempts, calls, following, sharing, upkeep)
 DEFAULT_PLACEMENT = "finish-time"
 DEFAULT_QUEUE_LIMIT = 512
+PAUSE_GAP_MS = 1_000
+REFRESH_MS = 1_000
 
 
 class NodeSettings(msgspec.Struct, frozen=True):
@@ -86,6 +88,7 @@
         self.digest_sequence = 0
         self.digest_ms = 0
         self.is_stopping = False
+        self.refresh_until_ms = 0
         self._effects = []
 
     @property
@@ -110,10 +113,22 @@
         :param now_ms: present time in Unix milliseconds; never goes back.
         :return: list of effects, in order.
         """
+        self._detect_pause(now_ms)
         self.now_ms = now_ms
         handlers.handle(message, self)
         return self.take_effects()
 
+    def _detect_pause(self, now_ms):
+        # Ticks come several times a second. After a longer gap the process was
+        # paused, and what it knows of its backend servers is out of date.
+        if self.now_ms and now_ms - self.now_ms > PAUSE_GAP_MS:
+            self.refresh_until_ms = now_ms + REFRESH_MS
+
+    @property
+    def is_refreshing(self):
+        """Whether dispatches wait for fresh reports after a pause."""
+        return self.now_ms < self.refresh_until_ms
+
     def take_effects(self):
         """Takes the effects that were added since the last call.
 
--- a/packages/kernel/wasabiknot_kernel/scheduling.py
+++ b/packages/kernel/wasabiknot_kernel/scheduling.py
@@ -12,6 +12,8 @@
     :param node: the node.
     :param service: service name.
     """
+    if node.is_refreshing:
+        return
     queue = node.queue(service)
     for rank in queue.tiers():
         while _pump_tier(node, queue, rank):
