Judge versions by logarithms of pace; bound hand-overs in time

Cause: tests of moves took a good version back. Medians of six answers were compared, and durations that differ eightyfold make such medians jump. Ruled out: raising the factor alone (a version four times slower then needs more answers than its small share gets within the move). Change: entries exchange sums of logarithms, which add up exactly; a version is slow if the mean exceeds that of the versions beside it by half and by four standard errors, for one entry by itself or for all together. A move without a time of its own is due after 15 s, so that "late" means the same for all moves. A request handed over to an entry that sleeps gets its final answer at its deadline; before, it waited for ever. A time between faults and take-back under real engines is not measured yet.

--- a/packages/entry/wasabiknot_entry/callers.py
+++ b/packages/entry/wasabiknot_entry/callers.py
@@ -217,7 +217,7 @@
         exchange = self._exchanges.find(effect.request_id)
         if exchange is None:
             return
-        handover = handovers.Handover(exchange, effect.entry, self._exchanges.close)
+        handover = handovers.Handover(exchange, effect, self._exchanges.close)
         self._forwarder(handover)
 
     def _forget(self, effect):
--- a/packages/entry/wasabiknot_entry/handovers.py
+++ b/packages/entry/wasabiknot_entry/handovers.py
@@ -11,13 +11,15 @@
     """Relays the answer of another entry to the callers of an exchange.
 
     :param exchange: the exchange.
-    :param entry: name of the entry that holds the key.
+    :param effect: ``effects.Forward``.
     :param close: function that closes the exchange.
     """
 
-    def __init__(self, exchange, entry, close):
+    def __init__(self, exchange, effect, close):
         self.exchange = exchange
-        self.entry = entry
+        self.entry = effect.entry
+        self.timeout_s = effect.timeout_s
+        self.is_ended = False
         self._close = close
         self._content_type = None
 
@@ -42,6 +44,7 @@
 
     def finish(self):
         """Ends the answer."""
+        self.is_ended = True
         self._close(self.exchange.request_id)
         self.exchange.finish()
 
@@ -50,6 +53,9 @@
 
         :param kind: kind of error.
         """
+        if self.is_ended:
+            return
+        self.is_ended = True
         self._close(self.exchange.request_id)
         ran = RAN.get(kind, exceptions.Ran.UNKNOWN)
         problem = problems.build_problem(self.exchange.request_id, kind, ran)
--- a/packages/entry/wasabiknot_entry/peering.py
+++ b/packages/entry/wasabiknot_entry/peering.py
@@ -129,6 +129,7 @@
 
     def __init__(self, node, reactor):
         self._node = node
+        self._reactor = reactor
         agent = client.Agent(reactor, connectTimeout=FORWARD_TIMEOUT_S)
         self._http = treq_client.HTTPClient(agent)
 
@@ -152,7 +153,13 @@
             headers.FORWARDED: "1",
         }
         data = msgspec.json.encode(handover.exchange.body)
-        sent = self._http.post(url, data=data, headers=fields, unbuffered=True)
+        sent = self._http.post(
+            url,
+            data=data,
+            headers=fields,
+            unbuffered=True,
+            timeout=handover.timeout_s,
+        )
         sent.addCallback(self._relay, handover)
         sent.addErrback(lambda _: handover.fail(exceptions.ErrorKind.KEY_ELSEWHERE))
 
@@ -160,17 +167,23 @@
         content_type = response.headers.getRawHeaders("content-type", [""])[0]
         retry_after = response.headers.getRawHeaders("retry-after", [None])[0]
         handover.begin(response.code, content_type, retry_after)
-        response.deliverBody(RelayedBody(handover))
+        response.deliverBody(RelayedBody(handover, self._reactor))
 
 
 class RelayedBody(protocol.Protocol):
     """Relays the body of a peer's answer.
 
     :param handover: the request that was handed over.
+    :param reactor: Twisted reactor.
     """
 
-    def __init__(self, handover):
+    def __init__(self, handover, reactor):
         self._handover = handover
+        self._timer = reactor.callLater(handover.timeout_s, self._time_out)
+
+    def _time_out(self):
+        self._handover.fail(exceptions.ErrorKind.INCOMPLETE)
+        self.transport.loseConnection()
 
     def dataReceived(self, data):  # noqa: N802
         """Relays bytes."""
@@ -178,6 +191,8 @@
 
     def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
         """Ends the answer; without its last byte it is marked as cut short."""
+        if self._timer.active():
+            self._timer.cancel()
         if reason.check(client.ResponseDone):
             self._handover.finish()
         else:
--- a/packages/kernel/tests/fakes.py
+++ b/packages/kernel/tests/fakes.py
@@ -11,6 +11,7 @@
     digests,
     effects,
     exceptions,
+    fold,
     messages,
     node as nodes,
     records,
@@ -125,6 +126,8 @@
         self.boot = 0
         self.running = {}
         self.fail_fraction = 0.0
+        self.fail_calls = ()
+        self.crash_on_run = False
         self.slow = 1.0
 
     def report(self):
@@ -160,9 +163,10 @@
         self.content = content
         self.identity = identity
         self.is_ended = False
+        self.tokens = 0
         self.generation = 0
         world = entry.world
-        self.left_ms = world.rng.choice((50, 200, 1_000, 4_000)) * worker.slow
+        self.left_ms = world.rng.choice(world.durations_ms) * worker.slow
         self.started_ms = world.now_ms
 
     def run(self):
@@ -170,16 +174,26 @@
         self.started_ms = self.entry.world.now_ms
         generation = self.generation
         world = self.entry.world
-        if "poison" in self.content:
+        if "poison" in self.content or self.worker.crash_on_run:
             world.later(30, self.crash_worker)
             return
-        if world.rng.random() < self.worker.fail_fraction:
+        if self.draws_failure():
             world.later(20, lambda: self.end(messages.Outcome.FAILED))
             return
-        started = messages.AttemptStarted(self.request_id)
-        world.later(20, lambda: self.entry.deliver(started))
+        world.later(20, self.begin)
         world.later(self.left_ms, lambda: self.finish(generation))
 
+    def begin(self):
+        if not self.is_ended:
+            self.tokens = 5
+            self.entry.deliver(messages.AttemptStarted(self.request_id))
+
+    def draws_failure(self):
+        limited = self.worker.fail_calls
+        if limited and self.call not in limited:
+            return False
+        return self.entry.world.rng.random() < self.worker.fail_fraction
+
     def crash_worker(self):
         if not self.is_ended:
             self.worker.crash()
@@ -201,7 +215,7 @@
             return
         self.is_ended = True
         self.worker.running.pop(self.request_id, None)
-        message = messages.AttemptEnded(self.request_id, outcome, 5)
+        message = messages.AttemptEnded(self.request_id, outcome, self.tokens)
         self.entry.world.later(5, lambda: self.entry.deliver(message))
 
 
@@ -279,6 +293,16 @@
         self.attempts[effect.request_id] = attempt
         worker.running[effect.request_id] = attempt
         attempt.run()
+        self.limit_attempt(attempt, effect)
+
+    def limit_attempt(self, attempt, effect):
+        generation = attempt.generation
+
+        def give_up():
+            if generation == attempt.generation:
+                attempt.pause()
+
+        self.world.later(effect.timeout_s * 1_000, give_up)
 
     def on_resume(self, effect):
         attempt = self.attempts[effect.request_id]
@@ -289,6 +313,7 @@
         attempt.is_ended = False
         attempt.worker.running[effect.request_id] = attempt
         attempt.run()
+        self.limit_attempt(attempt, effect)
 
     def on_cancel(self, effect):
         attempt = self.attempts.get(effect.request_id)
@@ -325,7 +350,7 @@
 
     def on_forward(self, effect):
         copy = self.copies[effect.request_id]
-        self.world.forward(self, copy, effect.entry)
+        self.world.forward(self, copy, effect)
 
     def on_append(self, effect):
         if self.is_cut_from_log:
@@ -365,6 +390,8 @@
 class World:
     """Entries, log, backend servers and callers in virtual time."""
 
+    durations_ms = (50, 200, 1_000, 4_000)
+
     def __init__(self, seed=0, entries=3):
         self.rng = random.Random(seed)
         self.now_ms = START_MS
@@ -498,18 +525,14 @@
         )
         return copy
 
-    def forward(self, source, copy, target_name):
-        target = self.entries[target_name]
-        cut = frozenset((source.name, target_name)) in self.cuts
+    def forward(self, source, copy, effect):
+        target = self.entries[effect.entry]
+        cut = frozenset((source.name, effect.entry)) in self.cuts
         if cut or not target.is_alive:
-            refusal = effects.Refuse(
-                copy.request_id,
-                exceptions.ErrorKind.KEY_ELSEWHERE,
-                exceptions.Ran.UNKNOWN,
-                2,
-            )
-            source.answer(copy.request_id, refusal)
+            self.fail_forward(source, copy)
             return
+        timeout_ms = effect.timeout_s * 1_000
+        self.later(timeout_ms, lambda: self.fail_forward(source, copy))
         _, customer, key = copy.identity.split("/", 2)
         content = self.contents[copy.identity]
         self.later(
@@ -517,6 +540,17 @@
             lambda: self.take_forwarded(target, source, copy, key, content, customer),
         )
 
+    def fail_forward(self, source, copy):
+        if copy.answers or copy.request_id not in source.copies:
+            return
+        refusal = effects.Refuse(
+            copy.request_id,
+            exceptions.ErrorKind.KEY_ELSEWHERE,
+            exceptions.Ran.UNKNOWN,
+            2,
+        )
+        source.answer(copy.request_id, refusal)
+
     def take_forwarded(self, target, source, copy, key, content, customer):
         if not target.is_alive or copy.dead:
             copy.dead = True
@@ -534,6 +568,9 @@
         elif not copy.answers:
             self.later(200, lambda: self.relay(target, source, copy, passed))
 
+    def encode_state(self, entry_name):
+        return fold.encode_state(self.entries[entry_name].node.state)
+
     def mint_key(self, age_ms=0):
         key = f"uuid-{next(self._ids)}"
         self.keys[key] = self.now_ms - age_ms
--- a/packages/kernel/wasabiknot_kernel/calls.py
+++ b/packages/kernel/wasabiknot_kernel/calls.py
@@ -131,7 +131,9 @@
     elif message.forwarded or alive is None:
         node.refuse_message(message, Kind.KEY_ELSEWHERE, Ran.UNKNOWN)
     else:
-        node.emit(effects.Forward(message.request_id, entry))
+        service = node.configuration.find_service(message.service)
+        timeout_ms = service.find_call(message.call).deadline_ms
+        node.emit(effects.Forward(message.request_id, entry, timeout_ms / 1000))
 
 
 def _open_key(node, request, issued_ms):
--- a/packages/kernel/wasabiknot_kernel/digests.py
+++ b/packages/kernel/wasabiknot_kernel/digests.py
@@ -57,6 +57,32 @@
     content: str
 
 
+class Pace(msgspec.Struct, frozen=True, array_like=True):
+    """Sums of logarithms of times per unit of work; sums of entries add up.
+
+    :param samples: number of answers.
+    :param log_sum: sum of natural logarithms of milliseconds.
+    :param log_squares: sum of their squares.
+    """
+
+    samples: int = 0
+    log_sum: float = 0.0
+    log_squares: float = 0.0
+
+    @property
+    def mean_log(self):
+        """Mean logarithm; 0 without samples."""
+        return self.log_sum / self.samples if self.samples else 0.0
+
+    @property
+    def log_deviation(self):
+        """Standard deviation of the logarithms."""
+        if not self.samples:
+            return 0.0
+        variance = self.log_squares / self.samples - self.mean_log**2
+        return max(0.0, variance) ** 0.5
+
+
 class Evidence(msgspec.Struct, frozen=True, array_like=True):
     """What one entry has seen of one version on one route since a move began.
 
@@ -66,8 +92,7 @@
     :param move: offset of the publication that began the move.
     :param good: whole answers.
     :param failures: failed requests with different contents, at most a few.
-    :param pace: median time per unit of work, in milliseconds; 0 if unknown.
-    :param samples: answers behind the median.
+    :param pace: time per unit of work of the latest answers.
     """
 
     service: str
@@ -76,8 +101,7 @@
     move: int
     good: int
     failures: tuple[Failure, ...]
-    pace: float
-    samples: int
+    pace: Pace
 
 
 class Digest(msgspec.Struct, frozen=True, tag="d", tag_field="t"):
--- a/packages/kernel/wasabiknot_kernel/effects.py
+++ b/packages/kernel/wasabiknot_kernel/effects.py
@@ -81,10 +81,12 @@
 
     :param request_id: the request.
     :param entry: the holder.
+    :param timeout_s: time to wait for the answer of the holder.
     """
 
     request_id: identifiers.RequestId
     entry: identifiers.EntryName
+    timeout_s: float
 
 
 class Forget(Effect, frozen=True):
--- a/packages/kernel/wasabiknot_kernel/evidence.py
+++ b/packages/kernel/wasabiknot_kernel/evidence.py
@@ -2,7 +2,7 @@
 
 import collections
 import enum
-import statistics
+import math
 
 import msgspec
 
@@ -15,8 +15,11 @@
 CUSTOMER_WEIGHT_CAP = 2
 FAILURE_RATIO_FACTOR = 2.0
 FAILURE_RATIO_MARGIN = 0.02
-SLOW_FACTOR = 1.75
-SLOW_SAMPLES = 6
+SLOW_FACTOR = 1.5
+SLOW_SCORE = 4.0
+MIN_NEW_SAMPLES = 4
+MIN_OLD_SAMPLES = 8
+MIN_LOG_DEVIATION = 0.15
 
 
 class Judgement(enum.Enum):
@@ -108,7 +111,12 @@
 
 
 def _summarize(key, sight):
-    pace = statistics.median(sight.paces) if sight.paces else 0.0
+    logs = [math.log(pace) for pace in sight.paces]
+    pace = digests.Pace(
+        samples=len(logs),
+        log_sum=round(sum(logs), 4),
+        log_squares=round(sum(value * value for value in logs), 4),
+    )
     return digests.Evidence(
         service=key.service,
         version=key.version,
@@ -116,8 +124,7 @@
         move=key.move,
         good=sight.good,
         failures=tuple(sight.failures.values()),
-        pace=round(pace, 3),
-        samples=len(sight.paces),
+        pace=pace,
     )
 
 
@@ -131,7 +138,8 @@
     if request.pauses:
         return None
     prompt = request.message.prompt_tokens / PROMPT_TOKENS_PER_UNIT
-    return (now_ms - request.dispatched_ms) / (prompt + request.tokens + 1)
+    duration_ms = max(1, now_ms - request.dispatched_ms)
+    return duration_ms / (prompt + request.tokens + 1)
 
 
 def judge(move, evidence, is_quarantined):
@@ -189,11 +197,31 @@
 
 
 def _find_slow(new, old):
-    paces = [item.pace for item in old if item.samples >= SLOW_SAMPLES]
-    if not paces:
+    usual = _pool(item.pace for item in old)
+    if usual.samples < MIN_OLD_SAMPLES:
         return ""
-    usual = statistics.median(paces)
-    for item in new:
-        if item.samples >= SLOW_SAMPLES and item.pace > SLOW_FACTOR * usual:
-            return f"{item.pace / usual:.1f} times slower"
+    for pace in [*(item.pace for item in new), _pool(item.pace for item in new)]:
+        if pace.samples >= MIN_NEW_SAMPLES and _is_slower(pace, usual):
+            ratio = math.exp(pace.mean_log - usual.mean_log)
+            return f"{ratio:.1f} times slower"
     return ""
+
+
+def _is_slower(pace, usual):
+    # A z-test on logarithms, with the deviation of the versions beside it: a few
+    # slow answers among durations that differ a lot prove nothing.
+    excess = pace.mean_log - usual.mean_log
+    if excess < math.log(SLOW_FACTOR):
+        return False
+    deviation = max(MIN_LOG_DEVIATION, usual.log_deviation)
+    error = deviation * math.sqrt(1 / pace.samples + 1 / usual.samples)
+    return excess / error > SLOW_SCORE
+
+
+def _pool(paces):
+    paces = list(paces)
+    return digests.Pace(
+        samples=sum(pace.samples for pace in paces),
+        log_sum=sum(pace.log_sum for pace in paces),
+        log_squares=sum(pace.log_squares for pace in paces),
+    )
--- a/packages/kernel/wasabiknot_kernel/fold.py
+++ b/packages/kernel/wasabiknot_kernel/fold.py
@@ -10,7 +10,7 @@
 QUARANTINE_MS = 3_600_000
 CLOCK_SKEW_MS = 5_000
 MOVE_STEPS_PERCENT = (2.0, 5.0, 10.0, 25.0, 50.0, 100.0)
-KEPT_ENDED_MOVES = 8
+DEFAULT_MOVE_MS = 15_000
 
 
 class Move(msgspec.Struct):
@@ -195,7 +195,7 @@
         _withdraw(state, service, current)
         return
     due = target.by
-    due_ms = int(due.timestamp() * 1000) if due else state.time_ms
+    due_ms = int(due.timestamp() * 1000) if due else state.time_ms + DEFAULT_MOVE_MS
     state.moves[service.service] = Move(
         offset=state.offset,
         started_ms=state.time_ms,
--- a/packages/kernel/wasabiknot_kernel/moves.py
+++ b/packages/kernel/wasabiknot_kernel/moves.py
@@ -159,14 +159,10 @@
         due_ms=move.due_ms,
         ended_ms=move.ended_ms,
         reason=reason,
-        late=ended > max(move.due_ms, move.started_ms + _least_duration_ms()),
+        late=ended > move.due_ms,
     )
 
 
-def _least_duration_ms():
-    return (len(fold.MOVE_STEPS_PERCENT) + 1) * MIN_STEP_MS
-
-
 def _describe_wait(move, verdict, now_ms):
     if not _has_evidence(move, verdict):
         wanted = GOOD_PER_STEP * move.step
