Add drills: faults on real processes against the workers' own tallies

Cause: the promises were proved on fakes only. Change: `python -m wasabiknot_standins drill` starts a whole deployment, brings a fault about under load (70% of the plan's rate, every keyed call sent twice, to two entries) and compares the answers with what the backend servers ran.

--- a/packages/standins/wasabiknot_standins/__main__.py
+++ b/packages/standins/wasabiknot_standins/__main__.py
@@ -81,5 +81,17 @@
     sys.exit(demos.run(deployment, seconds))
 
 
+def drill(*names: str, deployment: str = "marktgeld"):
+    """Bring about faults on real processes and check the promises.
+
+    :param names: drills to run; all if none is named
+    :param deployment: marktgeld or saddle-road
+    """
+    from wasabiknot_standins import drills
+
+    reports = drills.run(names, deployment)
+    sys.exit(1 if any(report.faults for report in reports) else 0)
+
+
 if __name__ == "__main__":
-    defopt.run([engine, plain, log, vms, weights, demo])
+    defopt.run([engine, plain, log, vms, weights, demo, drill])
--- a/packages/standins/wasabiknot_standins/batching.py
+++ b/packages/standins/wasabiknot_standins/batching.py
@@ -37,7 +37,6 @@
     :param fail_calls: calls that the fault is limited to; empty for all.
     :param from_load: running requests from which the fault shows.
     :param from_ms: time since the start from which the fault shows.
-    :param silent: whether open connections go silent.
     :param poison: text in a prompt that crashes the server.
     :param cross: whether answers carry the id of another request.
     """
@@ -47,7 +46,6 @@
     fail_calls: tuple[str, ...] = ()
     from_load: int = 0
     from_ms: int = 0
-    silent: bool = False
     poison: str = "POISON"
     cross: bool = False
 
--- a/packages/standins/wasabiknot_standins/clients.py
+++ b/packages/standins/wasabiknot_standins/clients.py
@@ -29,6 +29,8 @@
     :param ran: ``ran`` of a problem, or an empty text.
     :param kind: kind of a problem, or an empty text.
     :param request_id: id of the request.
+    :param address: entry that was asked.
+    :param copied: whether a copy of the request went to another entry too.
     """
 
     tier: str
@@ -44,6 +46,8 @@
     ran: str = ""
     kind: str = ""
     request_id: str = ""
+    address: str = ""
+    copied: bool = False
 
 
 class Problem(msgspec.Struct, frozen=True):
@@ -65,6 +69,7 @@
     :param customer: customer name.
     :param prompt: prompt.
     :param key: idempotency key, or ``None``.
+    :param copied: whether a copy of the request goes to another entry too.
     """
 
     address: str
@@ -72,6 +77,7 @@
     customer: str
     prompt: str
     key: str | None = None
+    copied: bool = False
 
 
 def create_key():
@@ -190,6 +196,8 @@
         ran=problem.ran,
         kind=problem.type.rpartition(":")[2],
         request_id=request_id,
+        address=question.address,
+        copied=question.copied,
     )
 
 
--- a/packages/standins/wasabiknot_standins/engines.py
+++ b/packages/standins/wasabiknot_standins/engines.py
@@ -38,6 +38,7 @@
         self.request = request
         self.sent = sent
         self.is_gone = False
+        self.is_silent = False
         request.notifyFinish().addBoth(self._note_gone)
 
     def _note_gone(self, _):
@@ -83,6 +84,11 @@
         self._subscriptions.clear()
         self._batch.clear()
 
+    def silence(self):
+        """Makes the open connections silent for good; new ones work."""
+        for subscription in self._subscriptions.values():
+            subscription.is_silent = True
+
     def _begin(self, request):
         body = servers.read_json(request, workers.CallBody)
         if self.is_leaving:
@@ -137,17 +143,13 @@
             self._ping()
 
     def _ping(self):
-        if self.faults.silent:
-            return
         for subscription in self._subscriptions.values():
-            if not subscription.is_gone:
+            if not (subscription.is_gone or subscription.is_silent):
                 subscription.request.write(b": ping\n\n")
 
     def _send(self, stream):
         subscription = self._subscriptions.get(stream.id)
-        if subscription is None or self.faults.silent:
-            return
-        if subscription.is_gone:
+        if subscription is None or subscription.is_gone or subscription.is_silent:
             return
         stream_id = "crossed" if self.faults.cross else stream.id
         events = [
--- a/packages/standins/wasabiknot_standins/plains.py
+++ b/packages/standins/wasabiknot_standins/plains.py
@@ -33,6 +33,7 @@
         super().__init__(port, reactor)
         self._service_ms = service_ms
         self._open = {}
+        self._silent = set()
         self.app.route("/v1/calls", methods=["POST"])(self._call)
 
     def start(self):
@@ -50,6 +51,10 @@
             request.transport.abortConnection()
         self._open.clear()
 
+    def silence(self):
+        """Makes the open connections silent for good."""
+        self._silent.update(self._open)
+
     def _call(self, request):
         body = servers.read_json(request, workers.CallBody)
         if self.is_leaving:
@@ -70,7 +75,7 @@
 
     def _finish(self, body):
         request = self._open.get(body.id)
-        if request is None or self.faults.silent:
+        if request is None or body.id in self._silent:
             return
         answer_id = "crossed" if self.faults.cross else body.id
         request.write(servers.send_json(request, Answer(answer_id, f"{body.call} ok")))
--- a/packages/standins/wasabiknot_standins/traffic.py
+++ b/packages/standins/wasabiknot_standins/traffic.py
@@ -79,35 +79,48 @@
     return (head + text if size > 2 * PREFIX_BYTES else text)[:size]
 
 
-async def send_arrivals(arrivals, addresses, note_progress=lambda count: None):
+async def send_arrivals(
+    arrivals, addresses, note_progress=lambda count: None, copy_delay_s=None
+):
     """Sends calls at their times.
 
     :param arrivals: list of ``Arrival``.
     :param addresses: addresses of the entries.
     :param note_progress: function that takes the number of finished calls.
-    :return: list of ``clients.Answer`` in order of arrival.
+    :param copy_delay_s: time after which a copy of each keyed call is sent to the
+        next entry; ``None`` for no copies.
+    :return: list of ``clients.Answer``; copies come last.
     """
     caller = clients.Caller()
     start_s = reactor.seconds()
     finished = []
 
-    async def send(arrival):
-        wait_s = start_s + arrival.at_s - reactor.seconds()
-        await task.deferLater(reactor, max(0, wait_s))
-        answer = await caller.send(
-            clients.Question(
-                address=addresses[arrival.entry % len(addresses)],
-                plan=arrival.plan,
-                customer=arrival.customer,
-                prompt=arrival.prompt,
-                key=clients.create_key() if arrival.plan.keyed else None,
-            )
+    def ask(arrival, key, shift):
+        index = (arrival.entry + shift) % len(addresses)
+        return clients.Question(
+            address=addresses[index],
+            plan=arrival.plan,
+            customer=arrival.customer,
+            prompt=arrival.prompt,
+            key=key,
+            copied=key is not None and copy_delay_s is not None,
         )
+
+    async def send(at_s, question):
+        await task.deferLater(reactor, max(0, start_s + at_s - reactor.seconds()))
+        answer = await caller.send(question)
         finished.append(answer)
         note_progress(len(finished))
         return answer
 
-    sent = [defer.ensureDeferred(send(arrival)) for arrival in arrivals]
+    first = []
+    copies = []
+    for arrival in arrivals:
+        key = clients.create_key() if arrival.plan.keyed else None
+        first.append(send(arrival.at_s, ask(arrival, key, 0)))
+        if key is not None and copy_delay_s is not None:
+            copies.append(send(arrival.at_s + copy_delay_s, ask(arrival, key, 1)))
+    sent = [defer.ensureDeferred(item) for item in [*first, *copies]]
     return await defer.gatherResults(sent)
 
 
--- a/packages/standins/wasabiknot_standins/workers.py
+++ b/packages/standins/wasabiknot_standins/workers.py
@@ -107,6 +107,7 @@
         self.app.route("/faults", methods=["POST"])(self._set_faults)
         self.app.route("/leave", methods=["POST"])(self._leave)
         self.app.route("/crash", methods=["POST"])(self._crash_now)
+        self.app.route("/silence", methods=["POST"])(self._silence_now)
         self.app.route("/tally")(self._send_tally)
         self.app.route("/v1/orders", methods=["POST"])(self._take_order)
         self.app.route("/v1/orders", methods=["GET"])(self._send_orders)
@@ -206,6 +207,14 @@
         self._leaving = True
         return b""
 
+    def silence(self):
+        """Makes the open connections silent for good."""
+        raise NotImplementedError
+
+    def _silence_now(self, request):
+        self.silence()
+        return b""
+
     def _crash_now(self, request):
         self.reactor.callLater(0, self.crash)
         return b""
