Give caller-chosen keys a home by issue time; claims stay as the other rule

Ruled out: longer claim time-outs (the caller waits longer for the same answer); dispatching without a claim during an outage (two entries may hold the key). Change: the log holds who joined and who left; a change counts for keys issued 30 s after it or later, and an entry names a key's home only once it has read the log up to 30 s before the key's issue time. The rule of a key is fixed by its issue time as well, so operators may switch between homes and claims at any time. A stopping entry serves its keys until its peers have taken over.

Given up: after a home's death its keys are refused for about 33 s. Conclusion: kept as the default.

--- a/packages/entry/wasabiknot_entry/main.py
+++ b/packages/entry/wasabiknot_entry/main.py
@@ -24,7 +24,7 @@
     sites,
     vms,
 )
-from wasabiknot_kernel import events, messages, node as nodes
+from wasabiknot_kernel import events, homes, messages, node as nodes
 
 EXIT_BAD_SETTINGS = 2
 BACKLOG = 512
@@ -116,7 +116,8 @@
         return self._wait_until_empty(deadline_s)
 
     def _wait_until_empty(self, deadline_s):
-        if len(self._callers) == 0 or reactor.seconds() >= deadline_s:
+        is_needed = len(self._callers) or homes.is_home(self._scheduler.node)
+        if not is_needed or reactor.seconds() >= deadline_s:
             self._log.stop()
             self._scheduler.stop()
             journal.write(events.Event.STOPPED, entry=self._settings.name)
--- a/packages/kernel/tests/fakes.py
+++ b/packages/kernel/tests/fakes.py
@@ -32,7 +32,7 @@
 ENGINE_CALLS = ("tag", "ledger", "check")
 
 
-def build_configuration(shares=(("v1", 100.0),), by=None):
+def build_configuration(shares=(("v1", 100.0),), by=None, rule=services.KeyRule.HOMES):
     versions = tuple(services.Version(name, share, by) for name, share in shares)
     engine = services.Service(
         "engine",
@@ -46,7 +46,7 @@
         (CALLS["cash"],),
         (services.Version("v1", 100.0),),
     )
-    deployment = services.Deployment(TIERS, claim_retention_ms=120_000)
+    deployment = services.Deployment(TIERS, claim_retention_ms=120_000, key_rule=rule)
     return services.Configuration(deployment, (engine, plain))
 
 
@@ -499,6 +499,8 @@
         number = next(self._ids)
         identity = f"key/{customer}/{key}" if key else f"request/{number}"
         content = content or f"content-{number}"
+        if self.contents.get(identity, content) != content:
+            identity = f"{identity}#{content}"
         self.contents.setdefault(identity, content)
         return self.send_copy(entry, identity, call, key, content, customer)
 
@@ -533,7 +535,7 @@
             return
         timeout_ms = effect.timeout_s * 1_000
         self.later(timeout_ms, lambda: self.fail_forward(source, copy))
-        _, customer, key = copy.identity.split("/", 2)
+        _, customer, key = copy.identity.partition("#")[0].split("/", 2)
         content = self.contents[copy.identity]
         self.later(
             2,
--- a/packages/kernel/tests/test_moves.py
+++ b/packages/kernel/tests/test_moves.py
@@ -168,6 +168,19 @@
         self.assertEqual(move.state, records.MoveState.TAKEN_BACK)
         self.assertIn("slower", move.reason)
 
+    def test_every_entry_stops_by_itself_while_the_log_is_out(self):
+        world = create_world()
+        begin_move(world)
+        drive(world, 6)
+        world.log.is_out = True
+        for worker in new_workers(world):
+            worker.fail_fraction = 1.0
+        drive(world, 12)
+        judged_ms = world.now_ms
+        drive(world, 5)
+        self.assertEqual(find_move(world).state, records.MoveState.RUNNING)
+        self.assertEqual(world.count("v2", judged_ms), 0)
+
     def test_reason_is_one_line(self):
         world = create_world()
         begin_move(world)
--- a/packages/kernel/tests/test_node.py
+++ b/packages/kernel/tests/test_node.py
@@ -4,7 +4,14 @@
 
 import fakes
 
-from wasabiknot_kernel import effects, exceptions, messages, records
+from wasabiknot_kernel import (
+    effects,
+    exceptions,
+    homes,
+    messages,
+    records,
+    services,
+)
 
 Kind = exceptions.ErrorKind
 Ran = exceptions.Ran
@@ -22,9 +29,10 @@
         self.dispatched.append((self.now_ms, worker.vm.id, copy))
 
 
-def create_world(entries=3):
+def create_world(entries=3, rule=services.KeyRule.HOMES):
     world = RecordingWorld(entries=entries)
-    world.publish(fakes.build_configuration(), based_on=-1)
+    world.advance(1_000)
+    world.publish(fakes.build_configuration(rule=rule), based_on=-1)
     world.advance(1_000)
     return world
 
@@ -47,7 +55,7 @@
         self.assertEqual(world.dispatched, [])
 
     def test_a_holder_that_sleeps_between_claim_and_dispatch_dispatches_once(self):
-        world = create_world()
+        world = create_world(rule=services.KeyRule.CLAIMS)
         key = world.mint_key()
         world.call("entry-0", "cash", key=key, content="c")
         world.advance(80)
@@ -63,11 +71,16 @@
 
 
 class KeyTests(unittest.TestCase):
+    rule = services.KeyRule.HOMES
+
+    def create_world(self):
+        return create_world(rule=self.rule)
+
     def send(self, world, entry, key, content="c"):
         return world.call(entry, "cash", key=key, content=content)
 
     def test_a_copy_at_another_entry_gets_the_answer_of_the_first(self):
-        world = create_world()
+        world = self.create_world()
         key = world.mint_key()
         first = self.send(world, "entry-0", key)
         world.advance(500)
@@ -78,14 +91,15 @@
         self.assertEqual(world.oracle.runs[f"key/c1/{key}"], 1)
 
     def test_the_same_key_with_other_content_is_refused(self):
-        world = create_world()
+        world = self.create_world()
         key = world.mint_key()
         self.send(world, "entry-0", key)
         other = self.send(world, "entry-0", key, "other")
+        world.advance(500)
         self.assertEqual(read_answer(other).kind, Kind.KEY_REUSED)
 
     def test_a_key_of_a_dead_entry_never_runs_again(self):
-        world = create_world()
+        world = self.create_world()
         key = world.issue_key("entry-0")
         self.send(world, "entry-0", key)
         world.entries["entry-0"].kill()
@@ -99,7 +113,7 @@
         self.assertEqual(world.oracle.runs[f"key/c1/{key}"], 1)
 
     def test_a_key_older_than_its_retention_is_refused(self):
-        world = create_world()
+        world = self.create_world()
         key = world.mint_key()
         self.send(world, "entry-0", key)
         world.advance(121_000)
@@ -108,8 +122,26 @@
             self.assertEqual(read_answer(copy).kind, Kind.KEY_EXPIRED)
             self.assertEqual(read_answer(copy).ran, Ran.UNKNOWN)
 
+    def test_an_issued_key_older_than_its_retention_is_refused(self):
+        world = self.create_world()
+        key = world.issue_key("entry-0")
+        self.send(world, "entry-0", key)
+        world.advance(121_000)
+        copy = self.send(world, "entry-0", key)
+        self.assertEqual(read_answer(copy).kind, Kind.KEY_EXPIRED)
+
+    def test_a_malformed_key_did_not_run(self):
+        world = self.create_world()
+        copy = self.send(world, "entry-0", "no-uuid")
+        self.assertEqual(read_answer(copy).kind, Kind.KEY_MALFORMED)
+        self.assertEqual(read_answer(copy).ran, Ran.NO)
+
+
+class ClaimedKeyTests(KeyTests):
+    rule = services.KeyRule.CLAIMS
+
     def test_claims_are_forgotten_after_their_retention(self):
-        world = create_world()
+        world = self.create_world()
         for _ in range(20):
             self.send(world, "entry-0", world.mint_key())
             world.advance(200)
@@ -120,14 +152,8 @@
         self.assertEqual(len(node.state.claims), 1)
         self.assertEqual(len(world.entries["entry-0"].node.keys), 1)
 
-    def test_a_malformed_key_did_not_run(self):
-        world = create_world()
-        copy = self.send(world, "entry-0", "no-uuid")
-        self.assertEqual(read_answer(copy).kind, Kind.KEY_MALFORMED)
-        self.assertEqual(read_answer(copy).ran, Ran.NO)
-
     def test_a_lost_append_is_repeated_and_claimed_once(self):
-        world = create_world()
+        world = self.create_world()
         entry = world.entries["entry-0"]
         entry.is_cut_from_log = True
         key = world.mint_key()
@@ -138,6 +164,51 @@
         self.assertIsInstance(read_answer(copy), effects.Complete)
 
 
+class HomeTests(unittest.TestCase):
+    def test_another_entry_becomes_home_after_the_delay(self):
+        world = create_world()
+        world.entries["entry-0"].kill()
+        world.advance(40_000)
+        copies = []
+        for _ in range(12):
+            key = world.mint_key()
+            copies.append(world.call("entry-1", "cash", key=key, content="c"))
+            world.advance(1_000)
+        world.advance(6_000)
+        for copy in copies:
+            self.assertIsInstance(read_answer(copy), effects.Complete)
+
+    def test_a_change_of_rule_lets_no_key_run_twice(self):
+        world = create_world()
+        keys = []
+        rules = [services.KeyRule.CLAIMS, services.KeyRule.HOMES]
+        for step in range(100):
+            if step in (10, 60):
+                rule = rules[step == 60]
+                world.publish(fakes.build_configuration(rule=rule))
+            keys.append(world.mint_key())
+            for key in keys[-8:]:
+                name = world.entry_names[step % 3]
+                world.call(name, "cash", key=key, content=f"c-{key}")
+            world.advance(700)
+        world.advance(10_000)
+        self.assertEqual(max(world.oracle.runs.values()), 1)
+
+    def test_a_stopping_home_serves_its_keys_until_it_is_replaced(self):
+        world = create_world()
+        world.entries["entry-0"].deliver(messages.StopWanted())
+        copies = []
+        for step in range(40):
+            key = world.mint_key()
+            name = world.entry_names[1 + step % 2]
+            copies.append(world.call(name, "cash", key=key, content="c"))
+            world.advance(1_000)
+        world.advance(6_000)
+        for copy in copies:
+            self.assertIsInstance(read_answer(copy), effects.Complete)
+        self.assertFalse(homes.is_home(world.entries["entry-0"].node))
+
+
 class OutageTests(unittest.TestCase):
     def create_world(self):
         world = create_world()
@@ -156,11 +227,22 @@
 
     def test_a_chosen_key_gets_its_final_answer_at_once(self):
         world = self.create_world()
+        world.advance(40_000)
         copy = world.call("entry-0", "cash", key=world.mint_key(), content="c")
         answer = read_answer(copy)
         self.assertEqual(answer.kind, Kind.LOG_UNAVAILABLE)
         self.assertIsNotNone(answer.retry_after_s)
 
+    def test_a_chosen_key_runs_at_its_home_while_the_log_is_out(self):
+        world = self.create_world()
+        copies = [
+            world.call(name, "cash", key=world.mint_key(), content="c")
+            for name in world.entry_names
+        ]
+        world.advance(6_000)
+        for copy in copies:
+            self.assertIsInstance(read_answer(copy), effects.Complete)
+
     def test_an_entry_that_starts_gets_the_state_from_a_peer(self):
         world = self.create_world()
         entry = world.entries["entry-2"]
@@ -179,10 +261,11 @@
 class ConfigurationTests(unittest.TestCase):
     def test_in_force_everywhere_within_its_limit(self):
         world = create_world()
-        world.publish(fakes.build_configuration((("v1", 90.0), ("v2", 10.0))))
+        shares = (("v1", 90.0), ("v2", 10.0))
+        published = world.publish(fakes.build_configuration(shares))
         world.advance(3_000)
-        publications = {e.node.state.publication for e in world.entries.values()}
-        self.assertEqual(publications, {1})
+        for entry in world.entries.values():
+            self.assertEqual(entry.node.state.publication_id, published)
 
     def test_a_new_entry_reads_a_snapshot_after_retention_has_passed(self):
         world = create_world()
@@ -208,16 +291,17 @@
             world.entries[name].start()
         world.advance(1_000)
         for entry in world.entries.values():
-            self.assertEqual(entry.node.state.publication, 0)
+            self.assertIsNotNone(entry.node.configuration)
 
     def test_a_lagging_reader_goes_back_to_no_older_state(self):
         world = create_world()
         old = world.encode_state("entry-0")
-        world.publish(fakes.build_configuration((("v1", 90.0), ("v2", 10.0))))
+        shares = (("v1", 90.0), ("v2", 10.0))
+        published = world.publish(fakes.build_configuration(shares))
         world.advance(1_000)
         entry = world.entries["entry-0"]
         entry.deliver(messages.StateReceived(old))
-        self.assertEqual(entry.node.state.publication, 1)
+        self.assertEqual(entry.node.state.publication_id, published)
 
 
 class UrgencyTests(unittest.TestCase):
@@ -264,6 +348,19 @@
             {read_answer(copy).kind for copy in dropped}, {Kind.QUEUE_FULL}
         )
 
+    def test_waiting_batch_work_gets_no_urgent_request_refused(self):
+        world = create_world(entries=1)
+        for worker in world.workers.values():
+            worker.slow = 10.0
+        for _ in range(11):
+            world.call("entry-0", "ledger")
+        node = world.entries["entry-0"].node
+        for worker in node.fleet:
+            worker.speed.decode.add(1_500 / 50)
+        copy = world.call("entry-0", "check")
+        world.advance(200)
+        self.assertIn(copy, [item for _, _, item in world.dispatched])
+
     def test_a_customers_burst_does_not_starve_the_others(self):
         world = create_world(entries=1)
         for _ in range(10):
--- a/packages/kernel/tests/test_promises.py
+++ b/packages/kernel/tests/test_promises.py
@@ -7,7 +7,7 @@
 import hypothesis
 from hypothesis import stateful, strategies as st
 
-from wasabiknot_kernel import effects, exceptions
+from wasabiknot_kernel import effects, exceptions, services
 
 DEFAULT_EXAMPLES = 40
 STEPS = 30
@@ -51,10 +51,14 @@
 class PromiseMachine(stateful.RuleBasedStateMachine):
     """Drives three nodes through faults, any of them together."""
 
-    @stateful.initialize(seed=st.integers(0, 2**16))
-    def begin(self, seed):
+    @stateful.initialize(
+        seed=st.integers(0, 2**16), rule=st.sampled_from(services.KeyRule)
+    )
+    def begin(self, seed, rule):
         self.world = CheckedWorld(seed)
-        self.world.publish(fakes.build_configuration(), based_on=-1)
+        self.rule = rule
+        self.world.advance(500)
+        self.world.publish(fakes.build_configuration(rule=rule), based_on=-1)
         self.world.advance(1_000)
         self.keyed = []
 
@@ -164,7 +168,13 @@
     @stateful.rule(copies=st.integers(1, 2), share=st.sampled_from([0.0, 50.0, 100.0]))
     def publish(self, copies, share):
         shares = (("v1", 100.0 - share), ("v2", share))
-        self.world.publish(fakes.build_configuration(shares), copies=copies)
+        configuration = fakes.build_configuration(shares, rule=self.rule)
+        self.world.publish(configuration, copies=copies)
+
+    @stateful.rule(rule=st.sampled_from(services.KeyRule))
+    def change_key_rule(self, rule):
+        self.rule = rule
+        self.world.publish(fakes.build_configuration(rule=rule))
 
     @stateful.rule()
     def race_publications(self):
--- a/packages/kernel/wasabiknot_kernel/calls.py
+++ b/packages/kernel/wasabiknot_kernel/calls.py
@@ -6,11 +6,13 @@
     exceptions,
     fold,
     handlers,
+    homes,
     keys,
     messages,
     records,
     requests,
     scheduling,
+    services,
 )
 
 Kind = exceptions.ErrorKind
@@ -55,7 +57,8 @@
 
 
 def _find_refusal(node, message):
-    if node.is_stopping:
+    # A stopping entry stays the home of its keys until its peers have taken over.
+    if node.is_stopping and not message.forwarded:
         return Kind.STOPPING
     if node.is_quarantined(message.content):
         return Kind.QUARANTINED
@@ -154,6 +157,29 @@
     if holder is not None:
         _follow_holder(node, message, holder)
         return
+    epoch = homes.find_epoch(node, message.key_issued_ms)
+    if epoch is None:
+        # Another entry may know more and may have run a copy.
+        node.refuse_message(message, Kind.LOG_UNAVAILABLE, Ran.UNKNOWN)
+    elif epoch.rule is services.KeyRule.HOMES:
+        _take_at_home(node, request, epoch)
+    else:
+        _claim(node, request)
+
+
+def _take_at_home(node, request, epoch):
+    message = request.message
+    home = homes.choose_home(epoch, keys.scope_key(message))
+    own = fold.Member(node.settings.name, node.settings.incarnation)
+    if home != own:
+        _hand_over(node, message, home.entry, home.incarnation)
+        return
+    _open_key(node, request, message.key_issued_ms)
+    enqueue(node, request)
+
+
+def _claim(node, request):
+    message = request.message
     kind = _find_refusal(node, message)
     if kind is None and not is_log_available(node):
         kind = Kind.LOG_UNAVAILABLE
--- a/packages/kernel/wasabiknot_kernel/fold.py
+++ b/packages/kernel/wasabiknot_kernel/fold.py
@@ -11,6 +11,7 @@
 CLOCK_SKEW_MS = 5_000
 MOVE_STEPS_PERCENT = (2.0, 5.0, 10.0, 25.0, 50.0, 100.0)
 DEFAULT_MOVE_MS = 15_000
+HOME_DELAY_MS = 30_000
 
 
 class Move(msgspec.Struct):
@@ -73,6 +74,32 @@
     fingerprint: str
 
 
+class Member(msgspec.Struct, frozen=True, array_like=True):
+    """An incarnation of an entry.
+
+    :param entry: name of the entry.
+    :param incarnation: its incarnation.
+    """
+
+    entry: str
+    incarnation: str
+
+
+class Epoch(msgspec.Struct, frozen=True):
+    """A time of issue during which keys have the same candidates for a home.
+
+    :param offset: offset of the record that opened it.
+    :param effective_ms: issue time from which it counts.
+    :param rule: how keys get their one entry.
+    :param members: candidates, sorted by name.
+    """
+
+    offset: int
+    effective_ms: int
+    rule: services.KeyRule
+    members: tuple[Member, ...]
+
+
 class Suspect(msgspec.Struct):
     """Content that was running when backend servers crashed.
 
@@ -101,6 +128,8 @@
     :param configuration: the configuration in force.
     :param moves: latest move of each service.
     :param claims: holder of each claimed key.
+    :param members: incarnation of each entry that has joined.
+    :param epochs: epochs that still count, oldest first.
     :param suspects: contents seen at crashes.
     :param snapshot: offset of the latest snapshot record.
     :param snapshot_ms: log time of the latest snapshot record.
@@ -113,6 +142,8 @@
     configuration: services.Configuration | None = None
     moves: dict[str, Move] = {}
     claims: dict[str, ClaimHolder] = {}
+    members: dict[str, str] = {}
+    epochs: list[Epoch] = []
     suspects: dict[str, Suspect] = {}
     snapshot: int = -1
     snapshot_ms: int = 0
@@ -180,6 +211,7 @@
     known = {service.service for service in record.configuration.services}
     for name in set(state.moves) - known:
         del state.moves[name]
+    _open_epoch(state)
 
 
 def _begin_move(state, service, previous):
@@ -326,6 +358,36 @@
         del state.suspects[content]
 
 
+@_apply.register
+def _(record: records.Join, state):
+    state.members[record.entry] = record.incarnation
+    _open_epoch(state)
+
+
+@_apply.register
+def _(record: records.Leave, state):
+    if state.members.get(record.entry) == record.incarnation:
+        del state.members[record.entry]
+        _open_epoch(state)
+
+
+def _open_epoch(state):
+    if state.configuration is None or not state.members:
+        return
+    rule = state.configuration.deployment.key_rule
+    members = tuple(Member(*item) for item in sorted(state.members.items()))
+    last = state.epochs[-1] if state.epochs else None
+    if last is not None and (last.rule, last.members) == (rule, members):
+        return
+    effective_ms = state.time_ms
+    if last is not None:
+        effective_ms = max(state.time_ms + HOME_DELAY_MS, last.effective_ms)
+    state.epochs.append(Epoch(state.offset, effective_ms, rule, members))
+    oldest_ms = state.time_ms - state.claim_retention_ms - HOME_DELAY_MS
+    while len(state.epochs) > 1 and state.epochs[1].effective_ms < oldest_ms:
+        del state.epochs[0]
+
+
 @_apply.register
 def _(record: records.Snapshot, state):
     state.snapshot = state.offset
--- a/packages/kernel/wasabiknot_kernel/following.py
+++ b/packages/kernel/wasabiknot_kernel/following.py
@@ -21,6 +21,8 @@
     node.replica.extend(message.records)
     if message.head == 0:
         node.replica.confirm_empty()
+    if node.replica.is_complete and node.replica.next_offset >= message.head:
+        node.log_known_ms = max(node.log_known_ms, message.time_ms)
     for stamped in message.records:
         _take_record(node, stamped)
     if node.state.publication != before:
@@ -80,7 +82,7 @@
     node.has_vms = True
     before = {worker.id for worker in node.fleet}
     node.fleet.update(message.vms)
-    node.roster.update(message.entries)
+    node.roster.update(message.entries, node.now_ms)
     for worker_id in before - {worker.id for worker in node.fleet}:
         node.own_reports.pop(worker_id, None)
     for service in node.queues:
--- a/packages/kernel/wasabiknot_kernel/node.py
+++ b/packages/kernel/wasabiknot_kernel/node.py
@@ -66,6 +66,7 @@
         self.log_heard_ms = None
         self.log_head = 0
         self.log_time_ms = 0
+        self.log_known_ms = 0
         self.fleet = fleet.Fleet()
         self.has_vms = False
         self.roster = peers.Roster(settings.name)
--- a/packages/kernel/wasabiknot_kernel/peers.py
+++ b/packages/kernel/wasabiknot_kernel/peers.py
@@ -13,10 +13,12 @@
     """Another entry.
 
     :param vm: its entry in the platform's list.
+    :param listed_ms: time at which it was first seen on the list.
     """
 
-    def __init__(self, vm):
+    def __init__(self, vm, listed_ms):
         self.vm = vm
+        self.listed_ms = listed_ms
         self.digest = None
         self.heard_ms = None
         self.uses = {}
@@ -96,17 +98,18 @@
     def __iter__(self):
         return iter(self._peers.values())
 
-    def update(self, vms):
+    def update(self, vms, now_ms):
         """Takes the list of the system's VMs.
 
         :param vms: listed ``EntryVm`` items, this entry among them.
+        :param now_ms: present time.
         """
         listed = {vm.name: vm for vm in vms if vm.name != self.own}
         for name in set(self._peers) - set(listed):
             del self._peers[name]
         for name, vm in listed.items():
             if name not in self._peers:
-                self._peers[name] = Peer(vm)
+                self._peers[name] = Peer(vm, now_ms)
             self._peers[name].vm = vm
 
     def find(self, name):
--- a/packages/kernel/wasabiknot_kernel/records.py
+++ b/packages/kernel/wasabiknot_kernel/records.py
@@ -103,6 +103,28 @@
     crash: str
 
 
+class Join(Record, frozen=True, tag="join"):
+    """An incarnation of an entry can be the home of keys.
+
+    :param entry: name of the entry.
+    :param incarnation: its incarnation.
+    """
+
+    entry: str
+    incarnation: str
+
+
+class Leave(Record, frozen=True, tag="leave"):
+    """An incarnation of an entry leaves or was found to be gone.
+
+    :param entry: name of the entry.
+    :param incarnation: its incarnation.
+    """
+
+    entry: str
+    incarnation: str
+
+
 class Snapshot(Record, frozen=True, tag="snapshot"):
     """The folded state as of an earlier offset.
 
@@ -114,7 +136,9 @@
     state: str
 
 
-AnyRecord = Publication | MoveStep | MoveEnd | ClaimBatch | Crash | Snapshot
+AnyRecord = (
+    Publication | MoveStep | MoveEnd | ClaimBatch | Crash | Join | Leave | Snapshot
+)
 
 _decoder = msgspec.json.Decoder(AnyRecord)
 _encoder = msgspec.json.Encoder()
--- a/packages/kernel/wasabiknot_kernel/services.py
+++ b/packages/kernel/wasabiknot_kernel/services.py
@@ -20,6 +20,13 @@
     PLAIN = "plain"
 
 
+class KeyRule(enum.Enum):
+    """How the request of a caller-chosen key gets its one entry."""
+
+    HOMES = "homes"
+    CLAIMS = "claims"
+
+
 class Call(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One call that a service offers.
 
@@ -91,11 +98,13 @@
     :param tiers: tier names, most urgent first.
     :param customers: customers with a weight of their own.
     :param claim_retention_ms: age at which a caller's key is refused.
+    :param key_rule: how the request of a caller-chosen key gets its one entry.
     """
 
     tiers: tuple[Name, ...]
     customers: tuple[Customer, ...] = ()
     claim_retention_ms: Milliseconds = DEFAULT_CLAIM_RETENTION_MS
+    key_rule: KeyRule = KeyRule.HOMES
 
     def rank(self, tier):
         """Ranks a tier; 0 is the most urgent.
--- a/packages/kernel/wasabiknot_kernel/upkeep.py
+++ b/packages/kernel/wasabiknot_kernel/upkeep.py
@@ -7,6 +7,7 @@
     exceptions,
     fold,
     handlers,
+    homes,
     keys,
     messages,
     moves,
@@ -39,6 +40,7 @@
     for service in node.queues:
         scheduling.pump(node, service)
     _advance_moves(node)
+    _update_membership(node)
     _append_snapshot(node)
 
 
@@ -70,6 +72,17 @@
         _append_in_turn(node, record, rank * moves.TAKEOVER_MS)
 
 
+def _update_membership(node):
+    if not node.replica.is_complete or node.is_refreshing:
+        return
+    for record in homes.list_changes(node):
+        is_own = record.entry == node.settings.name
+        rank = 0
+        if not is_own:
+            rank = node.roster.rank_self(record.record_id, node.now_ms)
+        _append_in_turn(node, record, rank * moves.TAKEOVER_MS)
+
+
 def _append_in_turn(node, record, delay_ms):
     wanted_ms = node.appended.setdefault(record.record_id, node.now_ms + delay_ms)
     if node.now_ms < wanted_ms:
