Let the first epoch gather its members; resume paused work first

Cause: (1) the first home epoch had one member, as entries join one after another, so one entry was the home of every key for 30 s. (2) Traces of lost drafts: paused after 1 s, then never resumed before the deadline of 15 s; they stood in their customer's turn although they can only go on where they began, and other requests took the slot. (3) Victims were chosen by prefill cost alone. Ruled out: the engine's re-prefill (resumed streams gave tokens within 0.4 s). Change: the first epoch counts 2 s after the first publication and takes members until then; paused requests stand apart and go first; the most urgent tier waits for 5% of its deadline before it takes a slot; victims that still can finish in time go first.

--- a/packages/kernel/wasabiknot_kernel/admission.py
+++ b/packages/kernel/wasabiknot_kernel/admission.py
@@ -107,6 +107,8 @@
     waiting = sum(len(queue) for queue in node.queues.values())
     while waiting > limit:
         victim = _find_least_urgent(node)
+        if victim is None:
+            return
         if victim.rank == 0 and waiting <= limit * URGENT_OVERFLOW_FACTOR:
             return
         node.queue(victim.message.service).remove(victim)
@@ -115,8 +117,12 @@
 
 
 def _find_least_urgent(node):
-    newest = [queue.newest_below(-1) for queue in node.queues.values() if len(queue)]
-    return max(newest, key=lambda request: (request.rank, request.arrived_ms))
+    found = [queue.find_least_urgent() for queue in node.queues.values()]
+    return max(
+        (request for request in found if request is not None),
+        key=lambda request: (request.rank, request.arrived_ms),
+        default=None,
+    )
 
 
 def refuse_hopeless(node):
--- a/packages/kernel/wasabiknot_kernel/attempts.py
+++ b/packages/kernel/wasabiknot_kernel/attempts.py
@@ -168,7 +168,7 @@
         return
     request.pauses += 1
     request.life.pause()
-    node.queue(request.message.service).push(request, front=True)
+    node.queue(request.message.service).push_paused(request)
 
 
 _ENDINGS = {
--- a/packages/kernel/wasabiknot_kernel/fold.py
+++ b/packages/kernel/wasabiknot_kernel/fold.py
@@ -12,6 +12,7 @@
 MOVE_STEPS_PERCENT = (2.0, 5.0, 10.0, 25.0, 50.0, 100.0)
 DEFAULT_MOVE_MS = 15_000
 HOME_DELAY_MS = 30_000
+FIRST_EPOCH_DELAY_MS = 2_000
 
 
 class Move(msgspec.Struct):
@@ -379,8 +380,13 @@
     last = state.epochs[-1] if state.epochs else None
     if last is not None and (last.rule, last.members) == (rule, members):
         return
-    effective_ms = state.time_ms
-    if last is not None:
+    if last is None:
+        effective_ms = state.time_ms + FIRST_EPOCH_DELAY_MS
+    elif _is_first_open(state):
+        # Entries that start together join one after another.
+        effective_ms = last.effective_ms
+        state.epochs.clear()
+    else:
         effective_ms = max(state.time_ms + HOME_DELAY_MS, last.effective_ms)
     state.epochs.append(Epoch(state.offset, effective_ms, rule, members))
     oldest_ms = state.time_ms - state.claim_retention_ms - HOME_DELAY_MS
@@ -388,6 +394,10 @@
         del state.epochs[0]
 
 
+def _is_first_open(state):
+    return len(state.epochs) == 1 and state.time_ms <= state.epochs[0].effective_ms
+
+
 @_apply.register
 def _(record: records.Snapshot, state):
     state.snapshot = state.offset
--- a/packages/kernel/wasabiknot_kernel/homes.py
+++ b/packages/kernel/wasabiknot_kernel/homes.py
@@ -23,7 +23,11 @@
     known_ms = max(node.log_known_ms, node.state.time_ms)
     if known_ms < issued_ms - fold.HOME_DELAY_MS:
         return None
-    for epoch in reversed(node.state.epochs):
+    epochs = node.state.epochs
+    if len(epochs) == 1 and known_ms <= epochs[0].effective_ms:
+        # The first epoch takes members until it counts.
+        return None
+    for epoch in reversed(epochs):
         if epoch.effective_ms <= issued_ms:
             return epoch
     return None
--- a/packages/kernel/wasabiknot_kernel/preemption.py
+++ b/packages/kernel/wasabiknot_kernel/preemption.py
@@ -7,8 +7,9 @@
 YIELD_INTERVAL_MS = 150
 HOLD_MS = 400
 MAX_PAUSES = 3
-MAX_PRESSING = 4
 PATIENCE_FRACTION = 0.25
+URGENT_PATIENCE_FRACTION = 0.05
+MIN_SLACK_FRACTION = 0.3
 
 
 class Hold(msgspec.Struct, frozen=True):
@@ -46,20 +47,19 @@
 def count_pressing(node, queue, rank):
     """Counts the waiting requests that justify taking a slot from others.
 
-    The most urgent tier never waits; others give the running work some time.
+    A slot often becomes free by itself, so each request waits for a fraction of
+    its deadline first, the most urgent tier for a small one.
 
     :param node: the node.
     :param queue: ``queues.TierQueue``.
     :param rank: tier rank.
     :return: number of requests.
     """
-    if rank == 0:
-        return queue.count(rank)
+    fraction = PATIENCE_FRACTION if rank else URGENT_PATIENCE_FRACTION
     return sum(
         1
-        for request in queue.heads(rank, MAX_PRESSING)
-        if node.now_ms - request.arrived_ms
-        > PATIENCE_FRACTION * request.call.deadline_ms
+        for request in queue.list_tier(rank)
+        if node.now_ms - request.arrived_ms > fraction * request.call.deadline_ms
     )
 
 
@@ -80,7 +80,7 @@
         return
     wanted -= _count_yielding(workers)
     while wanted > 0:
-        victim = _find_victim(workers, rank)
+        victim = _find_victim(node, workers, rank)
         if victim is None:
             break
         _cancel(node, victim)
@@ -98,14 +98,14 @@
     )
 
 
-def _find_victim(workers, rank):
+def _find_victim(node, workers, rank):
     victims = [
         request
         for worker in workers
         for request in worker.running.values()
         if request.rank > rank and _can_pause(request)
     ]
-    return min(victims, key=_measure_waste, default=None)
+    return min(victims, key=lambda request: _measure_harm(node, request), default=None)
 
 
 def _can_pause(request):
@@ -114,11 +114,20 @@
     return not (request.is_yielding or request.is_abandoned)
 
 
-def _measure_waste(request):
-    # Least urgent first; then those that were paused least often; then the ones
-    # whose prompt is cheapest to prefill again.
+def _measure_harm(node, request):
+    # Rarely paused requests first, then the least urgent, then those that can
+    # still finish in time, then the ones that are cheapest to prefill again.
     often = request.pauses >= MAX_PAUSES
-    return (often, -request.rank, request.message.prompt_tokens + request.tokens)
+    slack_ms = request.deadline_ms - node.now_ms - _estimate_left_ms(node, request)
+    is_tight = slack_ms < MIN_SLACK_FRACTION * request.call.deadline_ms
+    cost = request.message.prompt_tokens + request.tokens
+    return (often, -request.rank, is_tight, cost)
+
+
+def _estimate_left_ms(node, request):
+    worker = node.fleet.find(request.worker)
+    tokens = max(0.0, request.expected_tokens - request.tokens)
+    return worker.speed.estimate_stream(0, tokens) if worker is not None else 0.0
 
 
 def _cancel(node, victim):
@@ -165,7 +174,7 @@
     worker = node.fleet.find(demand.worker)
     if worker is None:
         return
-    victim = _find_victim([worker], demand.rank)
+    victim = _find_victim(node, [worker], demand.rank)
     if victim is None:
         return
     node.holds.setdefault(worker.id, []).append(
--- a/packages/kernel/wasabiknot_kernel/queues.py
+++ b/packages/kernel/wasabiknot_kernel/queues.py
@@ -116,17 +116,23 @@
 
 
 class TierQueue:
-    """The waiting requests of one service, by tier rank."""
+    """The waiting requests of one service, by tier rank.
+
+    Paused requests are kept apart: they can only go on where they began, so they
+    neither hold up their customer's other requests nor wait for their turn.
+    """
 
     def __init__(self):
         self._tiers = {}
+        self._paused = {}
 
     def __len__(self):
-        return sum(len(queue) for queue in self._tiers.values())
+        waiting = sum(len(queue) for queue in self._tiers.values())
+        return waiting + sum(len(paused) for paused in self._paused.values())
 
     def __iter__(self):
-        for rank in sorted(self._tiers):
-            yield from self._tiers[rank]
+        for rank in self.tiers():
+            yield from self.list_tier(rank)
 
     def push(self, request, front=False):
         """Adds a request to its tier.
@@ -136,12 +142,23 @@
         """
         self._tiers.setdefault(request.rank, FairQueue()).push(request, front)
 
+    def push_paused(self, request):
+        """Adds a paused request to its tier.
+
+        :param request: the request.
+        """
+        self._paused.setdefault(request.rank, []).append(request)
+
     def remove(self, request):
         """Removes a request.
 
         :param request: the request.
         :return: whether it waited here.
         """
+        paused = self._paused.get(request.rank, [])
+        if request in paused:
+            paused.remove(request)
+            return True
         queue = self._tiers.get(request.rank)
         return queue is not None and queue.remove(request)
 
@@ -151,23 +168,37 @@
         :param request: the request.
         :param weight: weight of its customer.
         """
-        self._tiers[request.rank].serve(request, weight)
+        if request.pauses:
+            self.remove(request)
+        else:
+            self._tiers[request.rank].serve(request, weight)
 
     def tiers(self):
         """Lists the tiers in which requests wait, most urgent first.
 
         :return: list of ranks.
         """
-        return sorted(rank for rank, queue in self._tiers.items() if queue)
+        ranks = {rank for rank, queue in self._tiers.items() if queue}
+        return sorted(ranks | {rank for rank, items in self._paused.items() if items})
 
     def heads(self, rank, limit):
-        """Lists the next requests of a tier in fair order.
+        """Lists the next requests of a tier: paused ones, then in fair order.
 
         :param rank: tier rank.
-        :param limit: largest number of requests.
+        :param limit: largest number of requests that are not paused.
         :return: list of requests.
         """
-        return self._tiers[rank].heads(limit)
+        queue = self._tiers.get(rank)
+        heads = queue.heads(limit) if queue is not None else []
+        return [*self._paused.get(rank, ()), *heads]
+
+    def list_tier(self, rank):
+        """Lists all requests of a tier.
+
+        :param rank: tier rank.
+        :return: list of requests.
+        """
+        return [*self._paused.get(rank, ()), *self._tiers.get(rank, ())]
 
     def count(self, rank):
         """Counts the waiting requests of a tier.
@@ -176,15 +207,13 @@
         :return: their number.
         """
         queue = self._tiers.get(rank)
-        return len(queue) if queue is not None else 0
+        waiting = len(queue) if queue is not None else 0
+        return waiting + len(self._paused.get(rank, ()))
 
-    def newest_below(self, rank):
-        """Finds the request to drop first for a more urgent one.
+    def find_least_urgent(self):
+        """Finds the newest request of the least urgent tier; paused ones stay.
 
-        :param rank: tier rank of the more urgent request.
-        :return: the newest request of the least urgent tier, or ``None``.
+        :return: the request, or ``None``.
         """
-        for lower in reversed(self.tiers()):
-            if lower > rank:
-                return self._tiers[lower].newest()
-        return None
+        ranks = [rank for rank, queue in self._tiers.items() if queue]
+        return self._tiers[max(ranks)].newest() if ranks else None
--- a/packages/standins/wasabiknot_standins/rigs.py
+++ b/packages/standins/wasabiknot_standins/rigs.py
@@ -7,11 +7,12 @@
 import treq
 from twisted.internet import reactor, task, threads
 
-from wasabiknot_kernel import messages
+from wasabiknot_kernel import fold, messages
 from wasabiknot_standins import clients, platforms, servers
 
 READY_TIMEOUT_S = 30
 POLL_S = 0.2
+FIRST_EPOCH_S = fold.FIRST_EPOCH_DELAY_MS / 1000 + 0.5
 EXAMPLES = pathlib.Path(__file__).resolve().parents[3] / "examples"
 
 
@@ -33,6 +34,7 @@
         raise RuntimeError(f"publish ended with {code}")
     for port in fleet.ports.callers.values():
         await wait_for(lambda port=port: answers(port, "/healthz"))
+    await task.deferLater(reactor, FIRST_EPOCH_S)
 
 
 async def put_vms(fleet, leaving=()):
