--- a/packages/kernel/tests/test_node.py
+++ b/packages/kernel/tests/test_node.py
@@ -166,6 +166,20 @@
 
 
 class HomeTests(unittest.TestCase):
+    def test_entries_that_start_together_join_once_and_nobody_leaves(self):
+        world = RecordingWorld()
+        for entry in world.entries.values():
+            entry.deliver(messages.VmsListed(()))
+        world.advance(1_000)
+        for entry in world.entries.values():
+            entry.deliver(world.list_vms())
+        world.publish(fakes.build_configuration(), based_on=-1)
+        world.advance(5_000)
+        kinds = [type(item.record) for item in world.log.records]
+        self.assertEqual(kinds.count(records.Leave), 0)
+        self.assertEqual(kinds.count(records.Join), 3)
+        self.assertEqual(kinds.count(records.Snapshot), 0)
+
     def test_another_entry_becomes_home_after_the_delay(self):
         world = create_world()
         world.entries["entry-0"].kill()
--- a/packages/kernel/wasabiknot_kernel/homes.py
+++ b/packages/kernel/wasabiknot_kernel/homes.py
@@ -10,7 +10,6 @@
 from wasabiknot_kernel import fold, hashing, records, services
 
 LEAVE_AFTER_MS = 3_000
-JOIN_RETRY_MS = 10_000
 
 
 def find_epoch(node, issued_ms):
@@ -91,6 +90,9 @@
 def _is_gone(node, entry):
     peer = node.roster.find(entry)
     if peer is None:
-        return node.has_vms
-    since_ms = peer.listed_ms if peer.heard_ms is None else peer.heard_ms
+        # The list of VMs lags, so a new member may be missing from it for a while.
+        since_ms = node.unlisted.setdefault(entry, node.now_ms)
+    else:
+        node.unlisted.pop(entry, None)
+        since_ms = peer.listed_ms if peer.heard_ms is None else peer.heard_ms
     return node.now_ms - since_ms > LEAVE_AFTER_MS
--- a/packages/kernel/wasabiknot_kernel/node.py
+++ b/packages/kernel/wasabiknot_kernel/node.py
@@ -85,6 +85,7 @@
         self.holds = {}
         self.yields = {}
         self.own_reports = {}
+        self.unlisted = {}
         self.appended = {}
         self.digest_sequence = 0
         self.digest_ms = 0
--- a/packages/kernel/wasabiknot_kernel/upkeep.py
+++ b/packages/kernel/wasabiknot_kernel/upkeep.py
@@ -105,12 +105,13 @@
 
 def _append_snapshot(node):
     state = node.state
-    if not node.replica.is_complete or state.offset < 0:
+    if not node.replica.is_complete or state.configuration is None:
         return
     behind = state.offset - max(state.snapshot, 0)
     if behind == 0:
         return
-    age_ms = node.log_time_ms - state.snapshot_ms
+    started_ms = state.snapshot_ms or _find_first_ms(state)
+    age_ms = node.log_time_ms - started_ms
     if behind < SNAPSHOT_RECORDS and age_ms < SNAPSHOT_AGE_MS:
         return
     rank = node.roster.rank_self(f"snapshot/{state.snapshot}", node.now_ms)
@@ -129,6 +130,10 @@
     node.emit(effects.Append(record))
 
 
+def _find_first_ms(state):
+    return state.epochs[0].effective_ms if state.epochs else state.time_ms
+
+
 @handlers.handle.register
 def _(message: messages.StopWanted, node):
     node.is_stopping = True
