Describe each HTTP body once; split the large modules

Ruled out: leaving the stand-ins their own types as a check on the interface; the drills and the demo check it by talking.

--- a/packages/entry/tests/test_streams.py
+++ b/packages/entry/tests/test_streams.py
@@ -7,11 +7,12 @@
 from hypothesis import strategies as st
 
 from wasabiknot_entry import streams
+from wasabiknot_kernel import wire
 
 
 def encode_stream(request_id, count, start=0):
-    events = [streams.StreamEvent(request_id, n, f"t{n}") for n in range(start, count)]
-    events.append(streams.StreamEvent(request_id, count, end=True))
+    events = [wire.StreamEvent(request_id, n, f"t{n}") for n in range(start, count)]
+    events.append(wire.StreamEvent(request_id, count, end=True))
     return b": ok\n\n" + b"".join(
         b"data: " + msgspec.json.encode(event) + b"\n\n" for event in events
     )
--- a/packages/entry/wasabiknot_entry/controls.py
+++ b/packages/entry/wasabiknot_entry/controls.py
@@ -3,62 +3,11 @@
 import msgspec
 from twisted.web import http
 
-from wasabiknot_kernel import fold, moves, peers
+from wasabiknot_kernel import fold, peers, reports
 
 JSON_TYPE = "application/json"
 
 
-class Status(msgspec.Struct, frozen=True):
-    """What an entry knows of the configuration and the moves.
-
-    :param entry: name of the entry.
-    :param ready: whether it takes requests.
-    :param offset: last log offset in force.
-    :param publication: offset of the configuration in force; -1 for none.
-    :param publication_id: record id of that publication.
-    :param log_age_ms: time since the log last answered; ``None`` if never.
-    :param moves: all moves.
-    """
-
-    entry: str
-    ready: bool
-    offset: int
-    publication: int
-    publication_id: str
-    log_age_ms: int | None
-    moves: list[moves.MoveReport]
-
-
-class VmReport(msgspec.Struct, frozen=True):
-    """The entries and backend servers as one entry sees them.
-
-    :param entries: this entry and its peers.
-    :param workers: backend servers.
-    """
-
-    entries: list[peers.PeerStatus]
-    workers: list["WorkerReport"]
-
-
-class WorkerReport(msgspec.Struct, frozen=True):
-    """A backend server.
-
-    :param worker: its id.
-    :param service: service that it runs.
-    :param version: version that it runs.
-    :param open: whether it takes new work.
-    :param running: requests of this entry in flight on it.
-    :param slots: requests that it runs at once.
-    """
-
-    worker: str
-    service: str
-    version: str
-    open: bool
-    running: int
-    slots: int
-
-
 class Controls:
     """Serves peers and operators.
 
@@ -99,14 +48,14 @@
             age_ms = self._clock.now_ms() - node.log_heard_ms
         return _send(
             request,
-            Status(
+            reports.Status(
                 entry=node.settings.name,
                 ready=node.is_ready,
                 offset=node.state.offset,
                 publication=node.state.publication,
                 publication_id=node.state.publication_id,
                 log_age_ms=age_ms,
-                moves=self._scheduler.list_moves(),
+                moves=tuple(self._scheduler.list_moves()),
             ),
         )
 
@@ -120,8 +69,8 @@
             0,
             node.is_stopping,
         )
-        workers = [
-            WorkerReport(
+        workers = tuple(
+            reports.WorkerReport(
                 worker.id,
                 worker.vm.service,
                 worker.vm.version,
@@ -130,9 +79,9 @@
                 worker.vm.slots,
             )
             for worker in node.fleet
-        ]
-        entries = [own, *node.roster.list_status(now_ms)]
-        return _send(request, VmReport(entries, workers))
+        )
+        entries = (own, *node.roster.list_status(now_ms))
+        return _send(request, reports.VmReport(entries, workers))
 
     def _explain(self, request, request_id):
         lines = self._scheduler.explain(request_id)
--- a/packages/entry/wasabiknot_entry/loads.py
+++ b/packages/entry/wasabiknot_entry/loads.py
@@ -7,30 +7,13 @@
 from twisted.web import client
 
 from wasabiknot_entry import journal
-from wasabiknot_kernel import digests, hashing, messages
+from wasabiknot_kernel import digests, hashing, messages, wire
 
 READ_INTERVAL_S = 0.5
 READ_TIMEOUT_S = 1.0
 OBSERVERS = 2
 
 
-class EngineLoad(msgspec.Struct, frozen=True):
-    """A load report as a backend server returns it.
-
-    :param running: requests that it runs.
-    :param waiting: requests that it has admitted but not begun.
-    :param taken_ms: time at which the report was taken.
-    :param boot: id of the server process.
-    :param leaving: whether it is about to leave.
-    """
-
-    running: int
-    waiting: int
-    taken_ms: int
-    boot: str
-    leaving: bool = False
-
-
 class Loads:
     """Reads the reports of the backend servers that this entry observes.
 
@@ -76,7 +59,7 @@
         read.addErrback(self._lose, worker.id)
 
     def _take(self, data, worker_id):
-        load = msgspec.json.decode(data, type=EngineLoad)
+        load = msgspec.json.decode(data, type=wire.WorkerLoad)
         report = digests.LoadReport(
             worker=worker_id,
             running=load.running,
--- a/packages/entry/wasabiknot_entry/logs.py
+++ b/packages/entry/wasabiknot_entry/logs.py
@@ -7,7 +7,7 @@
 from twisted.web import client, http
 
 from wasabiknot_entry import journal
-from wasabiknot_kernel import effects, events, messages, records
+from wasabiknot_kernel import effects, events, messages, records, wire
 
 READ_LIMIT = 500
 READ_WAIT_MS = 1_000
@@ -17,43 +17,6 @@
 MAX_WAITING_APPENDS = 256
 
 
-class LogRecord(msgspec.Struct, frozen=True):
-    """A record as the log service returns it.
-
-    :param offset: its offset.
-    :param time_ms: time of its append.
-    :param data: its text.
-    """
-
-    offset: int
-    time_ms: int
-    data: str
-
-
-class LogPage(msgspec.Struct, frozen=True):
-    """An answer of the log service to a read.
-
-    :param oldest: oldest offset that is still kept.
-    :param head: offset that the next append will get.
-    :param time_ms: time of the log service.
-    :param records: records in order.
-    """
-
-    oldest: int
-    head: int
-    time_ms: int
-    records: tuple[LogRecord, ...]
-
-
-class LogAppend(msgspec.Struct, frozen=True):
-    """Body of an append.
-
-    :param data: text of the record.
-    """
-
-    data: str
-
-
 class Log:
     """Tails the log and appends records in order.
 
@@ -100,7 +63,7 @@
         read.addErrback(journal.log_failure, "log")
 
     def _take_page(self, data):
-        page = msgspec.json.decode(data, type=LogPage)
+        page = msgspec.json.decode(data, type=wire.LogPage)
         if self._is_lost:
             self._is_lost = False
             journal.write(events.Event.LOG_FOUND)
@@ -143,7 +106,7 @@
         data = records.encode_record(record).decode()
         sent = self._http.post(
             self._url,
-            data=msgspec.json.encode(LogAppend(data)),
+            data=msgspec.json.encode(wire.LogAppend(data)),
             headers={"Content-Type": ["application/json"]},
             timeout=APPEND_TIMEOUT_S,
         )
--- a/packages/entry/wasabiknot_entry/schedulers.py
+++ b/packages/entry/wasabiknot_entry/schedulers.py
@@ -8,26 +8,13 @@
 from twisted.python import failure
 
 from wasabiknot_entry import journal
-from wasabiknot_kernel import effects, messages, moves
+from wasabiknot_kernel import effects, messages, moves, reports
 
 TICK_S = 0.05
 MAX_TRACED_REQUESTS = 1_000
 MAX_TRACE_LINES = 32
 
 
-class TraceLine(msgspec.Struct, frozen=True):
-    """One step of a request.
-
-    :param time_ms: time of the step.
-    :param step: what happened.
-    :param detail: fields of the message or effect, as text.
-    """
-
-    time_ms: int
-    step: str
-    detail: str
-
-
 class Scheduler:
     """Feeds messages to the node and sends its effects to the other tasks.
 
@@ -91,7 +78,7 @@
         """Lists the steps of a request.
 
         :param request_id: the request.
-        :return: list of ``TraceLine``; empty if it is unknown.
+        :return: list of ``reports.TraceLine``; empty if it is unknown.
         """
         return [_describe(traced) for traced in self._traces.get(request_id, ())]
 
@@ -124,7 +111,7 @@
     fields = msgspec.structs.asdict(traced.item)
     fields.pop("request_id")
     detail = " ".join(f"{name}={value}" for name, value in fields.items())
-    return TraceLine(traced.time_ms, type(traced.item).__name__, detail)
+    return reports.TraceLine(traced.time_ms, type(traced.item).__name__, detail)
 
 
 def _list_types(module, base):
--- a/packages/entry/wasabiknot_entry/streams.py
+++ b/packages/entry/wasabiknot_entry/streams.py
@@ -2,28 +2,14 @@
 
 import msgspec
 
+from wasabiknot_kernel import wire
+
 SEPARATOR = b"\n\n"
 DATA_PREFIX = b"data: "
 MAX_EVENT_BYTES = 262_144
 
 
-class StreamEvent(msgspec.Struct, frozen=True):
-    """One event of an engine's stream.
-
-    :param id: id of the stream, equal to the request's id.
-    :param n: number of the token, counted from 0; for the end marker the number
-        of all tokens.
-    :param text: text of the token.
-    :param end: whether this is the end marker.
-    """
-
-    id: str
-    n: int
-    text: str = ""
-    end: bool = False
-
-
-_decoder = msgspec.json.Decoder(StreamEvent)
+_decoder = msgspec.json.Decoder(wire.StreamEvent)
 
 
 class StreamReader:
--- a/packages/entry/wasabiknot_entry/vms.py
+++ b/packages/entry/wasabiknot_entry/vms.py
@@ -7,23 +7,12 @@
 from twisted.web import client
 
 from wasabiknot_entry import journal
-from wasabiknot_kernel import events, messages
+from wasabiknot_kernel import events, messages, wire
 
 READ_INTERVAL_S = 1.0
 READ_TIMEOUT_S = 0.9
 
 
-class VmList(msgspec.Struct, frozen=True):
-    """The list as the platform returns it.
-
-    :param workers: backend servers.
-    :param entries: VMs of the system.
-    """
-
-    workers: tuple[messages.Vm, ...]
-    entries: tuple[messages.EntryVm, ...]
-
-
 class Vms:
     """Reads the list of VMs regularly; the last list stays in force.
 
@@ -57,7 +46,7 @@
         self._is_lost = False
         if data == self._last:
             return
-        listed = msgspec.json.decode(data, type=VmList)
+        listed = msgspec.json.decode(data, type=wire.VmList)
         self._last = data
         self._post.send(messages.VmsListed(listed.workers, listed.entries))
 
--- a/packages/kernel/tests/test_fold.py
+++ b/packages/kernel/tests/test_fold.py
@@ -6,7 +6,7 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from wasabiknot_kernel import fold, records
+from wasabiknot_kernel import fold, records, replicas
 
 RETENTION_MS = 120_000
 CLAIMS = st.lists(
@@ -78,7 +78,7 @@
         everything = [*stamped[:cut], *kept[behind:]]
         for item in everything:
             fold.apply_record(whole, item)
-        replica = fold.Replica()
+        replica = replicas.Replica()
         replica._next = kept[0].offset
         replica.extend(kept)
         self.assertTrue(replica.is_complete)
--- a/packages/kernel/wasabiknot_kernel/node.py
+++ b/packages/kernel/wasabiknot_kernel/node.py
@@ -12,7 +12,6 @@
     evidence,
     exceptions,
     fleet,
-    fold,
     following,
     handlers,
     keys,
@@ -21,6 +20,7 @@
     placements,
     poison,
     queues,
+    replicas,
     sharing,
     upkeep,
 )
@@ -62,7 +62,7 @@
         self.settings = settings
         self.rng = rng
         self.now_ms = 0
-        self.replica = fold.Replica()
+        self.replica = replicas.Replica()
         self.log_heard_ms = None
         self.log_head = 0
         self.log_time_ms = 0
--- a/packages/operator/wasabiknot_operator/reports.py
+++ b/packages/operator/wasabiknot_operator/formats.py
@@ -3,7 +3,8 @@
 import datetime
 import functools
 
-from wasabiknot_operator import publications, systems
+from wasabiknot_kernel import reports
+from wasabiknot_operator import publications
 
 
 def _format_time(time_ms):
@@ -34,7 +35,7 @@
 
 
 @list_lines.register
-def _(report: systems.Status):
+def _(report: reports.Status):
     ready = "ready" if report.ready else "not ready"
     log = "never" if report.log_age_ms is None else f"{report.log_age_ms} ms ago"
     lines = [
@@ -57,7 +58,7 @@
 
 
 @list_lines.register
-def _(report: systems.VmReport):
+def _(report: reports.VmReport):
     lines = [_format_entry(entry) for entry in report.entries]
     for item in report.workers:
         state = "open" if item.open else "closed"
--- a/packages/operator/wasabiknot_operator/main.py
+++ b/packages/operator/wasabiknot_operator/main.py
@@ -11,8 +11,8 @@
 
 from wasabiknot_operator import (
     configurations,
+    formats,
     publications,
-    reports,
     sites,
     systems,
 )
@@ -162,7 +162,7 @@
             print(error, file=sys.stderr)
             codes.append(ExitCode.UNREACHABLE)
             return
-        _print(report, reports.list_lines(report), json)
+        _print(report, formats.list_lines(report), json)
         codes.append(choose_code(report))
 
     try:
--- a/packages/standins/wasabiknot_standins/clients.py
+++ b/packages/standins/wasabiknot_standins/clients.py
@@ -7,7 +7,8 @@
 from twisted.internet import defer, protocol, reactor
 from twisted.web import client, http
 
-from wasabiknot_standins import engines, plains, servers
+from wasabiknot_kernel import wire
+from wasabiknot_standins import servers
 
 CONNECT_TIMEOUT_S = 2.0
 TIMEOUT_GRACE_S = 5.0
@@ -208,7 +209,7 @@
         if part.startswith(b"event: error\n"):
             problem = _read_problem(part.partition(b"data: ")[2])
     decoded = [
-        msgspec.json.decode(part[len(b"data: ") :], type=engines.TokenEvent)
+        msgspec.json.decode(part[len(b"data: ") :], type=wire.StreamEvent)
         for part in events
     ]
     if not decoded or not decoded[-1].end:
@@ -222,7 +223,7 @@
 
 def _read_plain(body, question):
     try:
-        answer = msgspec.json.decode(body, type=plains.Answer)
+        answer = msgspec.json.decode(body, type=wire.PlainAnswer)
     except msgspec.MsgspecError:
         return False
     return answer.end and answer.result == f"{question.plan.call} ok"
--- a/packages/standins/wasabiknot_standins/engines.py
+++ b/packages/standins/wasabiknot_standins/engines.py
@@ -3,6 +3,7 @@
 import msgspec
 from twisted.internet import reactor, task
 
+from wasabiknot_kernel import wire
 from wasabiknot_standins import batching, servers, workers
 
 STEP_MS = 10
@@ -12,21 +13,6 @@
 POISON_DELAY_S = 0.05
 
 
-class TokenEvent(msgspec.Struct, frozen=True, omit_defaults=True):
-    """One event of a stream.
-
-    :param id: id of the stream.
-    :param n: number of the token, or of all tokens at the end.
-    :param text: text of the token.
-    :param end: whether this is the end marker.
-    """
-
-    id: str
-    n: int
-    text: str = ""
-    end: bool = False
-
-
 class Subscription:
     """A connection that receives a stream.
 
@@ -90,7 +76,7 @@
             subscription.is_silent = True
 
     def _begin(self, request):
-        body = servers.read_json(request, workers.CallBody)
+        body = servers.read_json(request, wire.WorkerCall)
         if self.is_leaving:
             request.setResponseCode(503)
             return b""
@@ -153,12 +139,12 @@
             return
         stream_id = "crossed" if self.faults.cross else stream.id
         events = [
-            TokenEvent(stream_id, n, f"t{n} ")
+            wire.StreamEvent(stream_id, n, f"t{n} ")
             for n in range(subscription.sent, stream.tokens)
         ]
         subscription.sent = max(subscription.sent, stream.tokens)
         if stream.state is batching.StreamState.DONE or stream.tokens >= stream.length:
-            events.append(TokenEvent(stream_id, stream.length, end=True))
+            events.append(wire.StreamEvent(stream_id, stream.length, end=True))
         if events:
             subscription.request.write(b"".join(map(_encode, events)))
         if events and events[-1].end:
--- a/packages/standins/wasabiknot_standins/logs.py
+++ b/packages/standins/wasabiknot_standins/logs.py
@@ -4,57 +4,12 @@
 import msgspec
 from twisted.internet import reactor, task
 
+from wasabiknot_kernel import wire
 from wasabiknot_standins import servers, workers
 
 DEFAULT_LIMIT = 500
 
 
-class StoredRecord(msgspec.Struct, frozen=True):
-    """A record of the log.
-
-    :param offset: its offset.
-    :param time_ms: time of its append.
-    :param data: its text.
-    """
-
-    offset: int
-    time_ms: int
-    data: str
-
-
-class Page(msgspec.Struct, frozen=True):
-    """An answer to a read.
-
-    :param oldest: oldest offset that is kept.
-    :param head: offset of the next append.
-    :param time_ms: present time of the log.
-    :param records: records in order.
-    """
-
-    oldest: int
-    head: int
-    time_ms: int
-    records: list[StoredRecord]
-
-
-class Appended(msgspec.Struct, frozen=True):
-    """An answer to an append.
-
-    :param offset: offset of the new record.
-    """
-
-    offset: int
-
-
-class NewRecord(msgspec.Struct, frozen=True):
-    """Body of an append.
-
-    :param data: text of the record.
-    """
-
-    data: str
-
-
 class LogFaults(msgspec.Struct, frozen=True):
     """Fault switches of the log.
 
@@ -90,7 +45,7 @@
         :return: its offset.
         """
         offset = self.head
-        self._records.append(StoredRecord(offset, workers.now_ms(), data))
+        self._records.append(wire.LogRecord(offset, workers.now_ms(), data))
         if self.faults.keep and len(self._records) > self.faults.keep:
             removed = len(self._records) - self.faults.keep
             del self._records[:removed]
@@ -102,11 +57,11 @@
 
         :param start: offset to begin with; older than kept begins at the oldest.
         :param limit: largest number of records.
-        :return: ``Page``.
+        :return: ``wire.LogPage``.
         """
         first = max(start, self._oldest) - self._oldest
         records = self._records[first : first + limit]
-        return Page(self._oldest, self.head, workers.now_ms(), records)
+        return wire.LogPage(self._oldest, self.head, workers.now_ms(), records)
 
 
 class LogServer:
@@ -137,7 +92,7 @@
         if self._log.faults.outage:
             request.setResponseCode(503)
             return b""
-        body = servers.read_json(request, NewRecord)
+        body = servers.read_json(request, wire.LogAppend)
         return self._delay(lambda: self._store(request, body))
 
     def _store(self, request, body):
@@ -147,7 +102,7 @@
         if self._log.faults.lose_answers:
             request.setResponseCode(500)
             return b""
-        return servers.send_json(request, Appended(offset))
+        return servers.send_json(request, wire.LogAppended(offset))
 
     def _read(self, request):
         if self._log.faults.outage:
--- a/packages/standins/wasabiknot_standins/plains.py
+++ b/packages/standins/wasabiknot_standins/plains.py
@@ -1,27 +1,14 @@
 """Stand-in of a plain service, some of whose calls must not be repeated."""
 
-import msgspec
 from twisted.internet import reactor, task
 
+from wasabiknot_kernel import wire
 from wasabiknot_standins import servers, workers
 
 SAMPLE_S = 0.1
 MIN_DELAY_S = 0.001
 
 
-class Answer(msgspec.Struct, frozen=True):
-    """Answer of a plain service.
-
-    :param id: id of the request.
-    :param result: result.
-    :param end: end marker.
-    """
-
-    id: str
-    result: str
-    end: bool = True
-
-
 class Plain(workers.Worker):
     """A plain service that answers each call after a service time.
 
@@ -56,7 +43,7 @@
         self._silent.update(self._open)
 
     def _call(self, request):
-        body = servers.read_json(request, workers.CallBody)
+        body = servers.read_json(request, wire.WorkerCall)
         if self.is_leaving:
             request.setResponseCode(503)
             return b""
@@ -78,7 +65,11 @@
         if request is None or body.id in self._silent:
             return
         answer_id = "crossed" if self.faults.cross else body.id
-        request.write(servers.send_json(request, Answer(answer_id, f"{body.call} ok")))
+        request.write(
+            servers.send_json(
+                request, wire.PlainAnswer(answer_id, f"{body.call} ok", True)
+            )
+        )
         request.finish()
 
 
--- a/packages/standins/wasabiknot_standins/platforms.py
+++ b/packages/standins/wasabiknot_standins/platforms.py
@@ -3,24 +3,12 @@
 import collections
 
 import klein
-import msgspec
 from twisted.internet import reactor, task
 
-from wasabiknot_kernel import messages
+from wasabiknot_kernel import wire
 from wasabiknot_standins import servers, workers
 
 
-class VmList(msgspec.Struct, frozen=True):
-    """The list of VMs.
-
-    :param workers: backend servers.
-    :param entries: VMs of the system.
-    """
-
-    workers: tuple[messages.Vm, ...] = ()
-    entries: tuple[messages.EntryVm, ...] = ()
-
-
 class VmServer:
     """Serves the list as it was some time ago.
 
@@ -30,7 +18,7 @@
     def __init__(self, lag_ms):
         self.app = klein.Klein()
         self._lag_s = lag_ms / workers.MS_PER_S
-        self._shown = VmList()
+        self._shown = wire.VmList()
         self.app.route("/v1/vms", methods=["GET"])(self._send)
         self.app.route("/v1/vms", methods=["PUT"])(self._replace)
 
@@ -38,7 +26,7 @@
         return servers.send_json(request, self._shown)
 
     def _replace(self, request):
-        listed = servers.read_json(request, VmList)
+        listed = servers.read_json(request, wire.VmList)
         lag_s = self._lag_s if self._shown.workers else 0
         reactor.callLater(lag_s, self._show, listed)
         return b""
--- a/packages/standins/wasabiknot_standins/rigs.py
+++ b/packages/standins/wasabiknot_standins/rigs.py
@@ -7,8 +7,8 @@
 import treq
 from twisted.internet import reactor, task, threads
 
-from wasabiknot_kernel import fold, messages
-from wasabiknot_standins import clients, platforms, servers
+from wasabiknot_kernel import fold, messages, wire
+from wasabiknot_standins import clients, servers
 
 READY_TIMEOUT_S = 30
 POLL_S = 0.2
@@ -67,7 +67,7 @@
         for index, name in enumerate(fleet.entries)
     )
     url = clients.build_url(fleet.ports.vms, "/v1/vms")
-    await clients.put_json(url, platforms.VmList(workers, entries))
+    await clients.put_json(url, wire.VmList(workers, entries))
 
 
 async def publish(fleet, directory, wait_s=10):
--- a/packages/standins/wasabiknot_standins/workers.py
+++ b/packages/standins/wasabiknot_standins/workers.py
@@ -8,6 +8,7 @@
 import klein
 import msgspec
 
+from wasabiknot_kernel import wire
 from wasabiknot_standins import batching, servers
 
 MS_PER_S = 1000
@@ -15,38 +16,6 @@
 DOWN_S = 1.5
 
 
-class LoadReport(msgspec.Struct, frozen=True):
-    """A load report.
-
-    :param running: running requests.
-    :param waiting: admitted requests that wait.
-    :param taken_ms: time at which it was taken.
-    :param boot: id of the server process.
-    :param leaving: whether the server is about to leave.
-    """
-
-    running: int
-    waiting: int
-    taken_ms: int
-    boot: str
-    leaving: bool
-
-
-class CallBody(msgspec.Struct, frozen=True):
-    """Body of a call.
-
-    :param id: id of the request.
-    :param call: name of the call.
-    :param prompt: content.
-    :param max_tokens: largest answer.
-    """
-
-    id: str
-    call: str
-    prompt: str
-    max_tokens: int = 0
-
-
 class Order(msgspec.Struct, frozen=True):
     """An order to an engine.
 
@@ -131,7 +100,7 @@
     def note_run(self, body):
         """Notes that a request has begun to run.
 
-        :param body: ``CallBody``.
+        :param body: ``wire.WorkerCall``.
         """
         self._runs[body.prompt] += 1
         self._ids[body.id] += 1
@@ -168,7 +137,7 @@
 
     def sample_load(self):
         """Takes a load report; it is shown only after a lag."""
-        report = LoadReport(
+        report = wire.WorkerLoad(
             self.count_running(),
             self.count_waiting(),
             now_ms(),
@@ -196,7 +165,7 @@
             if report.taken_ms <= due:
                 shown = report
         if shown is None:
-            shown = LoadReport(0, 0, now_ms(), self._boot, self._leaving)
+            shown = wire.WorkerLoad(0, 0, now_ms(), self._boot, self._leaving)
         return servers.send_json(request, shown)
 
     def _set_faults(self, request):
