Count unused slots in one place; drop state that nothing reads

Cause: slots minus own and peers' requests stood three times (free slots, shares, reserved slots); the log's head, the dispatches since a report and a reader of process output were kept or defined but never read. Ruled out: merging the two loops that pump the queues, since the one at ticks also visits empty queues. Change: Node.count_unused serves all three; the unread state is gone. Left: LogFailed is a message whose handler does nothing.

--- a/packages/kernel/wasabiknot_kernel/fleet.py
+++ b/packages/kernel/wasabiknot_kernel/fleet.py
@@ -19,7 +19,6 @@
         self.running = {}
         self.speed = estimates.Speed()
         self.report = None
-        self.dispatched_since_report = 0
         self.unreachable_until_ms = 0
         self.leaving_until_ms = 0
         self.allowance = None
@@ -138,7 +137,6 @@
         if worker.report is not None and worker.report.taken_ms >= report.taken_ms:
             return False
         worker.report = report
-        worker.dispatched_since_report = 0
         if report.leaving:
             worker.leaving_until_ms = now_ms + LEAVING_REPORT_MS
         return True
--- a/packages/kernel/wasabiknot_kernel/following.py
+++ b/packages/kernel/wasabiknot_kernel/following.py
@@ -15,7 +15,6 @@
 @handlers.handle.register
 def _(message: messages.LogRead, node):
     node.log_heard_ms = node.now_ms
-    node.log_head = message.head
     node.log_time_ms = message.time_ms
     before = node.state.publication
     node.replica.extend(message.records)
--- a/packages/kernel/wasabiknot_kernel/node.py
+++ b/packages/kernel/wasabiknot_kernel/node.py
@@ -64,7 +64,6 @@
         self.now_ms = 0
         self.replica = replicas.Replica()
         self.log_heard_ms = None
-        self.log_head = 0
         self.log_time_ms = 0
         self.log_known_ms = 0
         self.fleet = fleet.Fleet()
@@ -156,6 +155,15 @@
         texts = {name: str(value) for name, value in fields.items()}
         self.emit(effects.Notice(event.name, texts))
 
+    def count_unused(self, worker):
+        """Counts the slots of a backend server that no entry uses.
+
+        :param worker: ``fleet.Worker``.
+        :return: number of slots; negative if there are too many requests.
+        """
+        others = self.roster.count_running(worker.id)
+        return worker.vm.slots - worker.count() - others
+
     def queue(self, service):
         """Returns the queue of a service.
 
--- a/packages/kernel/wasabiknot_kernel/preemption.py
+++ b/packages/kernel/wasabiknot_kernel/preemption.py
@@ -35,7 +35,7 @@
     if not wanted:
         return False
     free = sum(
-        worker.vm.slots - worker.count() - node.roster.count_running(worker.id)
+        node.count_unused(worker)
         for worker in node.fleet.list_service(service)
         if worker.is_open(node.now_ms)
     )
--- a/packages/kernel/wasabiknot_kernel/scheduling.py
+++ b/packages/kernel/wasabiknot_kernel/scheduling.py
@@ -40,7 +40,6 @@
     weight = node.configuration.deployment.weight(request.message.customer)
     queue.serve(request, weight)
     worker.running[request.request_id] = request
-    worker.dispatched_since_report += 1
     is_engine = request.message.max_tokens > 0
     timeout_ms = request.deadline_ms - node.now_ms + ATTEMPT_GRACE_MS
     kind = effects.Resume if request.pauses else effects.Dispatch
@@ -178,8 +177,7 @@
 
 def _count_free(node, worker, rank):
     held = preemption.count_held(node, worker.id, rank)
-    others = node.roster.count_running(worker.id)
-    free = worker.vm.slots - worker.count() - others - held
+    free = node.count_unused(worker) - held
     if rank == 0 or worker.allowance is None:
         return free
     return min(free, worker.allowance - worker.count() - held)
@@ -195,8 +193,7 @@
         service = worker.vm.service
         if service not in shares:
             shares[service] = _list_demands(node, service)
-        others = node.roster.count_running(worker.id)
-        free = worker.vm.slots - worker.count() - others
+        free = node.count_unused(worker)
         own = peers.share_slots(worker.id, free, shares[service], node.settings.name)
         worker.allowance = worker.count() + own
 
--- a/packages/standins/wasabiknot_standins/processes.py
+++ b/packages/standins/wasabiknot_standins/processes.py
@@ -190,14 +190,6 @@
         """Path of the site file."""
         return self.directory / "site.yaml"
 
-    def read_journal(self, name):
-        """Reads what a process has written.
-
-        :param name: name of the process.
-        :return: text.
-        """
-        return (self.directory / f"{name}.log").read_text(encoding="utf-8")
-
     def _start_standin(self, name, *arguments):
         self._start(name, [sys.executable, "-m", "wasabiknot_standins", *arguments])
 
