--- /dev/null
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -0,0 +1,321 @@
+"""The entry program on a platform with a store."""
+
+import os
+import random
+import secrets
+import sys
+
+import msgspec
+from returns import pipeline
+from twisted.internet import reactor, task
+from twisted.web import resource, server
+from wasabiknot_platform import configurations, servers as platform_servers, stores
+
+from wasabiknot_entry import (
+    connections,
+    edge_settings,
+    followers,
+    gateways,
+    gauges,
+    gossip,
+    journal,
+    settings as entry_settings,
+)
+from wasabiknot_kernel import deployments, events, members, routes
+
+SETTINGS_VARIABLE = "WASABIKNOT_SETTINGS"
+EXIT_BAD_SETTINGS = 2
+BACKLOG = 512
+CONNECT_TIMEOUT_S = 0.4
+STORE_CONNECT_TIMEOUT_S = 0.6
+TICK_S = 0.025
+# Time for which a read of configurations waits for the next one.
+CONFIGURATION_WAIT_MS = 4_000
+MEMBER_WAIT_MS = 8_000
+# Polls of registrations within the time that a leaving server may get work.
+POLLS_PER_BOUND = 4
+# After SIGTERM callers still come until the balancer has noticed.
+NOTICE_S = 3.0
+GRACE_MARGIN_S = 0.7
+DRAIN_CHECK_S = 0.05
+LAST_BYTES_S = 0.05
+
+
+class ReadyResource(resource.Resource):
+    """Says whether this entry takes new connections.
+
+    :param entry: ``Entry``.
+    """
+
+    isLeaf = True
+
+    def __init__(self, entry):
+        super().__init__()
+        self._entry = entry
+
+    def render_GET(self, request):  # noqa: N802
+        """Returns 200 or 503."""
+        if not self._entry.is_ready:
+            request.setResponseCode(503)
+        return b""
+
+
+class Schedule:
+    """What the gateway sees of the deployment.
+
+    :param deployment: ``deployments.Deployment``.
+    """
+
+    connect_timeout_s = CONNECT_TIMEOUT_S
+
+    def __init__(self, deployment):
+        self._deployment = deployment
+        self.owners = {}
+        self.find_dispatcher = deployment.find_dispatcher
+        self.list_dispatchers = deployment.list_dispatchers
+        self.find_budget = deployment.find_budget
+        self.allowances = deployment.allowances
+        self.crashes = deployment.crashes
+        self.note_lost = deployment.note_lost
+
+    @property
+    def table(self):
+        """The configuration in force, or ``None``."""
+        return self._deployment.table
+
+    @property
+    def is_ready(self):
+        """Whether requests can be decided on."""
+        return self._deployment.is_ready
+
+    def measure_age_ms(self):
+        """Age of the newest read of the store, in milliseconds."""
+        return self._deployment.measure_age_ms(reactor.seconds())
+
+
+class Entry:
+    """All tasks of one entry.
+
+    :param settings: ``edge_settings.Settings``.
+    """
+
+    def __init__(self, settings):
+        self._settings = settings
+        self._run = secrets.token_hex(4)
+        rng = random.Random(secrets.randbits(64))
+        bounds = settings.bounds
+        policy = deployments.Policy(
+            bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
+        )
+        self._deployment = deployments.Deployment(settings.name, self._run, policy, rng)
+        metrics = gauges.Gauges()
+        schedule = Schedule(self._deployment)
+        self._gateway = gateways.Gateway(reactor, rng, schedule, metrics)
+        pool = connections.Pool(reactor, STORE_CONNECT_TIMEOUT_S)
+        self._store = followers.Store(reactor, pool, settings.store_address)
+        self._health = followers.Health(reactor, self._deployment)
+        self._gossip = gossip.Gossip(
+            reactor, self._deployment, pool, self._take_facts, self._health
+        )
+        self._metrics = metrics
+        self._followers = []
+        self._is_stopping = False
+        self._loops = []
+
+    @property
+    def is_ready(self):
+        """Whether this entry takes new connections."""
+        return self._deployment.is_ready and not self._is_stopping
+
+    def start(self):
+        """Opens the sockets and starts the tasks."""
+        settings = self._settings
+        self._listen(settings.caller_address, self._gateway.create_factory())
+        ready = server.Site(ReadyResource(self))
+        ready.log = lambda request: None
+        self._listen(settings.ready_address, ready)
+        port = settings.ports[0]
+        self._listen(
+            f"{settings.host}:{port}",
+            gossip.create_site(self._deployment, self._metrics),
+        )
+        reactor.listenUDP(port, self._gossip, interface=settings.host)
+        self._follow(stores.OPERATOR_TOPIC, CONFIGURATION_WAIT_MS, lambda: 0.0)
+        self._follow(stores.SERVER_TOPIC, 0, self._find_poll_s)
+        self._follow(stores.MEMBER_TOPIC, MEMBER_WAIT_MS, lambda: 0.0)
+        self._announce()
+        self._loop(self._tick, TICK_S, "tick")
+        self._loop(self._gossip.send_digest, gossip.DIGEST_INTERVAL_S, "digest")
+        journal.write(events.Event.STARTED, entry=settings.name, run=self._run)
+
+    def _listen(self, address, factory):
+        endpoint = entry_settings.parse_address(address)
+        factory.noisy = False
+        reactor.listenTCP(
+            endpoint.port, factory, backlog=BACKLOG, interface=endpoint.host
+        )
+
+    def _loop(self, function, interval_s, name):
+        loop = task.LoopingCall(function)
+        loop.clock = reactor
+        loop.start(interval_s, now=False).addErrback(journal.log_failure, name)
+        self._loops.append(loop)
+
+    def _follow(self, topic, wait_ms, find_pause_s):
+        follower = followers.Follower(
+            reactor,
+            self._store,
+            self._deployment.find_topic(topic),
+            lambda changed, source: self._take_facts(topic, changed, source),
+            self._health,
+            wait_ms,
+            find_pause_s,
+        )
+        self._followers.append(follower)
+        follower.start()
+
+    def _find_poll_s(self):
+        return self._settings.bounds.leaving_ms / 1_000 / POLLS_PER_BOUND
+
+    def _announce(self):
+        member = members.Member(
+            self._settings.name, self._run, self._settings.host, self._settings.ports[0]
+        )
+        call = stores.build_append(
+            stores.MEMBER_TOPIC, member.name, msgspec.json.encode(member)
+        )
+        sent = self._store.call(call)
+        sent.addCallback(self._check_announced)
+        sent.addErrback(lambda _: reactor.callLater(0.5, self._announce))
+
+    def _check_announced(self, response):
+        if response.status != stores.OK:
+            raise followers.StoreError(f"status {response.status}")
+
+    def _tick(self):
+        self._deployment.tick(reactor.seconds())
+        self._gateway.tick()
+
+    # Facts
+
+    def _take_facts(self, topic, changed, source):
+        if topic == stores.SERVER_TOPIC:
+            self._deployment.has_servers = True
+        takers = {
+            stores.OPERATOR_TOPIC: self._take_order,
+            stores.SERVER_TOPIC: self._take_server,
+            stores.MEMBER_TOPIC: self._take_member,
+        }
+        take = takers.get(topic)
+        if take is None:
+            return
+        for fact in changed:
+            try:
+                take(fact, source)
+            except (msgspec.MsgspecError, ValueError) as error:
+                journal.write(
+                    events.Event.FACT_UNREADABLE,
+                    topic=topic,
+                    key=fact.key,
+                    offset=fact.offset,
+                    error=str(error),
+                )
+
+    def _take_order(self, fact, source):
+        if fact.key != configurations.CONFIGURATION_KEY or fact.value is None:
+            return
+        found = configurations.decode_configuration(fact.value)
+        table = routes.RouteTable(found)
+        if self._deployment.take_configuration(table, reactor.seconds()):
+            journal.write(
+                events.Event.TABLE_IN_FORCE, version=table.version, source=source
+            )
+
+    def _take_server(self, fact, source):
+        now_s = reactor.seconds()
+        if fact.value is None:
+            if self._deployment.take_removal(fact.key, now_s):
+                self._log_server(fact.key, None, "removed", source)
+            return
+        found = platform_servers.decode_registration(fact.key, fact.value)
+        before = self._deployment.find_server(fact.key)
+        is_new = before is None or before.registration.state is not found.state
+        self._deployment.take_registration(found, now_s)
+        if is_new:
+            self._log_server(fact.key, found, found.state.value, source)
+
+    def _log_server(self, server_id, found, state, source):
+        journal.write(
+            events.Event.SERVER_STATE,
+            server=server_id,
+            service=found.service if found else "",
+            address=found.address if found else "",
+            state=state,
+            source=source,
+        )
+
+    def _take_member(self, fact, source):
+        if fact.value is None:
+            self._deployment.roster.remove(fact.key)
+            journal.write(events.Event.MEMBER_GONE, peer=fact.key)
+            return
+        member = msgspec.json.decode(fact.value, type=members.Member)
+        self._deployment.roster.take_member(member, reactor.seconds())
+        address = f"{member.host}:{member.port}"
+        journal.write(
+            events.Event.MEMBER_FOUND, peer=member.name, address=address, run=member.run
+        )
+
+    # Stop
+
+    def drain(self):
+        """Shuts down gracefully: finishes what runs, then ends.
+
+        :return: deferred that fires when nothing is in flight, or when the time
+            for it is over.
+        """
+        self._is_stopping = True
+        self._deployment.is_stopping = True
+        self._gateway.stop()
+        journal.write(events.Event.STOPPING, running=len(self._gateway))
+        now_s = reactor.seconds()
+        end_s = now_s + self._settings.bounds.grace_s - GRACE_MARGIN_S
+        return self._wait_until_empty(now_s + NOTICE_S, end_s)
+
+    def _wait_until_empty(self, notice_s, end_s):
+        now_s = reactor.seconds()
+        if now_s >= notice_s:
+            self._gateway.is_refusing = True
+        is_done = now_s >= notice_s and not len(self._gateway)
+        if is_done or now_s >= end_s:
+            self._gateway.close_idle()
+            journal.write(events.Event.STOPPED, entry=self._settings.name)
+            return task.deferLater(reactor, LAST_BYTES_S)
+        waited = task.deferLater(reactor, DRAIN_CHECK_S)
+        return waited.addCallback(lambda _: self._wait_until_empty(notice_s, end_s))
+
+
+def run():
+    """Runs the entry program.
+
+    :return: exit code.
+    """
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        print(f"{SETTINGS_VARIABLE}: expected the path of a file", file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    loaded = edge_settings.load_settings(path)
+    if not pipeline.is_successful(loaded):
+        print(loaded.failure(), file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    journal.configure("INFO")
+    journal.observe_failures()
+    entry = Entry(loaded.unwrap())
+    reactor.callWhenRunning(entry.start)
+    reactor.addSystemEventTrigger("before", "shutdown", entry.drain)
+    reactor.run()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(run())
--- /dev/null
+++ b/packages/entry/wasabiknot_entry/edge_settings.py
@@ -0,0 +1,70 @@
+"""Settings of an entry on a platform with a store."""
+
+import pathlib
+import typing
+
+import msgspec
+
+from wasabiknot_entry import settings as entry_settings
+from wasabiknot_kernel import documents
+
+Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
+
+
+class Bounds(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bounds that the deployment promises.
+
+    :param configuration_ms: time in which a configuration is in force.
+    :param leaving_ms: time after which a leaving backend server gets no work.
+    :param grace_s: time that a graceful shutdown may take.
+    :param retry_ratio: repeats allowed for each request.
+    :param retry_window_s: window of that ratio.
+    :param retry_slack: repeats that all entries together may add.
+    :param canary_share: part of the traffic that an unproven version may get.
+    :param rollback_ms: time in which a bad version must be left.
+    """
+
+    configuration_ms: Positive
+    leaving_ms: Positive
+    grace_s: Positive
+    retry_ratio: float
+    retry_window_s: Positive
+    retry_slack: float
+    canary_share: float
+    rollback_ms: Positive
+
+
+class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of one entry.
+
+    :param name: name of the entry.
+    :param domain: failure domain in which it runs.
+    :param host: its IP number.
+    :param caller_address: address for callers.
+    :param ready_address: address for readiness checks.
+    :param ports: first and last port for use between entries.
+    :param store_address: address of the platform's store.
+    :param beat_ms: interval at which backend servers renew their registration.
+    :param bounds: ``Bounds``.
+    """
+
+    name: str
+    domain: str
+    host: str
+    caller_address: entry_settings.Address
+    ready_address: entry_settings.Address
+    ports: tuple[int, int]
+    store_address: entry_settings.Address
+    beat_ms: Positive
+    bounds: Bounds
+
+
+def load_settings(path):
+    """Reads and checks a settings file.
+
+    :param path: path of the YAML file.
+    :return: ``Success(Settings)`` or ``Failure(DocumentError)``.
+    """
+    text = pathlib.Path(path).read_text(encoding="utf-8")
+    read = documents.read_document(text, Settings, str(path))
+    return read.map(lambda document: document.value)
--- /dev/null
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -0,0 +1,601 @@
+"""The task that takes callers' requests and brings them to their final answer."""
+
+import msgspec
+import xxhash
+from twisted.web import http
+from wasabiknot_platform import headers as platform_headers
+
+from wasabiknot_entry import connections, journal, sendings
+from wasabiknot_kernel import (
+    arrivals,
+    crashes,
+    dispatch,
+    events,
+    exceptions,
+    outcomes,
+    routes,
+)
+
+Kind = exceptions.ErrorKind
+Outcome = outcomes.Outcome
+Step = outcomes.Step
+
+# Time allowed to a request whose caller states none.
+DEFAULT_WAIT_MS = 30_000.0
+# Taken off the caller's time, for the way back.
+ANSWER_MARGIN_S = 0.015
+TEXT_TYPE = b"text/plain"
+# Idle connections are kept a little longer than callers may rely on.
+IDLE_MARGIN_S = 2.0
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """A final answer of the system's own.
+
+    :param kind: kind of error.
+    :param status: HTTP status code.
+    :param return_s: seconds until a return is likely to succeed, or ``None``.
+    :param reason: short text for the log.
+    """
+
+    kind: Kind
+    status: int
+    return_s: float | None
+    reason: str
+
+
+STATUSES = {
+    Kind.UNKNOWN_CALL: http.NOT_FOUND,
+    Kind.KEY_UNKNOWN: http.UNAUTHORIZED,
+    Kind.OVER_ALLOWANCE: 429,
+    Kind.BAD_REQUEST: http.BAD_REQUEST,
+    Kind.BODY_TOO_LARGE: 413,
+}
+
+
+class Flow:
+    """One request on its way, up to its final answer.
+
+    :param gateway: owning ``Gateway``.
+    :param request: the caller's request.
+    :param ticket: ``arrivals.Ticket``.
+    :param fields: headers of the request, as pairs.
+    :param body: its body.
+    """
+
+    def __init__(self, gateway, request, ticket, fields, body):
+        self._gateway = gateway
+        self._request = request
+        self.ticket = ticket
+        self._fields = fields
+        self._body = body
+        self._placed = None
+        self._sending = None
+        self._first_head = None
+        self.last_event = ticket.arrival.last_event
+        self.events = 0
+        self.is_ended = False
+        delay_s = max(0.0, ticket.deadline_s - gateway.reactor.seconds())
+        self._timer = gateway.reactor.callLater(delay_s, self._time_out)
+
+    @property
+    def dispatcher(self):
+        """The dispatcher of its service."""
+        return self._gateway.find_dispatcher(self.ticket.service)
+
+    # Sending
+
+    def send(self, placed):
+        """Sends the request to a backend server.
+
+        :param placed: ``dispatch.Placed``.
+        """
+        self._placed = placed
+        ticket = self.ticket
+        ticket.sends += 1
+        left_ms = (ticket.deadline_s - self._gateway.reactor.seconds()) * 1_000
+        is_resumed = self.last_event > ticket.arrival.last_event
+        fields = platform_headers.build_request_headers(
+            self._fields,
+            len(self._body),
+            ticket,
+            placed.server.server_id,
+            left_ms,
+            self.last_event if is_resumed else 0,
+        )
+        if not self._body and self._request.method in (b"POST", b"PUT", b"PATCH"):
+            fields.append((b"content-length", b"0"))
+        request = connections.Request(
+            self._request.method, self._request.uri, tuple(fields), self._body
+        )
+        journal.write(
+            events.Event.DISPATCHED,
+            request=ticket.request_id,
+            server=placed.server.server_id,
+            send=ticket.sends,
+            version=ticket.version,
+            running=placed.server.count_running(),
+            waited_ms=round(placed.waited_s * 1_000),
+            score_ms=round(placed.score_ms),
+        )
+        self._sending = sendings.Sending(
+            self._gateway.reactor, self._gateway.pool, placed, request, self
+        )
+
+    def take_event(self, event, head):
+        """Relays an event of a stream.
+
+        :param event: ``eventstreams.Event``.
+        :param head: head of the answer that it belongs to.
+        :return: whether it fits behind the events before it.
+        """
+        if self.is_ended:
+            return True
+        now_s = self._gateway.reactor.seconds()
+        self.dispatcher.note_first(self.ticket, self._placed.server, now_s)
+        if event.number is not None:
+            if event.number <= self.last_event:
+                return True
+            if self.events and event.number != self.last_event + 1:
+                return False
+            self.last_event = event.number
+        self._begin(head)
+        self.events += 1
+        self._request.write(event.data)
+        return True
+
+    def _begin(self, head):
+        if self._first_head is not None:
+            return
+        self._first_head = head
+        self._request.setResponseCode(head.status)
+        for name, value in head.headers:
+            self._request.responseHeaders.addRawHeader(name, value)
+        self._gateway.note_first(self)
+
+    def take_result(self, result):
+        """Takes the end of a send.
+
+        :param result: ``sendings.Result``.
+        """
+        placed, self._placed = self._placed, None
+        self._sending = None
+        gateway = self._gateway
+        now_s = gateway.reactor.seconds()
+        ticket = self.ticket
+        if result.outcome not in outcomes.NOT_RUN:
+            ticket.has_run = True
+        if result.outcome is Outcome.UNREACHED:
+            ticket.sends -= 1
+        dispatcher = self.dispatcher
+        dispatcher.finish(ticket, placed.server, result.outcome, now_s, self.events)
+        gateway.note_send(ticket, placed.server, result, now_s)
+        if result.outcome in (Outcome.WHOLE, Outcome.CANCELLED):
+            self._deliver(result)
+        else:
+            self._go_on(result, now_s)
+        gateway.pump(ticket.service)
+
+    def _go_on(self, result, now_s):
+        ticket = self.ticket
+        budget = self._gateway.find_budget(ticket.service)
+        verdict = outcomes.decide_step(
+            ticket, result.outcome, now_s, self._estimate_least_s(), budget
+        )
+        journal.write(
+            events.Event.SEND_ENDED,
+            request=ticket.request_id,
+            outcome=result.outcome.value,
+            detail=result.detail,
+            step=verdict.step.value,
+            reason=verdict.reason,
+        )
+        if verdict.step is Step.RESEND:
+            self._gateway.submit(self)
+        elif verdict.step is Step.PASS_ON:
+            self._deliver(result)
+        else:
+            self._gateway.answer(self, verdict.kind, verdict.reason)
+
+    def _estimate_least_s(self):
+        return 0.02
+
+    def _deliver(self, result):
+        head = result.head
+        if self._first_head is not None and result.outcome is not Outcome.WHOLE:
+            self.break_off(result.detail)
+            return
+        self._begin(head)
+        if result.body:
+            self._request.write(result.body)
+        self._end("whole" if result.outcome is Outcome.WHOLE else "failed")
+        self._request.finish()
+
+    # Ends
+
+    def _time_out(self):
+        if self.is_ended:
+            return
+        self._stop_sending(Outcome.CANCELLED)
+        kind = Kind.DEADLINE_EXCEEDED if self.ticket.has_run else Kind.QUEUE_FULL
+        self._gateway.answer(self, kind, "time is over")
+
+    def _stop_sending(self, outcome):
+        sending, self._sending = self._sending, None
+        placed, self._placed = self._placed, None
+        if sending is None:
+            return
+        was_sent = sending.phase is not sendings.Phase.CONNECTING
+        sending.cancel()
+        if was_sent:
+            self.ticket.has_run = True
+        now_s = self._gateway.reactor.seconds()
+        self.dispatcher.finish(self.ticket, placed.server, outcome, now_s)
+
+    def leave(self):
+        """Stops everything, as the caller has gone."""
+        if self.is_ended:
+            return
+        self._stop_sending(Outcome.CANCELLED)
+        self._end("left")
+        self._gateway.pump(self.ticket.service)
+
+    def refuse(self, answer):
+        """Gives the final answer of the system's own.
+
+        :param answer: ``Answer``.
+        """
+        if self._first_head is not None:
+            self.break_off(answer.reason)
+            return
+        self._end(answer.kind.value)
+        write_answer(self._request, answer)
+
+    def break_off(self, reason):
+        """Ends an answer that has begun so that it cannot look complete.
+
+        :param reason: short text for the log.
+        """
+        self._end(f"broken off: {reason}")
+        channel = self._request.channel
+        if channel is not None:
+            channel.loseConnection()
+
+    def _end(self, ended):
+        self.is_ended = True
+        if self._timer.active():
+            self._timer.cancel()
+        self._gateway.close(self, ended)
+
+
+def write_answer(request, answer):
+    """Writes an answer of the system's own.
+
+    :param request: the caller's request.
+    :param answer: ``Answer``.
+    """
+    request.setResponseCode(answer.status)
+    body = f"{answer.kind.value}\n".encode()
+    request.setHeader(b"content-type", TEXT_TYPE)
+    request.setHeader(b"content-length", str(len(body)).encode())
+    if answer.return_s is not None:
+        request.setHeader(b"retry-after", f"{answer.return_s:.2f}".encode())
+    request.write(body)
+    request.finish()
+
+
+class CallerRequest(http.Request):
+    """A caller's request, read whole before it is decided on."""
+
+    gateway = None
+
+    def process(self):
+        """Hands the request to the gateway."""
+        self.gateway.take(self)
+
+
+class Gateway:
+    """Lets requests in and owns them until their final answer.
+
+    :param reactor: Twisted reactor.
+    :param rng: random numbers.
+    :param scheduler: ``schedules.Schedule``, the shared state of decisions.
+    :param metrics: ``gauges.Gauges``.
+    """
+
+    def __init__(self, reactor, rng, scheduler, metrics):
+        self.reactor = reactor
+        self.pool = connections.Pool(reactor, scheduler.connect_timeout_s)
+        self._rng = rng
+        self._scheduler = scheduler
+        self._metrics = metrics
+        self._flows = {}
+        self._channels = set()
+        self.is_stopping = False
+        self.is_refusing = False
+
+    def __len__(self):
+        return len(self._flows)
+
+    def create_factory(self):
+        """Creates the server side for callers.
+
+        :return: a Twisted protocol factory.
+        """
+        gateway = self
+
+        class Request(CallerRequest):
+            pass
+
+        Request.gateway = gateway
+
+        class Channel(http.HTTPChannel):
+            requestFactory = Request
+
+            def connectionMade(self):  # noqa: N802
+                self.timeOut = gateway.limits.idle_ms / 1_000 + IDLE_MARGIN_S
+                super().connectionMade()
+                gateway._channels.add(self)
+                self.transport.setTcpNoDelay(True)
+
+            def connectionLost(self, reason):  # noqa: N802
+                gateway._channels.discard(self)
+                super().connectionLost(reason)
+
+        factory = http.HTTPFactory(timeout=None)
+        factory.protocol = Channel
+        factory.log = lambda request: None
+        return factory
+
+    @property
+    def limits(self):
+        """Bounds on callers, of the configuration in force."""
+        table = self._scheduler.table
+        return table.configuration.limits if table else routes.Limits()
+
+    def find_dispatcher(self, service):
+        """Finds the dispatcher of a service.
+
+        :param service: its name.
+        :return: ``dispatch.Dispatcher``.
+        """
+        return self._scheduler.find_dispatcher(service)
+
+    def find_budget(self, service):
+        """Finds the retry budget of a service.
+
+        :param service: its name.
+        :return: ``budgets.RetryBudget``.
+        """
+        return self._scheduler.find_budget(service)
+
+    # Arrival
+
+    def take(self, request):
+        """Takes a request that was read whole.
+
+        :param request: ``CallerRequest``.
+        """
+        if self.is_stopping and request.channel is not None:
+            request.channel.persistent = False
+            request.setHeader(b"connection", b"close")
+        fields = tuple(
+            (name.lower(), value)
+            for name, values in request.requestHeaders.getAllRawHeaders()
+            for value in values
+        )
+        host = request.getHeader(b"host") or b""
+        arrival = platform_headers.decode_arrival(
+            fields, host.decode("latin-1"), request.uri.decode("latin-1")
+        )
+        body = request.content.read()
+        admitted = self._admit(arrival, request, body)
+        if isinstance(admitted, Answer):
+            self._note_answer(arrival.request_id, admitted, None)
+            write_answer(request, admitted)
+            return
+        flow = Flow(self, request, admitted, fields, body)
+        self._flows[admitted.request_id, id(flow)] = flow
+        gone = request.notifyFinish()
+        gone.addErrback(self._note_gone, flow)
+        self.find_budget(admitted.service).note_request(self.reactor.seconds())
+        self.submit(flow)
+
+    def _note_gone(self, _, flow):
+        flow.leave()
+
+    def _admit(self, arrival, request, body):
+        scheduler = self._scheduler
+        now_s = self.reactor.seconds()
+        if not scheduler.is_ready:
+            return Answer(Kind.NOT_READY, 503, 0.5, "no configuration yet")
+        if self.is_refusing:
+            return Answer(Kind.STOPPING, 503, 0.2, "shutting down")
+        table = scheduler.table
+        route = table.find_route(arrival.host, arrival.path)
+        if route is None:
+            return Answer(Kind.UNKNOWN_CALL, 404, None, "no route")
+        customer = None
+        if table.has_customers and not route.is_public:
+            customer = table.find_customer(arrival.key)
+            if customer is None:
+                return Answer(Kind.KEY_UNKNOWN, 401, None, "unknown key")
+        if not arrival.request_id:
+            return Answer(Kind.BAD_REQUEST, 400, None, "no request id")
+        if len(body) > self.limits.body_bytes:
+            return Answer(Kind.BODY_TOO_LARGE, 413, None, "body too large")
+        ticket = self._create_ticket(arrival, route, customer, request, body, now_s)
+        if scheduler.crashes.is_refused(ticket.fingerprint, now_s):
+            return Answer(Kind.QUARANTINED, 503, 10.0, "crashes backend servers")
+        return self._charge(ticket, customer, now_s)
+
+    def _create_ticket(self, arrival, route, customer, request, body, now_s):
+        wait_ms = min(arrival.deadline_ms or DEFAULT_WAIT_MS, route.timeout_ms)
+        rank = route.rank
+        if customer is not None and customer.rank is not None:
+            rank = customer.rank
+        name = customer.name if customer else None
+        content = f"{request.uri!r}/{name}/".encode() + body
+        return arrivals.Ticket(
+            arrival=arrival,
+            route=route,
+            service=routes.choose_service(route, self._rng),
+            customer=name,
+            rank=rank,
+            arrived_s=now_s,
+            deadline_s=now_s + wait_ms / 1_000 - ANSWER_MARGIN_S,
+            version=self._scheduler.table.version,
+            fingerprint=xxhash.xxh64_hexdigest(content),
+        )
+
+    def _charge(self, ticket, customer, now_s):
+        if customer is None:
+            return ticket
+        cost = ticket.measure_cost(customer.plain_tokens)
+        wait_s = self._scheduler.allowances.take(customer.name, cost, now_s)
+        if wait_s > 0:
+            return_s = max(0.1, wait_s) * self._rng.uniform(1.0, 1.3)
+            reason = f"{customer.name} needs {cost} tokens"
+            return Answer(Kind.OVER_ALLOWANCE, 429, return_s, reason)
+        ticket.charge = cost
+        return ticket
+
+    # Progress
+
+    def submit(self, flow):
+        """Gives a request to the dispatcher of its service.
+
+        :param flow: ``Flow``.
+        """
+        dispatcher = self.find_dispatcher(flow.ticket.service)
+        now_s = self.reactor.seconds()
+        self._by_ticket(flow)
+        self._carry_out(dispatcher.submit(flow.ticket, now_s))
+
+    def _by_ticket(self, flow):
+        self._flows[flow.ticket.request_id, id(flow)] = flow
+        self._scheduler.owners[id(flow.ticket)] = flow
+
+    def pump(self, service):
+        """Sends what finds room at a service.
+
+        :param service: its name.
+        """
+        dispatcher = self.find_dispatcher(service)
+        if len(dispatcher):
+            self._carry_out(dispatcher.pump(self.reactor.seconds()))
+
+    def tick(self):
+        """Sends what finds room, and ends what has run out of time."""
+        now_s = self.reactor.seconds()
+        for dispatcher in self._scheduler.list_dispatchers():
+            if len(dispatcher):
+                self._carry_out(dispatcher.expire(now_s))
+                self._carry_out(dispatcher.pump(now_s))
+        self.pool.sweep()
+
+    def _carry_out(self, decisions):
+        for item in decisions:
+            flow = self._scheduler.owners.get(id(item.ticket))
+            if flow is None or flow.is_ended:
+                continue
+            if isinstance(item, dispatch.Placed):
+                flow.send(item)
+            else:
+                self.answer(flow, item.kind, item.reason, item.return_s)
+
+    # Ends
+
+    def answer(self, flow, kind, reason, return_s=None):
+        """Gives a request its final answer.
+
+        :param flow: ``Flow``.
+        :param kind: kind of error.
+        :param reason: short text for the log.
+        :param return_s: seconds until a return is likely to succeed.
+        """
+        if flow.is_ended:
+            return
+        self.find_dispatcher(flow.ticket.service).withdraw(flow.ticket)
+        if flow.ticket.has_run:
+            late = kind is Kind.DEADLINE_EXCEEDED
+            status, return_s = (504 if late else 502), None
+        else:
+            status = STATUSES.get(kind, 503)
+            return_s = return_s or self._rng.uniform(0.3, 0.8)
+        answer = Answer(kind, status, return_s, reason)
+        self._note_answer(flow.ticket.request_id, answer, flow.ticket)
+        flow.refuse(answer)
+
+    def _note_answer(self, request_id, answer, ticket):
+        journal.write(
+            events.Event.REFUSED,
+            request=request_id,
+            kind=answer.kind.value,
+            status=answer.status,
+            reason=answer.reason,
+            sends=ticket.sends if ticket else 0,
+            version=self._scheduler.table.version if self._scheduler.table else 0,
+            read_ms=self._scheduler.measure_age_ms(),
+        )
+        self._metrics.count_refused(answer)
+
+    def close(self, flow, ended):
+        """Forgets a request that has its final answer.
+
+        :param flow: ``Flow``.
+        :param ended: how it ended.
+        """
+        ticket = flow.ticket
+        self.find_dispatcher(ticket.service).withdraw(ticket)
+        self._flows.pop((ticket.request_id, id(flow)), None)
+        self._scheduler.owners.pop(id(ticket), None)
+        if ticket.charge and not ticket.has_run and not ticket.sends:
+            self._scheduler.allowances.give_back(ticket.customer, ticket.charge)
+        now_s = self.reactor.seconds()
+        self._metrics.observe(ticket, ended, now_s - ticket.arrived_s)
+        journal.write(
+            events.Event.ENDED,
+            request=ticket.request_id,
+            route=ticket.route.name,
+            ended=ended,
+            sends=ticket.sends,
+            total_ms=round((now_s - ticket.arrived_s) * 1_000),
+            events=flow.events,
+        )
+
+    def note_first(self, flow):
+        """Notes the first event or the head of an answer.
+
+        :param flow: ``Flow``.
+        """
+        ticket = flow.ticket
+        self._metrics.observe_first(ticket, self.reactor.seconds() - ticket.arrived_s)
+
+    def note_send(self, ticket, server, result, now_s):
+        """Notes how a send ended.
+
+        :param ticket: ``arrivals.Ticket``.
+        :param server: ``servers.Server``.
+        :param result: ``sendings.Result``.
+        :param now_s: present time.
+        """
+        if result.outcome is Outcome.LOST and result.detail == "reset":
+            registration = server.registration
+            start = f"{server.server_id}/{registration.born_ms}"
+            self._scheduler.note_lost(
+                crashes.Crash(ticket.fingerprint, start), server, now_s
+            )
+        self._metrics.count_send(result.outcome)
+
+    # Stop
+
+    def stop(self):
+        """Takes no new connections' work for granted: answers close them."""
+        self.is_stopping = True
+
+    def close_idle(self):
+        """Closes the callers' connections that wait for a request."""
+        for channel in list(self._channels):
+            if not channel.requests:
+                channel.loseConnection()
--- /dev/null
+++ b/packages/entry/wasabiknot_entry/gauges.py
@@ -0,0 +1,89 @@
+"""Counters and histograms, served as text."""
+
+import prometheus_client
+from prometheus_client import exposition
+from twisted.web import resource
+
+# Bounds of latency histograms in seconds, from plain lookups to long streams.
+BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+MAX_CUSTOMERS = 64
+
+
+class Gauges(resource.Resource):
+    """What is counted, and the resource that serves it."""
+
+    isLeaf = True
+
+    def __init__(self):
+        super().__init__()
+        self._registry = prometheus_client.CollectorRegistry()
+        self._customers = set()
+        self._refused = prometheus_client.Counter(
+            "wasabiknot_refused",
+            "Answers of the system's own.",
+            ["kind", "status"],
+            registry=self._registry,
+        )
+        self._sends = prometheus_client.Counter(
+            "wasabiknot_sends",
+            "Sends to backend servers by their end.",
+            ["outcome"],
+            registry=self._registry,
+        )
+        self._total = prometheus_client.Histogram(
+            "wasabiknot_total_seconds",
+            "Time from arrival to the final answer.",
+            ["route", "ended"],
+            buckets=BUCKETS_S,
+            registry=self._registry,
+        )
+        self._first = prometheus_client.Histogram(
+            "wasabiknot_first_seconds",
+            "Time from arrival to the first event or the head.",
+            ["customer", "rank"],
+            buckets=BUCKETS_S,
+            registry=self._registry,
+        )
+
+    def count_refused(self, answer):
+        """Counts an answer of the system's own.
+
+        :param answer: ``gateways.Answer``.
+        """
+        self._refused.labels(answer.kind.value, answer.status).inc()
+
+    def count_send(self, outcome):
+        """Counts a send.
+
+        :param outcome: ``outcomes.Outcome``.
+        """
+        self._sends.labels(outcome.value).inc()
+
+    def observe(self, ticket, ended, total_s):
+        """Observes a request that has its final answer.
+
+        :param ticket: ``arrivals.Ticket``.
+        :param ended: how it ended.
+        :param total_s: time since its arrival.
+        """
+        kind = ended.partition(":")[0]
+        self._total.labels(f"rank-{ticket.rank}", kind).observe(total_s)
+
+    def observe_first(self, ticket, first_s):
+        """Observes the first event of an answer.
+
+        :param ticket: ``arrivals.Ticket``.
+        :param first_s: time since its arrival.
+        """
+        customer = ticket.customer or "none"
+        if customer not in self._customers:
+            if len(self._customers) >= MAX_CUSTOMERS:
+                customer = "other"
+            else:
+                self._customers.add(customer)
+        self._first.labels(customer, str(ticket.rank)).observe(first_s)
+
+    def render_GET(self, request):  # noqa: N802
+        """Returns all counters and histograms."""
+        request.setHeader(b"content-type", exposition.CONTENT_TYPE_LATEST.encode())
+        return prometheus_client.generate_latest(self._registry)
--- /dev/null
+++ b/packages/entry/wasabiknot_entry/gossip.py
@@ -0,0 +1,164 @@
+"""The task that talks with the other entries."""
+
+import msgspec
+from twisted.internet import defer, protocol
+from twisted.web import resource, server
+
+from wasabiknot_entry import calls, journal
+from wasabiknot_kernel import events, facts, members
+
+STATE_PATH = "/facts"
+# Behind a peer by this much time, with the store silent, facts are fetched.
+STALE_S = 0.6
+FETCH_TIMEOUT_S = 0.8
+DIGEST_INTERVAL_S = 0.1
+MAX_DATAGRAM_BYTES = 8_000
+
+
+class Copied(msgspec.Struct, frozen=True, array_like=True):
+    """Facts of one topic, as a peer has them.
+
+    :param topic: name of the topic.
+    :param position: position up to which nothing is missing.
+    :param is_known: whether the peer has listed the topic.
+    :param facts: tuple of ``facts.Fact``.
+    """
+
+    topic: str
+    position: int
+    is_known: bool
+    facts: tuple[facts.Fact, ...]
+
+
+class FactsResource(resource.Resource):
+    """Serves the facts of this entry to its peers.
+
+    :param deployment: ``deployments.Deployment``.
+    """
+
+    isLeaf = True
+
+    def __init__(self, deployment):
+        super().__init__()
+        self._deployment = deployment
+
+    def render_GET(self, request):  # noqa: N802
+        """Returns the facts since the positions that are asked for."""
+        copied = []
+        for name, topic in self._deployment.topics.items():
+            asked = request.args.get(name.encode(), [b"0"])[0]
+            since = int(asked) if asked.isdigit() else 0
+            copied.append(
+                Copied(name, topic.position, topic.is_known, topic.list_since(since))
+            )
+        request.setHeader(b"content-type", b"application/json")
+        return msgspec.json.encode(copied)
+
+
+def create_site(deployment, metrics):
+    """Creates the server side for peers and operators.
+
+    :param deployment: ``deployments.Deployment``.
+    :param metrics: resource that serves metrics.
+    :return: a Twisted protocol factory.
+    """
+    root = resource.Resource()
+    root.putChild(STATE_PATH[1:].encode(), FactsResource(deployment))
+    root.putChild(b"metrics", metrics)
+    site = server.Site(root)
+    site.noisy = False
+    site.log = lambda request: None
+    return site
+
+
+class Gossip(protocol.DatagramProtocol):
+    """Sends digests to the peers and takes theirs.
+
+    :param reactor: Twisted reactor.
+    :param deployment: ``deployments.Deployment``.
+    :param pool: ``connections.Pool``.
+    :param receive: function that takes a topic's changed facts and their source.
+    :param health: ``followers.Health``.
+    """
+
+    def __init__(self, reactor, deployment, pool, receive, health):
+        self._reactor = reactor
+        self._deployment = deployment
+        self._pool = pool
+        self._receive = receive
+        self._health = health
+        self._is_fetching = False
+        self._ahead_since_s = {}
+
+    def send_digest(self):
+        """Sends the digest of this entry to all peers."""
+        if self.transport is None:
+            return
+        digest = self._deployment.build_digest(self._reactor.seconds())
+        data = msgspec.json.encode(digest)
+        for peer in self._deployment.roster:
+            self.transport.write(data, (peer.member.host, peer.member.port))
+
+    def datagramReceived(self, data, addr):  # noqa: N802
+        """Takes a datagram of a peer."""
+        try:
+            digest = msgspec.json.decode(data, type=members.Digest)
+        except msgspec.MsgspecError as error:
+            journal.write(events.Event.DATAGRAM_BAD, peer=addr[0], error=str(error))
+            return
+        now_s = self._reactor.seconds()
+        peer = self._deployment.take_digest(digest, now_s)
+        if peer is not None:
+            self._compare(peer, now_s)
+
+    def _compare(self, peer, now_s):
+        deployment = self._deployment
+        positions = peer.digest.positions
+        is_behind = any(
+            position > deployment.find_topic(name).position
+            for name, position in positions.items()
+        )
+        if not is_behind or self._is_fetching:
+            return
+        read_s = deployment.read_s
+        if read_s is not None and now_s - read_s < STALE_S and deployment.is_ready:
+            return
+        self._is_fetching = True
+        fetched = self._fetch(peer.member)
+        fetched.addErrback(journal.log_failure, "fetch facts")
+
+    @defer.inlineCallbacks
+    def _fetch(self, member):
+        address = f"{member.host}:{member.port}"
+        query = "&".join(
+            f"{name}={topic.position if topic.is_known else 0}"
+            for name, topic in self._deployment.topics.items()
+        )
+        request = calls.build_request("GET", f"{STATE_PATH}?{query}", address)
+        try:
+            response = yield calls.call(
+                self._reactor, self._pool, address, request, FETCH_TIMEOUT_S
+            )
+            copied = msgspec.json.decode(response.body, type=list[Copied])
+        except (calls.CallError, msgspec.MsgspecError) as error:
+            journal.write(events.Event.DATAGRAM_BAD, peer=member.name, error=str(error))
+            return
+        finally:
+            self._is_fetching = False
+        for item in copied:
+            self._take(item, member)
+
+    def _take(self, item, member):
+        if not item.is_known:
+            return
+        topic = self._deployment.find_topic(item.topic)
+        changed = topic.take(item.facts, item.position)
+        if changed:
+            journal.write(
+                events.Event.FACTS_COPIED,
+                topic=item.topic,
+                count=len(changed),
+                position=item.position,
+                peer=member.name,
+            )
+        self._receive(item.topic, changed, member.name)
--- /dev/null
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -0,0 +1,330 @@
+"""All that an entry knows of its deployment, and its decisions on it."""
+
+import msgspec
+
+from wasabiknot_kernel import (
+    allowances,
+    budgets,
+    crashes,
+    dispatch,
+    facts,
+    members,
+    servers,
+)
+
+# Time for which backend servers may take to be registered again after the store
+# was away for everyone.
+LAPSE_GRACE_S = 2.2
+# Age of the newest read, of any entry, from which the store counts as away.
+AWAY_S = 1.5
+# Time after a lost answer in which the end of its backend server is put down to
+# the request.
+CRASH_SPAN_S = 2.0
+CRASH_NEWS_S = 2.0
+
+
+class Policy(msgspec.Struct, frozen=True):
+    """Bounds that the decisions keep.
+
+    :param retry_ratio: repeats allowed for each request.
+    :param retry_window_s: window of that ratio.
+    :param retry_slack: repeats that all entries together may add.
+    """
+
+    retry_ratio: float
+    retry_window_s: float
+    retry_slack: float
+
+
+class Deployment:
+    """The state of one entry; time and random numbers are passed in.
+
+    :param name: name of the entry.
+    :param run: id of this run of it.
+    :param policy: ``Policy``.
+    :param rng: random numbers.
+    """
+
+    def __init__(self, name, run, policy, rng):
+        self.name = name
+        self.run = run
+        self.policy = policy
+        self._rng = rng
+        self.table = None
+        self.has_servers = False
+        self.topics = {}
+        self.roster = members.Roster(name)
+        self.allowances = allowances.Allowances()
+        self.crashes = crashes.CrashRegister()
+        self._dispatchers = {}
+        self._budgets = {}
+        self._places = {}
+        self._lost = []
+        self._lapsed = {}
+        self.read_s = None
+        self._known_read_s = None
+        self._back_s = None
+        self._sequence = 0
+        self.is_stopping = False
+
+    @property
+    def is_ready(self):
+        """Whether requests can be decided on."""
+        return self.table is not None and self.has_servers
+
+    def find_topic(self, name):
+        """Finds the facts of a topic.
+
+        :param name: its name.
+        :return: ``facts.Topic``.
+        """
+        if name not in self.topics:
+            self.topics[name] = facts.Topic(name)
+        return self.topics[name]
+
+    # Configuration
+
+    def take_configuration(self, table, now_s):
+        """Takes a configuration, unless it is older than the one in force.
+
+        :param table: ``routes.RouteTable``.
+        :param now_s: present time.
+        :return: whether it is in force now.
+        """
+        if self.table is not None and table.version <= self.table.version:
+            return False
+        self.table = table
+        self.allowances.set_customers(table.customers, now_s)
+        return True
+
+    def find_dispatcher(self, service):
+        """Finds the dispatcher of a service.
+
+        :param service: its name.
+        :return: ``dispatch.Dispatcher``.
+        """
+        if service not in self._dispatchers:
+            known = self.table.find_service(service) if self.table else None
+            is_engine = known is not None and known.engine is not None
+            self._dispatchers[service] = dispatch.Dispatcher(
+                service, is_engine, self._rng
+            )
+        return self._dispatchers[service]
+
+    def list_dispatchers(self):
+        """Lists the dispatchers.
+
+        :return: list of ``dispatch.Dispatcher``.
+        """
+        return list(self._dispatchers.values())
+
+    def find_budget(self, service):
+        """Finds the retry budget of a service.
+
+        :param service: its name.
+        :return: ``budgets.RetryBudget``.
+        """
+        if service not in self._budgets:
+            self._budgets[service] = budgets.RetryBudget(
+                self.policy.retry_ratio,
+                self.policy.retry_window_s,
+                self.policy.retry_slack,
+            )
+        return self._budgets[service]
+
+    # Backend servers
+
+    def take_registration(self, registration, now_s):
+        """Takes the registration of a backend server.
+
+        :param registration: ``registrations.Registration``.
+        :param now_s: present time.
+        """
+        server_id = registration.server_id
+        self._lapsed.pop(server_id, None)
+        before = self._places.get(server_id)
+        if before is not None and before != registration.service:
+            self.find_dispatcher(before).remove(server_id)
+        self._places[server_id] = registration.service
+        dispatcher = self.find_dispatcher(registration.service)
+        known = dispatcher.servers.get(server_id)
+        if known and known.registration.born_ms != registration.born_ms:
+            self._confirm_crash(server_id, now_s)
+        dispatcher.register(registration)
+
+    def take_removal(self, server_id, now_s):
+        """Takes the news that a backend server is no longer registered.
+
+        :param server_id: its id.
+        :param now_s: present time.
+        :return: whether it gets no more work from now on.
+        """
+        if server_id not in self._places:
+            return False
+        if self.is_store_away(now_s) or self._is_just_back(now_s):
+            self._lapsed.setdefault(server_id, (self._back_s or now_s) + LAPSE_GRACE_S)
+            return False
+        self._remove(server_id, now_s)
+        return True
+
+    def _remove(self, server_id, now_s):
+        self._confirm_crash(server_id, now_s)
+        service = self._places.pop(server_id, None)
+        if service is not None:
+            self.find_dispatcher(service).remove(server_id)
+
+    def find_server(self, server_id):
+        """Finds a backend server.
+
+        :param server_id: its id.
+        :return: ``servers.Server`` or ``None``.
+        """
+        service = self._places.get(server_id)
+        if service is None:
+            return None
+        return self.find_dispatcher(service).servers.get(server_id)
+
+    # The store
+
+    def note_read(self, now_s):
+        """Notes that the store has answered this entry.
+
+        :param now_s: present time.
+        """
+        self.read_s = now_s
+        self._note_known_read(now_s, now_s)
+
+    def _note_known_read(self, read_s, now_s):
+        if self._known_read_s is not None and now_s - self._known_read_s > AWAY_S:
+            self._back_s = now_s
+        self._known_read_s = max(self._known_read_s or 0.0, read_s)
+
+    def is_store_away(self, now_s):
+        """Whether no entry that is heard has reached the store lately.
+
+        :param now_s: present time.
+        :return: ``True`` while the store is away for everyone.
+        """
+        return self._known_read_s is None or now_s - self._known_read_s > AWAY_S
+
+    def _is_just_back(self, now_s):
+        return self._back_s is not None and now_s - self._back_s < LAPSE_GRACE_S
+
+    def measure_age_ms(self, now_s):
+        """Measures how old the newest own read of the store is.
+
+        :param now_s: present time.
+        :return: milliseconds, or -1 before the first read.
+        """
+        return -1 if self.read_s is None else round((now_s - self.read_s) * 1_000)
+
+    # Crashes
+
+    def note_lost(self, crash, server, now_s):
+        """Notes that a backend server broke a request off.
+
+        :param crash: ``crashes.Crash``.
+        :param server: ``servers.Server``.
+        :param now_s: present time.
+        """
+        self._lost = [row for row in self._lost if now_s - row[0] < CRASH_SPAN_S]
+        self._lost.append((now_s, server.server_id, crash))
+
+    def note_unreached(self, server_id, now_s):
+        """Notes that a backend server refused a connection.
+
+        :param server_id: its id.
+        :param now_s: present time.
+        """
+        self._confirm_crash(server_id, now_s)
+
+    def _confirm_crash(self, server_id, now_s):
+        for lost_s, lost_id, crash in self._lost:
+            if lost_id == server_id and now_s - lost_s < CRASH_SPAN_S:
+                self.crashes.note(crash, now_s)
+        self._lost = [row for row in self._lost if row[1] != server_id]
+
+    # Peers
+
+    def build_digest(self, now_s):
+        """Builds the digest for the peers.
+
+        :param now_s: present time.
+        :return: ``members.Digest``.
+        """
+        self._sequence += 1
+        return members.Digest(
+            name=self.name,
+            run=self.run,
+            sequence=self._sequence,
+            positions={name: item.position for name, item in self.topics.items()},
+            uses=self._list_uses(),
+            used={name: round(value) for name, value in self.allowances.used.items()},
+            crash_news=self.crashes.list_news(now_s, CRASH_NEWS_S),
+            is_stopping=self.is_stopping,
+            read_age_ms=self.measure_age_ms(now_s),
+        )
+
+    def _list_uses(self):
+        uses = {}
+        for dispatcher in self._dispatchers.values():
+            if not dispatcher.is_engine:
+                continue
+            for server in dispatcher.servers.values():
+                if server.sends:
+                    unread = sum(
+                        send.prompt_tokens
+                        for send in server.sends.values()
+                        if send.first_s is None
+                    )
+                    uses[server.server_id] = servers.PeerUse(
+                        len(server.sends), round(unread)
+                    )
+        return uses
+
+    def take_digest(self, digest, now_s):
+        """Takes the digest of a peer.
+
+        :param digest: ``members.Digest``.
+        :param now_s: present time.
+        :return: ``members.Peer``, or ``None`` if it was not taken.
+        """
+        peer = self.roster.take_digest(digest, now_s)
+        if peer is None:
+            return None
+        if digest.read_age_ms >= 0:
+            self._note_known_read(now_s - digest.read_age_ms / 1_000, now_s)
+        for dispatcher in self._dispatchers.values():
+            for server in dispatcher.servers.values():
+                use = digest.uses.get(server.server_id)
+                if use is not None:
+                    server.peers[digest.name] = use
+                else:
+                    server.peers.pop(digest.name, None)
+        self.allowances.take_peer((digest.name, digest.run), digest.used, now_s)
+        for crash in digest.crash_news:
+            self.crashes.take(crash, now_s)
+        return peer
+
+    def tick(self, now_s):
+        """Brings what depends on time up to date.
+
+        :param now_s: present time.
+        """
+        count = self.roster.count_members(now_s)
+        heard = self.roster.count_heard(now_s)
+        self.allowances.set_fraction(heard / count, now_s)
+        for budget in self._budgets.values():
+            budget.members = count
+        for peer in self.roster:
+            if peer.is_silent(now_s):
+                self._forget_load(peer.member.name)
+        for server_id, due_s in list(self._lapsed.items()):
+            if now_s >= due_s and not self.is_store_away(now_s):
+                del self._lapsed[server_id]
+                self._remove(server_id, now_s)
+
+    def _forget_load(self, name):
+        for dispatcher in self._dispatchers.values():
+            for server in dispatcher.servers.values():
+                server.peers.pop(name, None)
--- /dev/null
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -0,0 +1,403 @@
+"""Chooses backend servers for the requests of a service, and holds the rest.
+
+Engines admit requests as they come, so each one is kept to the number that it
+runs at once, over all entries; the rest waits here, most urgent first.
+"""
+
+import heapq
+import itertools
+
+import msgspec
+import xxhash
+
+from wasabiknot_kernel import arrivals, exceptions, outcomes, paces, servers
+
+# Part of a prompt's reading time that is saved where its last part is kept.
+KEPT_SAVING = 0.9
+# Saving expected at the backend server that all entries prefer for a last part
+# that this entry has not seen there.
+PREFERRED_SAVING = 0.35
+# Age up to which a prompt part is taken to be kept by the engine that read it.
+KEPT_S = 20.0
+MAX_KEPT = 512
+# Weight of a failure, as a part of the time that a caller is ready to wait.
+FAILURE_COST_MS = 600.0
+# Requests that a plain backend server is given for each of its slots.
+PLAIN_DEPTH = 1.0
+# Part of the time left that a request may wait here before it is sent.
+MAX_WAIT_PART = 0.45
+# Shortest and longest time after which a refused caller is asked to return.
+MIN_RETURN_S = 0.25
+MAX_RETURN_S = 4.0
+# Time between two requests that a service finishes, before any was seen.
+FIRST_HOLD_S = 1.0
+
+
+class Placed(msgspec.Struct, frozen=True):
+    """A request that is sent to a backend server now.
+
+    :param ticket: the request.
+    :param server: ``servers.Server``.
+    :param waited_s: time that it waited here.
+    :param score_ms: expected time to its first event.
+    """
+
+    ticket: arrivals.Ticket
+    server: servers.Server
+    waited_s: float
+    score_ms: float
+
+
+class Refused(msgspec.Struct, frozen=True):
+    """A request that is refused without having been sent.
+
+    :param ticket: the request.
+    :param kind: kind of error.
+    :param return_s: time after which it is likely to find room.
+    :param reason: short text for the log.
+    """
+
+    ticket: arrivals.Ticket
+    kind: exceptions.ErrorKind
+    return_s: float
+    reason: str
+
+
+class Dispatcher:
+    """The backend servers of one service, and the requests that wait for them.
+
+    :param service: service name.
+    :param is_engine: whether they are model engines.
+    :param rng: random numbers.
+    """
+
+    def __init__(self, service, is_engine, rng):
+        self.service = service
+        self.is_engine = is_engine
+        self.servers = {}
+        self.is_allowed = None
+        self._rng = rng
+        self._queue = []
+        self._order = itertools.count()
+        self._waiting = {}
+        self.hold_s = FIRST_HOLD_S
+
+    # Membership
+
+    def register(self, registration):
+        """Takes the registration of a backend server.
+
+        :param registration: ``registrations.Registration``.
+        """
+        server = self.servers.get(registration.server_id)
+        if server is None or server.registration.born_ms != registration.born_ms:
+            self.servers[registration.server_id] = servers.Server(
+                registration, self.is_engine, self._create_pace()
+            )
+            return
+        server.registration = registration
+        server.is_gone = False
+
+    def remove(self, server_id):
+        """Removes a backend server; what it still answers is awaited.
+
+        :param server_id: its id.
+        """
+        server = self.servers.get(server_id)
+        if server is None:
+            return
+        server.is_gone = True
+        if not server.sends:
+            del self.servers[server_id]
+
+    def _create_pace(self):
+        known = [
+            item.pace for item in self.servers.values() if item.pace.first.count > 2
+        ]
+        if not known:
+            return paces.create_pace()
+        middle = sorted(known, key=lambda pace: pace.first.value)[len(known) // 2]
+        return paces.create_pace(
+            middle.first.value, middle.decode_ms.value, middle.plain_ms.value
+        )
+
+    # Waiting
+
+    def __len__(self):
+        return len(self._waiting)
+
+    def list_waiting(self):
+        """Lists the requests that wait.
+
+        :return: list of ``arrivals.Ticket``.
+        """
+        return list(self._waiting.values())
+
+    def submit(self, ticket, now_s):
+        """Takes a request.
+
+        :param ticket: ``arrivals.Ticket``.
+        :param now_s: present time.
+        :return: list of ``Placed`` and ``Refused``.
+        """
+        refused = self._find_refusal(ticket, now_s)
+        if refused is not None:
+            return [refused]
+        self._push(ticket)
+        return self.pump(now_s)
+
+    def _push(self, ticket):
+        self._waiting[ticket.request_id] = ticket
+        key = (ticket.rank, ticket.arrived_s, next(self._order))
+        heapq.heappush(self._queue, (key, ticket))
+
+    def withdraw(self, ticket):
+        """Takes a waiting request back.
+
+        :param ticket: ``arrivals.Ticket``.
+        :return: whether it was waiting.
+        """
+        return self._waiting.pop(ticket.request_id, None) is not None
+
+    def _find_refusal(self, ticket, now_s):
+        if not any(not item.is_leaving for item in self.servers.values()):
+            return self._refuse(ticket, exceptions.ErrorKind.NO_WORKER, "no server")
+        ahead = self._count_ahead(ticket.rank)
+        if not ahead:
+            return None
+        wait_s = ahead * self._estimate_gap_s()
+        if wait_s > MAX_WAIT_PART * (ticket.deadline_s - now_s):
+            reason = f"{ahead} wait, {wait_s:.2f} s"
+            return self._refuse(ticket, exceptions.ErrorKind.QUEUE_FULL, reason)
+        return None
+
+    def _count_ahead(self, rank):
+        return sum(1 for item in self._waiting.values() if item.rank <= rank)
+
+    def _estimate_gap_s(self):
+        slots = sum(item.slots for item in self.servers.values() if not item.is_leaving)
+        return self.hold_s / max(1, slots) * (1 + self.count_peers())
+
+    def count_peers(self):
+        """Counts the entries that use the same backend servers.
+
+        :return: number of peers that have requests there.
+        """
+        return len({peer for item in self.servers.values() for peer in item.peers})
+
+    def _refuse(self, ticket, kind, reason):
+        wait_s = (1 + len(self._waiting)) * self._estimate_gap_s()
+        wait_s = min(max(wait_s, MIN_RETURN_S), MAX_RETURN_S)
+        return_s = wait_s * self._rng.uniform(0.75, 1.5)
+        return Refused(ticket, kind, return_s, reason)
+
+    # Placing
+
+    def pump(self, now_s):
+        """Sends what finds room, and refuses what can no longer be in time.
+
+        :param now_s: present time.
+        :return: list of ``Placed`` and ``Refused``.
+        """
+        done = []
+        held = []
+        while self._queue:
+            entry = heapq.heappop(self._queue)
+            ticket = entry[1]
+            if self._waiting.get(ticket.request_id) is not ticket:
+                continue
+            decision = self._decide(ticket, now_s)
+            if decision is not None:
+                del self._waiting[ticket.request_id]
+                done.append(decision)
+                continue
+            held.append(entry)
+            if not self._has_room(now_s):
+                break
+        for entry in held:
+            heapq.heappush(self._queue, entry)
+        return done
+
+    def expire(self, now_s):
+        """Refuses the waiting requests whose time is over.
+
+        :param now_s: present time.
+        :return: list of ``Refused``.
+        """
+        done = []
+        for ticket in self.list_waiting():
+            if ticket.deadline_s - now_s <= self._estimate_least_s(ticket):
+                self.withdraw(ticket)
+                kind = exceptions.ErrorKind.DEADLINE_EXCEEDED
+                done.append(self._refuse(ticket, kind, "time is over"))
+        return done
+
+    def _estimate_least_s(self, ticket):
+        if not self.is_engine:
+            return 0.01
+        return paces.predict_first_ms(ticket.prompt_tokens) / 1_000 * 0.5
+
+    def _decide(self, ticket, now_s):
+        chosen = self.choose(ticket, now_s)
+        if chosen is None:
+            return None
+        server, score_ms = chosen
+        self.start(ticket, server, now_s, score_ms)
+        return Placed(ticket, server, now_s - ticket.arrived_s, score_ms)
+
+    def _has_room(self, now_s):
+        return any(self._is_open(item, now_s) for item in self.servers.values())
+
+    def _is_open(self, server, now_s):
+        if server.is_leaving or server.is_avoided(now_s):
+            return False
+        return self._count_free(server) > 0
+
+    def _count_free(self, server):
+        if self.is_engine:
+            return server.slots - server.count_running()
+        return PLAIN_DEPTH * server.slots - len(server.sends)
+
+    def choose(self, ticket, now_s):
+        """Chooses the backend server with the earliest expected first event.
+
+        :param ticket: ``arrivals.Ticket``.
+        :param now_s: present time.
+        :return: pair of ``servers.Server`` and milliseconds, or ``None``.
+        """
+        usable = self._list_usable(ticket)
+        found = [item for item in usable if self._is_open(item, now_s)]
+        if not found:
+            # With all of them in doubt, a try is better than a refusal.
+            doubted = [item for item in usable if self._count_free(item) > 0]
+            if len(doubted) < len(usable) or not doubted:
+                return None
+            found = doubted
+        preferred = self._find_preferred(ticket)
+        scored = [
+            (self._score_ms(ticket, item, preferred, now_s), self._rng.random(), item)
+            for item in found
+        ]
+        best = min(scored, key=lambda row: row[:2])
+        return best[2], best[0]
+
+    def _list_usable(self, ticket):
+        staying = [item for item in self.servers.values() if not item.is_leaving]
+        if self.is_allowed is not None:
+            staying = [item for item in staying if self.is_allowed(ticket, item)]
+        fresh = [item for item in staying if item.server_id not in ticket.tried]
+        return fresh or staying
+
+    def _find_preferred(self, ticket):
+        parts = ticket.arrival.parts
+        if not parts or not self.is_engine:
+            return None
+        name = parts[-1].name
+        return max(
+            (item.server_id for item in self.servers.values() if not item.is_leaving),
+            key=lambda server_id: xxhash.xxh64_intdigest(
+                f"{name}/{server_id}".encode()
+            ),
+            default=None,
+        )
+
+    def _score_ms(self, ticket, server, preferred, now_s):
+        failure_ms = server.failure_rate * FAILURE_COST_MS
+        if not self.is_engine:
+            turns = 1 + len(server.sends) / max(1, server.slots)
+            return server.pace.plain_ms.value * turns + failure_ms
+        own = self._estimate_reading(ticket, server, preferred, now_s)
+        ahead = server.count_unread() + own
+        factor = server.pace.first.value
+        decode_ms = server.pace.decode_ms.value * min(ticket.estimate_output(), 100)
+        busy = server.count_running() / max(1, server.slots)
+        first_ms = paces.predict_first_ms(ahead) * factor
+        return first_ms * (1 + 0.5 * busy) + 0.1 * decode_ms + failure_ms
+
+    def _estimate_reading(self, ticket, server, preferred, now_s):
+        parts = ticket.arrival.parts
+        tokens = ticket.prompt_tokens
+        if not parts:
+            return tokens
+        kept_s = server.kept.get(parts[-1].name)
+        if kept_s is not None and now_s - kept_s < KEPT_S:
+            return tokens * (1 - KEPT_SAVING)
+        if server.server_id == preferred:
+            return tokens * (1 - PREFERRED_SAVING)
+        return tokens
+
+    # Progress
+
+    def start(self, ticket, server, now_s, expected_ms):
+        """Notes that a request is sent to a backend server.
+
+        :param ticket: ``arrivals.Ticket``.
+        :param server: ``servers.Server``.
+        :param now_s: present time.
+        :param expected_ms: expected time to the first event.
+        """
+        reading = self._estimate_reading(ticket, server, None, now_s)
+        server.sends[ticket.request_id] = servers.Send(
+            ticket=ticket,
+            sent_s=now_s,
+            ahead_tokens=server.count_unread() + reading,
+            prompt_tokens=reading,
+            expected_s=expected_ms / 1_000,
+        )
+        ticket.tried.add(server.server_id)
+
+    def note_first(self, ticket, server, now_s):
+        """Notes the first event of a stream.
+
+        :param ticket: ``arrivals.Ticket``.
+        :param server: ``servers.Server``.
+        :param now_s: present time.
+        """
+        send = server.sends.get(ticket.request_id)
+        if send is None or send.first_s is not None:
+            return
+        send.first_s = now_s
+        if self.is_engine:
+            first_ms = (now_s - send.sent_s) * 1_000
+            paces.learn_first(server.pace, send.ahead_tokens, first_ms)
+            self._note_kept(ticket, server, now_s)
+
+    def _note_kept(self, ticket, server, now_s):
+        parts = ticket.arrival.parts
+        if not parts:
+            return
+        server.kept.pop(parts[-1].name, None)
+        server.kept[parts[-1].name] = now_s
+        if len(server.kept) > MAX_KEPT:
+            del server.kept[next(iter(server.kept))]
+
+    def finish(self, ticket, server, outcome, now_s, tokens=0):
+        """Notes the end of a send.
+
+        :param ticket: ``arrivals.Ticket``.
+        :param server: ``servers.Server``.
+        :param outcome: ``outcomes.Outcome``.
+        :param now_s: present time.
+        :param tokens: answer tokens that came.
+        """
+        send = server.sends.pop(ticket.request_id, None)
+        if server.is_gone and not server.sends:
+            self.servers.pop(server.server_id, None)
+        if send is None:
+            return
+        held_s = now_s - send.sent_s
+        if outcome is outcomes.Outcome.WHOLE:
+            self._learn_whole(server, send, held_s, now_s, tokens)
+        elif outcome is outcomes.Outcome.REJECTED:
+            server.avoid_until_s = now_s + servers.FIRST_AVOID_S
+        elif outcome is not outcomes.Outcome.CANCELLED:
+            is_dark = outcome in (outcomes.Outcome.UNREACHED, outcomes.Outcome.SILENT)
+            server.note_failure(now_s, is_dark)
+
+    def _learn_whole(self, server, send, held_s, now_s, tokens):
+        server.note_success()
+        self.hold_s += (held_s - self.hold_s) * 0.05
+        if not self.is_engine:
+            server.pace.plain_ms.add(min(held_s * 1_000, 2_000))
+        elif tokens > 1 and send.first_s is not None:
+            server.pace.decode_ms.add((now_s - send.first_s) * 1_000 / tokens)
--- a/packages/kernel/wasabiknot_kernel/events.py
+++ b/packages/kernel/wasabiknot_kernel/events.py
@@ -25,6 +25,7 @@
     STARTED = Entry(1001, logging.INFO, "entry {entry} started, incarnation {run}")
     STOPPING = Entry(1002, logging.INFO, "graceful shutdown: {running} in flight")
     STOPPED = Entry(1003, logging.INFO, "entry {entry} stopped")
+    SETTINGS_READ = Entry(1004, logging.INFO, "settings read again, changed: {changed}")
     CONFIGURED = Entry(1101, logging.INFO, "configuration {publication} is in force")
     RECORD_UNREADABLE = Entry(1102, logging.ERROR, "log record {offset}: {error}")
     LOG_LOST = Entry(1103, logging.WARNING, "log service unavailable: {error}")
@@ -32,6 +33,17 @@
     SNAPSHOT = Entry(1105, logging.INFO, "appends a snapshot at offset {offset}")
     STATE_COPIED = Entry(1106, logging.INFO, "took offset {offset} from a peer")
     VMS_LOST = Entry(1107, logging.WARNING, "list of VMs unavailable: {error}")
+    TABLE_IN_FORCE = Entry(
+        1108, logging.INFO, "configuration {version} in force, read from {source}"
+    )
+    FACT_UNREADABLE = Entry(1109, logging.ERROR, "{topic} {key}@{offset}: {error}")
+    STORE_LOST = Entry(1110, logging.WARNING, "store lost, {call}: {error}")
+    STORE_FOUND = Entry(1111, logging.INFO, "store answers again after {away_ms} ms")
+    FACTS_COPIED = Entry(
+        1112, logging.INFO, "{topic}: took {count} facts up to {position} from {peer}"
+    )
+    MEMBER_FOUND = Entry(1113, logging.INFO, "peer {peer} at {address}, run {run}")
+    MEMBER_GONE = Entry(1114, logging.INFO, "peer {peer} has left")
     MOVE_STEP = Entry(1201, logging.INFO, "{service}: step {step} to {target}")
     MOVE_ENDED = Entry(1202, logging.WARNING, "{service}: {target} {state}: {reason}")
     VERSION_BLOCKED = Entry(
@@ -40,9 +52,18 @@
     WORKER_CRASHED = Entry(1301, logging.WARNING, "worker {worker} crashed: {crash}")
     QUARANTINED = Entry(1302, logging.WARNING, "content {content} is quarantined")
     WORKER_LEAVING = Entry(1303, logging.INFO, "worker {worker} is leaving")
+    SERVER_STATE = Entry(
+        1304,
+        logging.INFO,
+        "server {server} of {service} at {address}: {state}, read from {source}",
+    )
     PREEMPTED = Entry(1401, logging.DEBUG, "cancels {victim} for {request}")
-    REFUSED = Entry(1402, logging.DEBUG, "refuses {request}: {kind}")
+    REFUSED = Entry(1402, logging.INFO, "refuses {request}: {kind}")
+    DISPATCHED = Entry(1403, logging.INFO, "sends {request} to {server}")
+    SEND_ENDED = Entry(1404, logging.INFO, "{request}: send ended, {outcome}")
+    ENDED = Entry(1405, logging.INFO, "{request}: {ended} after {total_ms} ms")
     DATAGRAM_BAD = Entry(1501, logging.WARNING, "bad datagram from {peer}: {error}")
+    LINES_LEFT_OUT = Entry(1902, logging.WARNING, "{count} lines of {event} left out")
     TASK_FAILED = Entry(1901, logging.ERROR, "task {task} failed: {error}")
 
 
--- a/packages/kernel/wasabiknot_kernel/exceptions.py
+++ b/packages/kernel/wasabiknot_kernel/exceptions.py
@@ -36,6 +36,8 @@
     OUTCOME_UNKNOWN = "outcome-unknown"
     ALREADY_RAN = "already-ran"
     INCOMPLETE = "incomplete"
+    KEY_UNKNOWN = "key-unknown"
+    OVER_ALLOWANCE = "over-allowance"
 
 
 class Reply(msgspec.Struct, frozen=True):
@@ -80,6 +82,8 @@
     ErrorKind.OUTCOME_UNKNOWN: Reply(502, "The outcome was lost.", None),
     ErrorKind.ALREADY_RAN: Reply(409, "The request has run already.", None),
     ErrorKind.INCOMPLETE: Reply(502, "The answer was cut short.", None),
+    ErrorKind.KEY_UNKNOWN: Reply(401, "The API key is unknown.", None),
+    ErrorKind.OVER_ALLOWANCE: Reply(429, "The customer's allowance is used up.", 1),
 }
 
 
--- /dev/null
+++ b/packages/kernel/wasabiknot_kernel/paces.py
@@ -0,0 +1,67 @@
+"""Learned speeds of backend servers."""
+
+import msgspec
+
+from wasabiknot_kernel import estimates
+
+# Time to the first event of an engine of usual speed: a fixed part, and a part
+# for each prompt token that must be read before it.
+FIRST_MS = 60.0
+PREFILL_MS_PER_TOKEN = 0.011
+# Time between tokens of an engine of usual speed, with a batch half full.
+DECODE_MS_PER_TOKEN = 4.0
+# Time of a request to a plain service before any was seen.
+PLAIN_MS = 30.0
+SAMPLE_WEIGHT = 0.15
+# Longest and shortest factor that is believed; beyond that a sample shows a
+# fault and not a speed.
+MAX_FACTOR = 12.0
+MIN_FACTOR = 0.1
+
+
+class Pace(msgspec.Struct):
+    """The speed of one backend server against the usual one.
+
+    :param first: factor of the time to the first event.
+    :param decode_ms: milliseconds for each answer token.
+    :param plain_ms: milliseconds of a whole plain request.
+    """
+
+    first: estimates.Average
+    decode_ms: estimates.Average
+    plain_ms: estimates.Average
+
+
+def create_pace(first=1.0, decode_ms=DECODE_MS_PER_TOKEN, plain_ms=PLAIN_MS):
+    """Creates the speed of a backend server before anything was seen of it.
+
+    :param first: factor of the time to the first event.
+    :param decode_ms: milliseconds for each answer token.
+    :param plain_ms: milliseconds of a whole plain request.
+    :return: ``Pace``.
+    """
+    return Pace(
+        estimates.Average(first, SAMPLE_WEIGHT),
+        estimates.Average(decode_ms, SAMPLE_WEIGHT),
+        estimates.Average(plain_ms, SAMPLE_WEIGHT),
+    )
+
+
+def predict_first_ms(tokens):
+    """Predicts the time to the first event at usual speed.
+
+    :param tokens: prompt tokens that are read before it.
+    :return: milliseconds.
+    """
+    return FIRST_MS + PREFILL_MS_PER_TOKEN * tokens
+
+
+def learn_first(pace, tokens, first_ms):
+    """Learns from the first event of a stream.
+
+    :param pace: ``Pace``.
+    :param tokens: prompt tokens that were read before it.
+    :param first_ms: time from sending to the first event.
+    """
+    factor = first_ms / predict_first_ms(tokens)
+    pace.first.add(min(max(factor, MIN_FACTOR), MAX_FACTOR))
