Read settings again on SIGHUP and when the file changes

Ruled out: crashes of the program (the log shows none). Change: SIGHUP and a changed file lead to a reload; faulty settings are logged and the old ones hold. Also here: a customer's last request may run into debt.

--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -1,8 +1,10 @@
 """The entry program on a platform with a store."""
 
 import os
+import pathlib
 import random
 import secrets
+import signal
 import sys
 
 import msgspec
@@ -34,6 +36,8 @@
 MEMBER_WAIT_MS = 8_000
 # Polls of registrations within the time that a leaving server may get work.
 POLLS_PER_BOUND = 4
+# Interval at which the settings file is looked at, as it may change unannounced.
+SETTINGS_CHECK_S = 1.0
 # After SIGTERM callers still come until the balancer has noticed.
 NOTICE_S = 3.0
 GRACE_MARGIN_S = 0.7
@@ -97,10 +101,13 @@
     """All tasks of one entry.
 
     :param settings: ``edge_settings.Settings``.
+    :param path: path of the file that they were read from.
     """
 
-    def __init__(self, settings):
+    def __init__(self, settings, path):
         self._settings = settings
+        self._path = pathlib.Path(path)
+        self._changed_ns = self._find_change()
         self._run = secrets.token_hex(4)
         rng = random.Random(secrets.randbits(64))
         bounds = settings.bounds
@@ -146,6 +153,8 @@
         self._announce()
         self._loop(self._tick, TICK_S, "tick")
         self._loop(self._gossip.send_digest, gossip.DIGEST_INTERVAL_S, "digest")
+        self._loop(self._check_settings, SETTINGS_CHECK_S, "settings")
+        signal.signal(signal.SIGHUP, self._note_hangup)
         journal.write(events.Event.STARTED, entry=settings.name, run=self._run)
 
     def _listen(self, address, factory):
@@ -196,6 +205,41 @@
         self._deployment.tick(reactor.seconds())
         self._gateway.tick()
 
+    # Settings
+
+    def _find_change(self):
+        try:
+            return self._path.stat().st_mtime_ns
+        except OSError:
+            return 0
+
+    def _note_hangup(self, number, frame):
+        reactor.callFromThread(self._reload)
+
+    def _check_settings(self):
+        changed_ns = self._find_change()
+        if changed_ns != self._changed_ns:
+            self._changed_ns = changed_ns
+            self._reload()
+
+    def _reload(self):
+        try:
+            loaded = edge_settings.load_settings(self._path)
+        except OSError as error:
+            journal.write(events.Event.SETTINGS_BAD, error=str(error))
+            return
+        if not pipeline.is_successful(loaded):
+            journal.write(events.Event.SETTINGS_BAD, error=str(loaded.failure()))
+            return
+        before, self._settings = self._settings, loaded.unwrap()
+        self._deployment.set_policy(_create_policy(self._settings.bounds))
+        changed = [
+            name
+            for name in self._settings.__struct_fields__
+            if getattr(before, name) != getattr(self._settings, name)
+        ]
+        journal.write(events.Event.SETTINGS_READ, changed=", ".join(changed) or "none")
+
     # Facts
 
     def _take_facts(self, topic, changed, source):
@@ -295,6 +339,12 @@
         return waited.addCallback(lambda _: self._wait_until_empty(notice_s, end_s))
 
 
+def _create_policy(bounds):
+    return deployments.Policy(
+        bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack
+    )
+
+
 def run():
     """Runs the entry program.
 
@@ -310,7 +360,7 @@
         return EXIT_BAD_SETTINGS
     journal.configure("INFO")
     journal.observe_failures()
-    entry = Entry(loaded.unwrap())
+    entry = Entry(loaded.unwrap(), path)
     reactor.callWhenRunning(entry.start)
     reactor.addSystemEventTrigger("before", "shutdown", entry.drain)
     reactor.run()
--- a/packages/kernel/wasabiknot_kernel/allowances.py
+++ b/packages/kernel/wasabiknot_kernel/allowances.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-# Silence after which a peer's part of an allowance is left to that peer.
-SILENCE_S = 1.0
+# Least part of the members that is reckoned with in a return time.
+LEAST_FRACTION = 0.01
 
 
 class _Bucket(msgspec.Struct):
@@ -79,14 +79,14 @@
         if bucket is None or not bucket.rate:
             return 0.0
         self._refill(bucket, now_s)
-        # A request larger than the burst goes in once the bucket is full.
-        needed = min(tokens, bucket.burst)
-        if bucket.level >= needed:
+        # The last request may run into debt, or one that is larger than what is
+        # left would wait while smaller ones take every token that comes in.
+        if bucket.level > 0:
             bucket.level -= tokens
             self.used[name] += tokens
             return 0.0
-        rate = bucket.rate * max(self._fraction, 0.01)
-        return (needed - bucket.level) / rate
+        rate = bucket.rate * max(self._fraction, LEAST_FRACTION)
+        return -bucket.level / rate
 
     def give_back(self, name, tokens):
         """Takes back the charge of a request that did not run.
--- a/packages/kernel/wasabiknot_kernel/budgets.py
+++ b/packages/kernel/wasabiknot_kernel/budgets.py
@@ -24,6 +24,17 @@
         self._repeats = collections.deque()
         self.members = 1
 
+    def set_bounds(self, ratio, window_s, slack):
+        """Takes other bounds.
+
+        :param ratio: repeats allowed for each request.
+        :param window_s: length of the window in seconds.
+        :param slack: repeats that all entries together may add.
+        """
+        self._ratio = ratio
+        self._window_s = window_s
+        self._slack = slack
+
     def note_request(self, now_s):
         """Notes a request for the service.
 
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -72,6 +72,17 @@
         """Whether requests can be decided on."""
         return self.table is not None and self.has_servers
 
+    def set_policy(self, policy):
+        """Takes other bounds.
+
+        :param policy: ``Policy``.
+        """
+        self.policy = policy
+        for budget in self._budgets.values():
+            budget.set_bounds(
+                policy.retry_ratio, policy.retry_window_s, policy.retry_slack
+            )
+
     def find_topic(self, name):
         """Finds the facts of a topic.
 
--- a/packages/kernel/wasabiknot_kernel/events.py
+++ b/packages/kernel/wasabiknot_kernel/events.py
@@ -26,6 +26,9 @@
     STOPPING = Entry(1002, logging.INFO, "graceful shutdown: {running} in flight")
     STOPPED = Entry(1003, logging.INFO, "entry {entry} stopped")
     SETTINGS_READ = Entry(1004, logging.INFO, "settings read again, changed: {changed}")
+    SETTINGS_BAD = Entry(
+        1005, logging.ERROR, "settings not read, the old ones hold: {error}"
+    )
     CONFIGURED = Entry(1101, logging.INFO, "configuration {publication} is in force")
     RECORD_UNREADABLE = Entry(1102, logging.ERROR, "log record {offset}: {error}")
     LOG_LOST = Entry(1103, logging.WARNING, "log service unavailable: {error}")
