Let the route's rank decide between customers of one rank

Cause: customers' ranks replace those of routes, so summaries, drafts and checks of one customer waited in one line, first come first served. Change: customer's rank, then fresh before late, then the route's rank.

--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -72,6 +72,7 @@
         self._placed = None
         self._sending = None
         self._first_head = None
+        self.first_s = None
         self.last_event = ticket.arrival.last_event
         self.events = 0
         self.is_ended = False
@@ -148,6 +149,7 @@
         if self._first_head is not None:
             return
         self._first_head = head
+        self.first_s = self._gateway.reactor.seconds()
         self._request.setResponseCode(head.status)
         for name, value in head.headers:
             self._request.responseHeaders.addRawHeader(name, value)
@@ -268,6 +270,10 @@
         self._gateway.close(self, ended)
 
 
+def _measure_ms(start_s, end_s):
+    return None if end_s is None else round((end_s - start_s) * 1_000)
+
+
 def write_answer(request, answer):
     """Writes an answer of the system's own.
 
@@ -561,6 +567,7 @@
             ended=ended,
             sends=ticket.sends,
             total_ms=round((now_s - ticket.arrived_s) * 1_000),
+            first_ms=_measure_ms(ticket.arrived_s, flow.first_s),
             events=flow.events,
         )
 
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -10,7 +10,13 @@
 import msgspec
 import xxhash
 
-from wasabiknot_kernel import arrivals, exceptions, outcomes, paces, servers
+from wasabiknot_kernel import (
+    arrivals,
+    exceptions,
+    outcomes,
+    paces,
+    servers,
+)
 
 # Part of a prompt's reading time that is saved where its last part is kept.
 KEPT_SAVING = 0.9
@@ -207,10 +213,11 @@
 
     def _find_place(self, ticket, now_s):
         # Within a rank those that can still be in time go first: the others have
-        # lost most of their worth, and would make more of them late.
+        # lost most of their worth, and would make more of them late. Customers'
+        # ranks go before those of routes, which settle what is left open.
         due_s = ticket.arrived_s + ticket.route.objective_ms / 1_000
         is_late = now_s + self._estimate_least_s(ticket) > due_s
-        return (ticket.rank, is_late, ticket.arrived_s)
+        return (ticket.rank, is_late, ticket.route.rank, ticket.arrived_s)
 
     def _estimate_gap_s(self, now_s):
         while self._sent_s and self._sent_s[0] < now_s - RATE_SPAN_S:
