Let one entry of a group read the store; sums between groups

Ruled out: longer intervals alone (the load would be older than its requests). Change: groups of about ten within a failure domain; the first fresh reader of a group reads the store, the others fetch from it as soon as its digest is ahead, and read themselves once no mate is fresh; leaders exchange sums. Placement compares a sample once there is more than one group.

--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -32,8 +32,8 @@
 STORE_CONNECT_TIMEOUT_S = 0.6
 TICK_S = 0.025
 # Time for which a read of configurations waits for the next one.
-CONFIGURATION_WAIT_MS = 4_000
-MEMBER_WAIT_MS = 8_000
+CONFIGURATION_WAIT_MS = 1_500
+MEMBER_WAIT_MS = 5_000
 # Polls of registrations within the time that a leaving server may get work.
 POLLS_PER_BOUND = 4
 # Interval at which the settings file is looked at, as it may change unannounced.
@@ -109,9 +109,16 @@
         self._path = pathlib.Path(path)
         self._changed_ns = self._find_change()
         self._run = secrets.token_hex(4)
+        self._member = members.Member(
+            settings.name,
+            self._run,
+            settings.host,
+            settings.ports[0],
+            settings.domain,
+        )
         rng = random.Random(secrets.randbits(64))
         policy = _create_policy(settings.bounds)
-        self._deployment = deployments.Deployment(settings.name, self._run, policy, rng)
+        self._deployment = deployments.Deployment(self._member, policy, rng)
         metrics = gauges.Gauges()
         schedule = Schedule(self._deployment)
         self._gateway = gateways.Gateway(reactor, rng, schedule, metrics)
@@ -175,6 +182,7 @@
             lambda changed, source: self._take_facts(topic, changed, source),
             self._health,
             wait_ms,
+            lambda: self._deployment.is_reader(reactor.seconds()),
             find_pause_s,
         )
         self._followers.append(follower)
@@ -184,9 +192,7 @@
         return self._settings.bounds.leaving_ms / 1_000 / POLLS_PER_BOUND
 
     def _announce(self):
-        member = members.Member(
-            self._settings.name, self._run, self._settings.host, self._settings.ports[0]
-        )
+        member = self._member
         call = stores.build_append(
             stores.MEMBER_TOPIC, member.name, msgspec.json.encode(member)
         )
@@ -252,7 +258,8 @@
             return
         for fact in changed:
             try:
-                take(fact, source)
+                if take(fact, source):
+                    self._deployment.find_topic(topic).note_news(fact.offset)
             except (msgspec.MsgspecError, ValueError) as error:
                 journal.write(
                     events.Event.FACT_UNREADABLE,
@@ -264,26 +271,30 @@
 
     def _take_order(self, fact, source):
         if fact.key != configurations.CONFIGURATION_KEY or fact.value is None:
-            return
+            return True
         found = configurations.decode_configuration(fact.value)
         table = routes.RouteTable(found)
         if self._deployment.take_configuration(table, reactor.seconds()):
             journal.write(
                 events.Event.TABLE_IN_FORCE, version=table.version, source=source
             )
+        return True
 
     def _take_server(self, fact, source):
         now_s = reactor.seconds()
         if fact.value is None:
             if self._deployment.take_removal(fact.key, now_s):
                 self._log_server(fact.key, None, "removed", source)
-            return
+            return True
         found = platform_servers.decode_registration(fact.key, fact.value)
         before = self._deployment.find_server(fact.key)
-        is_new = before is None or before.registration.state is not found.state
+        is_known = before is not None and not before.is_gone
+        is_new = not is_known or before.registration.state is not found.state
+        is_changed = is_new or before.registration != found
         self._deployment.take_registration(found, now_s)
         if is_new:
             self._log_server(fact.key, found, found.state.value, source)
+        return is_changed
 
     def _log_server(self, server_id, found, state, source):
         journal.write(
@@ -299,13 +310,14 @@
         if fact.value is None:
             self._deployment.roster.remove(fact.key)
             journal.write(events.Event.MEMBER_GONE, peer=fact.key)
-            return
+            return True
         member = msgspec.json.decode(fact.value, type=members.Member)
         self._deployment.roster.take_member(member, reactor.seconds())
         address = f"{member.host}:{member.port}"
         journal.write(
             events.Event.MEMBER_FOUND, peer=member.name, address=address, run=member.run
         )
+        return True
 
     # Stop
 
--- a/packages/entry/wasabiknot_entry/followers.py
+++ b/packages/entry/wasabiknot_entry/followers.py
@@ -11,6 +11,8 @@
 # wait for a record.
 ANSWER_TIMEOUT_S = 1.0
 RETRY_S = 0.25
+# Pause between looks at whether this entry has to read for itself.
+LOOK_S = 0.1
 LONGEST_RETRY_S = 1.0
 
 
@@ -61,16 +63,20 @@
     :param receive: function that takes a list of changed facts and their source.
     :param health: ``Health``.
     :param wait_ms: time to wait for a record within one call; 0 to poll.
-    :param find_pause_s: function that returns the pause between calls.
+    :param is_reader: function that tells whether this entry reads for its group.
+    :param find_pause_s: function that returns the pause between two reads.
     """
 
-    def __init__(self, reactor, store, topic, receive, health, wait_ms, find_pause_s):
+    def __init__(
+        self, reactor, store, topic, receive, health, wait_ms, is_reader, find_pause_s
+    ):
         self._reactor = reactor
         self._store = store
         self._topic = topic
         self._receive = receive
         self._health = health
         self._wait_ms = wait_ms
+        self._is_reader = is_reader
         self._find_pause_s = find_pause_s
         self._is_listed = False
         self._is_stopped = False
@@ -87,6 +93,9 @@
     def _run(self):
         retry_s = RETRY_S
         while not self._is_stopped:
+            if self._is_listed and not self._is_reader():
+                yield self._sleep(LOOK_S)
+                continue
             try:
                 if self._is_listed:
                     yield self._read()
--- a/packages/entry/wasabiknot_entry/gossip.py
+++ b/packages/entry/wasabiknot_entry/gossip.py
@@ -8,11 +8,12 @@
 from wasabiknot_kernel import events, facts, members
 
 STATE_PATH = "/facts"
-# Behind a peer by this much time, with the store silent, facts are fetched.
-STALE_S = 0.6
+# Own reads up to this age find changes soon enough by themselves.
+OWN_READ_S = 0.6
+# Digests of one entry between two sums of other groups.
+SUM_EVERY = 2
 FETCH_TIMEOUT_S = 0.8
 DIGEST_INTERVAL_S = 0.1
-MAX_DATAGRAM_BYTES = 8_000
 
 
 class Copied(msgspec.Struct, frozen=True, array_like=True):
@@ -49,7 +50,12 @@
             asked = request.args.get(name.encode(), [b"0"])[0]
             since = int(asked) if asked.isdigit() else 0
             copied.append(
-                Copied(name, topic.position, topic.is_known, topic.list_since(since))
+                Copied(
+                    name,
+                    topic.news_position,
+                    topic.is_known,
+                    tuple(topic.list_since(since)),
+                )
             )
         request.setHeader(b"content-type", b"application/json")
         return msgspec.json.encode(copied)
@@ -88,40 +94,57 @@
         self._receive = receive
         self._health = health
         self._is_fetching = False
-        self._ahead_since_s = {}
+        self._turn = 0
 
     def send_digest(self):
-        """Sends the digest of this entry to all peers."""
+        """Sends the digest of this entry, and sums if it leads its group."""
         if self.transport is None:
             return
-        digest = self._deployment.build_digest(self._reactor.seconds())
-        data = msgspec.json.encode(digest)
-        for peer in self._deployment.roster:
+        now_s = self._reactor.seconds()
+        roster = self._deployment.roster
+        digests = [self._deployment.build_digest(now_s)]
+        self._turn += 1
+        is_sum_due = self._turn % SUM_EVERY == 0 and roster.is_grouped
+        if is_sum_due and roster.is_leader(now_s):
+            self._send_sums(now_s)
+            digests += [
+                peer.digest
+                for peer in roster.sums.values()
+                if not peer.is_silent(now_s)
+            ]
+        self._send(digests, roster.list_mates())
+
+    def _send_sums(self, now_s):
+        total = [self._deployment.build_sum(now_s)]
+        roster = self._deployment.roster
+        for group in roster.list_other_groups():
+            self._send(total, roster.list_contacts(group, now_s))
+
+    def _send(self, digests, peers):
+        data = msgspec.json.encode(members.Bundle(tuple(digests)))
+        for peer in peers:
             self.transport.write(data, (peer.member.host, peer.member.port))
 
     def datagramReceived(self, data, addr):  # noqa: N802
         """Takes a datagram of a peer."""
         try:
-            digest = msgspec.json.decode(data, type=members.Digest)
+            bundle = msgspec.json.decode(data, type=members.Bundle)
         except msgspec.MsgspecError as error:
             journal.write(events.Event.DATAGRAM_BAD, peer=addr[0], error=str(error))
             return
         now_s = self._reactor.seconds()
-        peer = self._deployment.take_digest(digest, now_s)
-        if peer is not None:
-            self._compare(peer, now_s)
+        for digest in bundle.digests:
+            peer = self._deployment.take_digest(digest, now_s)
+            if peer is not None and not self._is_fetching:
+                self._compare(peer, now_s)
 
     def _compare(self, peer, now_s):
         deployment = self._deployment
-        positions = peer.digest.positions
-        is_behind = any(
-            position > deployment.find_topic(name).position
-            for name, position in positions.items()
-        )
-        if not is_behind or self._is_fetching:
+        if not deployment.is_behind(peer):
             return
-        read_s = deployment.read_s
-        if read_s is not None and now_s - read_s < STALE_S and deployment.is_ready:
+        age_ms = deployment.measure_age_ms(now_s)
+        is_reading = 0 <= age_ms < OWN_READ_S * 1_000
+        if is_reading and deployment.is_ready and deployment.is_reader(now_s):
             return
         self._is_fetching = True
         fetched = self._fetch(peer.member)
@@ -131,7 +154,7 @@
     def _fetch(self, member):
         address = f"{member.host}:{member.port}"
         query = "&".join(
-            f"{name}={topic.position if topic.is_known else 0}"
+            f"{name}={topic.news_position if topic.is_known else 0}"
             for name, topic in self._deployment.topics.items()
         )
         request = calls.build_request("GET", f"{STATE_PATH}?{query}", address)
@@ -152,7 +175,7 @@
         if not item.is_known:
             return
         topic = self._deployment.find_topic(item.topic)
-        changed = topic.take(item.facts, item.position)
+        changed = topic.take(item.facts, 0)
         if changed:
             journal.write(
                 events.Event.FACTS_COPIED,
@@ -162,3 +185,4 @@
                 peer=member.name,
             )
         self._receive(item.topic, changed, member.name)
+        topic.note_news(item.position - 1)
--- a/packages/kernel/wasabiknot_kernel/allowances.py
+++ b/packages/kernel/wasabiknot_kernel/allowances.py
@@ -48,6 +48,8 @@
         self._heard = 1
         self._members = 1
         self.used = collections.Counter()
+        # What this entry and the members of its group let in, as it heard it.
+        self.relayed = collections.Counter()
         self._seen = {}
 
     def set_customers(self, customers, now_s):
@@ -125,6 +127,7 @@
         if bucket.level > 0:
             bucket.level -= tokens
             self.used[name] += tokens
+            self.relayed[name] += tokens
             return 0.0
         rate = self.find_rate(bucket.rate, bucket.burst)
         return -bucket.level / max(rate, LEAST_FRACTION * bucket.rate)
@@ -140,13 +143,15 @@
             return
         bucket.level = min(bucket.burst, bucket.level + tokens)
         self.used[name] -= tokens
+        self.relayed[name] -= tokens
 
-    def take_peer(self, peer, used, now_s):
+    def take_peer(self, peer, used, now_s, is_relayed):
         """Charges what a peer let in since it was last heard.
 
         :param peer: name and incarnation of the peer.
         :param used: mapping of customers to tokens since the peer started.
         :param now_s: present time.
+        :param is_relayed: whether other groups hear of it from this one.
         """
         before = self._seen.get(peer)
         if before is None:
@@ -158,6 +163,8 @@
             if bucket is None:
                 continue
             self._refill(bucket, now_s)
-            bucket.level -= tokens - before.get(name, 0)
-            bucket.level = min(bucket.level, bucket.burst)
+            added = tokens - before.get(name, 0)
+            bucket.level = min(bucket.level - added, bucket.burst)
+            if is_relayed:
+                self.relayed[name] += added
         self._seen[peer] = {**before, **used}
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -21,6 +21,9 @@
 # the request.
 CRASH_SPAN_S = 2.0
 CRASH_NEWS_S = 2.0
+# Backend servers that are compared for a request once the entries are so many
+# that their choices would meet on the same one.
+SAMPLE = 4
 
 
 class Policy(msgspec.Struct, frozen=True):
@@ -41,21 +44,19 @@
 class Deployment:
     """The state of one entry; time and random numbers are passed in.
 
-    :param name: name of the entry.
-    :param run: id of this run of it.
+    :param member: record of this entry.
     :param policy: ``Policy``.
     :param rng: random numbers.
     """
 
-    def __init__(self, name, run, policy, rng):
-        self.name = name
-        self.run = run
+    def __init__(self, member, policy, rng):
+        self.member = member
         self.policy = policy
         self._rng = rng
         self.table = None
         self.has_servers = False
         self.topics = {}
-        self.roster = members.Roster(name)
+        self.roster = members.Roster(member)
         self.allowances = allowances.Allowances(policy.tolerance)
         self.crashes = crashes.CrashRegister()
         self._dispatchers = {}
@@ -260,19 +261,49 @@
     # Peers
 
     def build_digest(self, now_s):
-        """Builds the digest for the peers.
+        """Builds the digest of this entry.
 
         :param now_s: present time.
         :return: ``members.Digest``.
         """
+        return self._build(now_s, self._list_uses(), self.allowances.used)
+
+    def build_sum(self, now_s):
+        """Builds the sum of the own group, for the others.
+
+        :param now_s: present time.
+        :return: ``members.Digest``.
+        """
+        uses = self._list_uses()
+        for peer in self.roster.list_mates():
+            if peer.is_silent(now_s):
+                continue
+            for server_id, use in peer.digest.uses.items():
+                known = uses.get(server_id, servers.PeerUse(0, 0))
+                uses[server_id] = servers.PeerUse(
+                    known.running + use.running,
+                    known.unread_tokens + use.unread_tokens,
+                )
+        count = self.roster.count_mates(now_s)
+        built = self._build(now_s, uses, self.allowances.relayed)
+        return msgspec.structs.replace(
+            built,
+            group=self.roster.group.name,
+            heard=count.heard,
+            members=count.members,
+        )
+
+    def _build(self, now_s, uses, used):
         self._sequence += 1
         return members.Digest(
-            name=self.name,
-            run=self.run,
+            name=self.member.name,
+            run=self.member.run,
             sequence=self._sequence,
-            positions={name: item.position for name, item in self.topics.items()},
-            uses=self._list_uses(),
-            used={name: round(value) for name, value in self.allowances.used.items()},
+            positions={
+                name: topic.news_position for name, topic in self.topics.items()
+            },
+            uses=uses,
+            used={name: round(value) for name, value in used.items()},
             crash_news=self.crashes.list_news(now_s, CRASH_NEWS_S),
             is_stopping=self.is_stopping,
             read_age_ms=self.measure_age_ms(now_s),
@@ -285,18 +316,13 @@
                 continue
             for server in dispatcher.servers.values():
                 if server.sends:
-                    unread = sum(
-                        send.prompt_tokens
-                        for send in server.sends.values()
-                        if send.first_s is None
-                    )
                     uses[server.server_id] = servers.PeerUse(
-                        len(server.sends), round(unread)
+                        len(server.sends), round(server.count_own_unread())
                     )
         return uses
 
     def take_digest(self, digest, now_s):
-        """Takes the digest of a peer.
+        """Takes the digest of a peer, or the sum of another group.
 
         :param digest: ``members.Digest``.
         :param now_s: present time.
@@ -307,34 +333,65 @@
             return None
         if digest.read_age_ms >= 0:
             self._note_known_read(now_s - digest.read_age_ms / 1_000, now_s)
+        source = digest.group or digest.name
         for dispatcher in self._dispatchers.values():
             for server in dispatcher.servers.values():
                 use = digest.uses.get(server.server_id)
                 if use is not None:
-                    server.peers[digest.name] = use
+                    server.peers[source] = use
                 else:
-                    server.peers.pop(digest.name, None)
-        self.allowances.take_peer((digest.name, digest.run), digest.used, now_s)
+                    server.peers.pop(source, None)
+        self.allowances.take_peer(
+            (source, digest.run), digest.used, now_s, not digest.group
+        )
         for crash in digest.crash_news:
             self.crashes.take(crash, now_s)
         return peer
 
+    def is_behind(self, peer):
+        """Whether a peer knows of changes that this entry does not know.
+
+        :param peer: ``members.Peer``.
+        :return: ``True`` if its facts should be fetched.
+        """
+        return any(
+            position > self.find_topic(name).news_position
+            for name, position in peer.digest.positions.items()
+        )
+
+    def is_reader(self, now_s):
+        """Whether this entry should read the store for itself and its group.
+
+        :param now_s: present time.
+        :return: ``False`` while an earlier member of the group does so.
+        """
+        reader = self.roster.find_reader(now_s)
+        if reader is None:
+            return True
+        if reader.member.name > self.member.name:
+            age_ms = self.measure_age_ms(now_s)
+            return 0 <= age_ms < members.FRESH_S * 1_000
+        return False
+
     def tick(self, now_s):
         """Brings what depends on time up to date.
 
         :param now_s: present time.
         """
-        count = self.roster.count_members(now_s)
-        heard = self.roster.count_heard(now_s)
-        self.allowances.set_members(heard, count, now_s)
-        is_majority = 2 * heard > count
+        count = self.roster.count(now_s)
+        self.allowances.set_members(count.heard, count.members, now_s)
+        is_majority = 2 * count.heard > count.members
         for dispatcher in self._dispatchers.values():
-            dispatcher.share = 1.0 if is_majority else heard / count
+            dispatcher.share = 1.0 if is_majority else count.heard / count.members
+            dispatcher.sample = SAMPLE if self.roster.is_grouped else None
         for budget in self._budgets.values():
-            budget.members = count
+            budget.members = count.members
         for peer in self.roster:
             if peer.is_silent(now_s):
                 self._forget_load(peer.member.name)
+        for name, peer in self.roster.sums.items():
+            if peer.is_silent(now_s):
+                self._forget_load(name)
         for server_id, due_s in list(self._lapsed.items()):
             if now_s >= due_s and not self.is_store_away(now_s):
                 del self._lapsed[server_id]
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -117,6 +117,8 @@
         # Part of each backend server's slots that this entry may take without
         # hearing of the other entries.
         self.share = 1.0
+        # Backend servers that are compared for a request; ``None`` for all.
+        self.sample = None
 
     # Membership
 
@@ -311,6 +313,9 @@
                 return None
             found = doubted
         preferred = self._find_preferred(ticket)
+        if self.sample is not None and len(found) > self.sample:
+            liked = [item for item in found if item.server_id == preferred]
+            found = [*self._rng.sample(found, self.sample), *liked]
         scored = [
             (self._score_ms(ticket, item, preferred, now_s), self._rng.random(), item)
             for item in found
--- a/packages/kernel/wasabiknot_kernel/facts.py
+++ b/packages/kernel/wasabiknot_kernel/facts.py
@@ -30,6 +30,8 @@
     def __init__(self, name):
         self.name = name
         self.position = 0
+        # Behind the newest record that changed what an entry does.
+        self.news_position = 0
         self.is_known = False
         self.facts = {}
 
@@ -67,6 +69,13 @@
         ]
         return self.take([*found, *dropped], position)
 
+    def note_news(self, offset):
+        """Notes that a fact changed what an entry does.
+
+        :param offset: its position.
+        """
+        self.news_position = max(self.news_position, offset + 1)
+
     def list_since(self, position):
         """Lists what has changed since a position.
 
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -8,6 +8,13 @@
 SILENCE_S = 1.0
 # Time for which a silent peer still counts as a member of the system.
 MEMORY_S = 12.0
+# Entries that tell each other everything. Larger systems are cut into groups
+# within failure domains, whose leaders exchange sums.
+GROUP_SIZE = 10
+# Members up to which one group is enough.
+MAX_SINGLE_GROUP = 12
+# Age up to which what a peer read from the store is fresh.
+FRESH_S = 0.9
 
 
 class Member(msgspec.Struct, frozen=True):
@@ -17,12 +24,14 @@
     :param run: id of this run of it.
     :param host: IP number.
     :param port: port for datagrams, and for calls from peers.
+    :param domain: failure domain in which it runs.
     """
 
     name: str
     run: str
     host: str
     port: int
+    domain: str = ""
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True):
@@ -31,12 +40,15 @@
     :param name: the entry.
     :param run: id of this run of it.
     :param sequence: number of the digest within the run.
-    :param positions: position read of each topic.
+    :param positions: position of the newest change known of each topic.
     :param uses: what it has at each backend server.
     :param used: tokens that it let in for each customer since it started.
     :param crash_news: crashes that it saw lately.
     :param is_stopping: whether it takes no more work.
     :param read_age_ms: age of its newest read of the store; -1 before the first.
+    :param group: group that it sums up; empty if it speaks for itself.
+    :param heard: entries that it speaks for.
+    :param members: entries of the group that are not forgotten.
     """
 
     name: str
@@ -48,6 +60,18 @@
     crash_news: tuple[crashes.Crash, ...] = ()
     is_stopping: bool = False
     read_age_ms: int = -1
+    group: str = ""
+    heard: int = 1
+    members: int = 1
+
+
+class Bundle(msgspec.Struct, frozen=True, array_like=True):
+    """One datagram: the sender's digest, and sums of other groups.
+
+    :param digests: the digests.
+    """
+
+    digests: tuple[Digest, ...]
 
 
 class Peer:
@@ -81,15 +105,30 @@
         return now_s - max(self.found_s, self.heard_s or 0.0) > MEMORY_S
 
 
+class Group(msgspec.Struct, frozen=True):
+    """Entries that tell each other everything.
+
+    :param name: its name.
+    :param members: names of its members, sorted.
+    """
+
+    name: str
+    members: tuple[str, ...]
+
+
 class Roster:
-    """All peers of an entry.
+    """All peers of an entry, and the groups in which they talk.
 
-    :param name: name of the entry.
+    :param member: the record of this entry.
     """
 
-    def __init__(self, name):
-        self._name = name
+    def __init__(self, member):
+        self._own = member
+        self._name = member.name
         self._peers = {}
+        self._groups = {}
+        self.sums = {}
+        self.group = Group("all", (member.name,))
 
     def __iter__(self):
         return iter(self._peers.values())
@@ -105,13 +144,64 @@
         peer = self._peers.get(member.name)
         if peer is None or peer.member.run != member.run:
             self._peers[member.name] = Peer(member, now_s)
+            self._arrange()
 
     def remove(self, name):
         """Removes an entry that has left.
 
         :param name: its name.
         """
-        self._peers.pop(name, None)
+        if self._peers.pop(name, None) is not None:
+            self._arrange()
+
+    def _arrange(self):
+        records = [self._own, *(peer.member for peer in self)]
+        self._groups = {item.name: item for item in _cut_groups(records)}
+        for group in self._groups.values():
+            if self._name in group.members:
+                self.group = group
+
+    @property
+    def is_grouped(self):
+        """Whether there is more than one group."""
+        return len(self._groups) > 1
+
+    def list_mates(self):
+        """Lists the peers of the own group.
+
+        :return: list of ``Peer``.
+        """
+        names = self.group.members
+        return [self._peers[name] for name in names if name in self._peers]
+
+    def list_other_groups(self):
+        """Lists the groups of the other peers.
+
+        :return: list of ``Group``.
+        """
+        return [item for item in self._groups.values() if item is not self.group]
+
+    def list_contacts(self, group, now_s):
+        """Lists the peers that sums for another group are sent to.
+
+        :param group: ``Group``.
+        :param now_s: present time.
+        :return: its leader, or all of its members while that is not known.
+        """
+        heard = self.sums.get(group.name)
+        if heard is not None and not heard.is_silent(now_s):
+            leader = self._peers.get(heard.digest.name)
+            if leader is not None:
+                return [leader]
+        return [self._peers[name] for name in group.members if name in self._peers]
+
+    def find(self, name):
+        """Finds a peer.
+
+        :param name: its name.
+        :return: ``Peer`` or ``None``.
+        """
+        return self._peers.get(name)
 
     def take_digest(self, digest, now_s):
         """Takes a digest.
@@ -123,6 +213,13 @@
         peer = self._peers.get(digest.name)
         if peer is None or peer.member.run != digest.run:
             return None
+        if digest.group:
+            if digest.group == self.group.name:
+                return None
+            peer = self.sums.setdefault(digest.group, Peer(peer.member, now_s))
+            if peer.member.name != digest.name or peer.member.run != digest.run:
+                peer = Peer(self._peers[digest.name].member, now_s)
+                self.sums[digest.group] = peer
         if digest.sequence <= peer.sequence:
             return None
         peer.sequence = digest.sequence
@@ -130,32 +227,89 @@
         peer.digest = digest
         return peer
 
-    def count_members(self, now_s):
-        """Counts the members, this entry included.
+    def count_mates(self, now_s):
+        """Counts the entries of the own group, this one included.
 
         :param now_s: present time.
-        :return: their number.
+        :return: ``Count``.
         """
-        return 1 + sum(not peer.is_forgotten(now_s) for peer in self)
+        mates = self.list_mates()
+        return Count(
+            heard=1 + sum(not peer.is_silent(now_s) for peer in mates),
+            members=1 + sum(not peer.is_forgotten(now_s) for peer in mates),
+        )
 
-    def count_heard(self, now_s):
-        """Counts the members that are heard, this entry included.
+    def count(self, now_s):
+        """Counts the entries of the system, this one included.
 
         :param now_s: present time.
-        :return: their number.
+        :return: ``Count``.
         """
-        return 1 + sum(not peer.is_silent(now_s) for peer in self)
-
-    def find_rank(self, now_s):
-        """Finds the place of this entry among the live members, by name.
+        found = self.count_mates(now_s)
+        heard = found.heard
+        members = found.members
+        for group in self.list_other_groups():
+            total = self.sums.get(group.name)
+            if total is None or total.is_forgotten(now_s):
+                continue
+            members += total.digest.members if total.digest else len(group.members)
+            if not total.is_silent(now_s):
+                heard += total.digest.heard
+        return Count(heard, members)
+
+    def is_leader(self, now_s):
+        """Whether this entry speaks for its group.
 
         :param now_s: present time.
-        :return: number, counted from 0.
+        :return: ``True`` if no earlier member is heard.
         """
-        return sum(
-            1
-            for peer in self
-            if not peer.is_silent(now_s)
-            and peer.member.name < self._name
-            and not (peer.digest is not None and peer.digest.is_stopping)
+        return not any(
+            peer.member.name < self._name
+            and not peer.is_silent(now_s)
+            and not peer.digest.is_stopping
+            for peer in self.list_mates()
         )
+
+    def find_reader(self, now_s):
+        """Finds the first entry of the group that has just read the store.
+
+        :param now_s: present time.
+        :return: ``Peer``, or ``None`` if no peer has.
+        """
+        for peer in self.list_mates():
+            if not peer.is_silent(now_s) and _is_fresh(peer, now_s):
+                return peer
+        return None
+
+
+class Count(msgspec.Struct, frozen=True):
+    """Numbers of entries.
+
+    :param heard: entries that are heard.
+    :param members: entries that are not forgotten.
+    """
+
+    heard: int
+    members: int
+
+
+def _is_fresh(peer, now_s):
+    age_ms = peer.digest.read_age_ms
+    if age_ms < 0 or peer.digest.is_stopping:
+        return False
+    return now_s - peer.heard_s + age_ms / 1_000 < FRESH_S
+
+
+def _cut_groups(records):
+    if len(records) <= MAX_SINGLE_GROUP:
+        return [Group("all", tuple(sorted(record.name for record in records)))]
+    domains = {}
+    for record in records:
+        domains.setdefault(record.domain, []).append(record.name)
+    groups = []
+    for domain, names in sorted(domains.items()):
+        names.sort()
+        count = max(1, round(len(names) / GROUP_SIZE))
+        for index in range(count):
+            groups.append(Group(f"{domain}/{index}", tuple(names[index::count])))
+    return groups
--- a/packages/kernel/wasabiknot_kernel/servers.py
+++ b/packages/kernel/wasabiknot_kernel/servers.py
@@ -89,15 +89,22 @@
         """
         return len(self.sends) + sum(use.running for use in self.peers.values())
 
-    def count_unread(self):
-        """Counts the prompt tokens of all entries that wait to be read.
+    def count_own_unread(self):
+        """Counts the prompt tokens of this entry that wait to be read.
 
         :return: tokens.
         """
-        own = sum(
+        return sum(
             send.prompt_tokens for send in self.sends.values() if send.first_s is None
         )
-        return own + sum(use.unread_tokens for use in self.peers.values())
+
+    def count_unread(self):
+        """Counts the prompt tokens of all entries that wait to be read.
+
+        :return: tokens.
+        """
+        others = sum(use.unread_tokens for use in self.peers.values())
+        return self.count_own_unread() + others
 
     def is_stalled(self, now_s):
         """Whether it has given no sign of life for too long.
