Move services to ordered versions, and take bad ones back

Cause: orders to move a service to a version were not read; a new version got its full share from its first registration on. The first live entry writes phases and states, each write conditional on the end of its topic.

--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -6,6 +6,7 @@
 import secrets
 import signal
 import sys
+import time
 
 import msgspec
 from returns import pipeline
@@ -15,6 +16,7 @@
 
 from wasabiknot_entry import (
     connections,
+    duties,
     edge_settings,
     followers,
     gateways,
@@ -23,7 +25,7 @@
     journal,
     settings as entry_settings,
 )
-from wasabiknot_kernel import allowances, deployments, events, members, routes
+from wasabiknot_kernel import allowances, deployments, events, members, releases, routes
 
 SETTINGS_VARIABLE = "WASABIKNOT_SETTINGS"
 EXIT_BAD_SETTINGS = 2
@@ -81,6 +83,8 @@
         self.allowances = deployment.allowances
         self.crashes = deployment.crashes
         self.note_lost = deployment.note_lost
+        self.note_unreached = deployment.note_unreached
+        self.note_evidence = deployment.note_evidence
 
     @property
     def table(self):
@@ -154,9 +158,11 @@
         self._follow(stores.OPERATOR_TOPIC, CONFIGURATION_WAIT_MS, lambda: 0.0)
         self._follow(stores.SERVER_TOPIC, 0, self._find_poll_s)
         self._follow(stores.MEMBER_TOPIC, MEMBER_WAIT_MS, lambda: 0.0)
+        self._follow(stores.RELEASE_TOPIC, MEMBER_WAIT_MS, lambda: 0.0)
         self._announce()
         self._loop(self._tick, TICK_S, "tick")
         self._loop(self._gossip.send_digest, gossip.DIGEST_INTERVAL_S, "digest")
+        duties.Duties(reactor, self._deployment, self._store, self._take_facts).start()
         self._loop(self._check_settings, SETTINGS_CHECK_S, "settings")
         signal.signal(signal.SIGHUP, self._note_hangup)
         journal.write(events.Event.STARTED, entry=settings.name, run=self._run)
@@ -252,6 +258,7 @@
             stores.OPERATOR_TOPIC: self._take_order,
             stores.SERVER_TOPIC: self._take_server,
             stores.MEMBER_TOPIC: self._take_member,
+            stores.RELEASE_TOPIC: self._take_release,
         }
         take = takers.get(topic)
         if take is None:
@@ -270,7 +277,11 @@
                 )
 
     def _take_order(self, fact, source):
-        if fact.key != configurations.CONFIGURATION_KEY or fact.value is None:
+        if fact.value is None:
+            return True
+        if fact.key.startswith(configurations.ORDER_PREFIX):
+            return self._take_release_order(fact)
+        if fact.key != configurations.CONFIGURATION_KEY:
             return True
         found = configurations.decode_configuration(fact.value)
         table = routes.RouteTable(found)
@@ -280,6 +291,34 @@
             )
         return True
 
+    def _take_release_order(self, fact):
+        order = configurations.decode_order(fact.value, fact.offset)
+        if self._deployment.releases.take_order(order, reactor.seconds()):
+            journal.write(
+                events.Event.RELEASE_ORDERED,
+                service=order.service,
+                target=order.target,
+                duration_s=order.duration_s,
+                offset=order.offset,
+            )
+        return True
+
+    def _take_release(self, fact, source):
+        if fact.value is None:
+            return True
+        release = msgspec.json.decode(fact.value, type=releases.Release)
+        now_ms = time.time() * 1_000
+        self._deployment.releases.take_record(release, reactor.seconds(), now_ms)
+        journal.write(
+            events.Event.RELEASE_PHASE,
+            service=release.service,
+            target=release.target,
+            phase=release.phase.value,
+            reason=release.reason,
+            source=source,
+        )
+        return True
+
     def _take_server(self, fact, source):
         now_s = reactor.seconds()
         if fact.value is None:
@@ -353,7 +392,11 @@
         bounds.allowance_window_s, bounds.allowance_overrun, bounds.allowance_slack
     )
     return deployments.Policy(
-        bounds.retry_ratio, bounds.retry_window_s, bounds.retry_slack, tolerance
+        bounds.retry_ratio,
+        bounds.retry_window_s,
+        bounds.retry_slack,
+        tolerance,
+        bounds.canary_share,
     )
 
 
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -72,6 +72,7 @@
         self._placed = None
         self._sending = None
         self._first_head = None
+        self._sent_s = 0.0
         self.first_s = None
         self.last_event = ticket.arrival.last_event
         self.events = 0
@@ -92,6 +93,7 @@
         :param placed: ``dispatch.Placed``.
         """
         self._placed = placed
+        self._sent_s = self._gateway.reactor.seconds()
         ticket = self.ticket
         ticket.sends += 1
         left_ms = (ticket.deadline_s - self._gateway.reactor.seconds()) * 1_000
@@ -171,6 +173,10 @@
             ticket.sends -= 1
         dispatcher = self.dispatcher
         dispatcher.finish(ticket, placed.server, result.outcome, now_s, self.events)
+        held_s = now_s - self._sent_s
+        gateway.note_evidence(
+            ticket, placed.server, result.outcome, held_s, self.events
+        )
         gateway.note_send(ticket, placed.server, result, now_s)
         if result.outcome in (Outcome.WHOLE, Outcome.CANCELLED):
             self._deliver(result)
@@ -315,6 +321,7 @@
         self._rng = rng
         self._scheduler = scheduler
         self._metrics = metrics
+        self.note_evidence = scheduler.note_evidence
         self._flows = {}
         self._channels = set()
         self.is_stopping = False
@@ -593,6 +600,8 @@
             self._scheduler.note_lost(
                 crashes.Crash(ticket.fingerprint, start), server, now_s
             )
+        elif result.outcome is Outcome.UNREACHED:
+            self._scheduler.note_unreached(server.server_id, now_s)
         self._metrics.count_send(result.outcome)
 
     # Stop
--- a/packages/kernel/wasabiknot_kernel/arrivals.py
+++ b/packages/kernel/wasabiknot_kernel/arrivals.py
@@ -78,6 +78,7 @@
     :param tried: backend servers that it was sent to.
     :param has_run: whether a send may have run.
     :param charge: tokens charged to its customer.
+    :param is_canary: whether it tries a new version; ``None`` if not yet drawn.
     """
 
     arrival: Arrival
@@ -93,6 +94,7 @@
     tried: set[str] = msgspec.field(default_factory=set)
     has_run: bool = False
     charge: float = 0.0
+    is_canary: bool | None = None
 
     @property
     def request_id(self):
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -9,6 +9,9 @@
     dispatch,
     facts,
     members,
+    outcomes,
+    paces,
+    releases,
     servers,
 )
 
@@ -33,12 +36,14 @@
     :param retry_window_s: window of that ratio.
     :param retry_slack: repeats that all entries together may add.
     :param tolerance: by how much customers may overrun their limits.
+    :param canary_share: part of the requests that an unproven version may get.
     """
 
     retry_ratio: float
     retry_window_s: float
     retry_slack: float
     tolerance: allowances.Tolerance
+    canary_share: float
 
 
 class Deployment:
@@ -59,6 +64,7 @@
         self.roster = members.Roster(member)
         self.allowances = allowances.Allowances(policy.tolerance)
         self.crashes = crashes.CrashRegister()
+        self.releases = releases.Releases(policy.canary_share, rng)
         self._dispatchers = {}
         self._budgets = {}
         self._places = {}
@@ -81,6 +87,7 @@
         :param policy: ``Policy``.
         """
         self.policy = policy
+        self.releases.canary_share = policy.canary_share
         for budget in self._budgets.values():
             budget.set_bounds(
                 policy.retry_ratio, policy.retry_window_s, policy.retry_slack
@@ -120,9 +127,9 @@
         if service not in self._dispatchers:
             known = self.table.find_service(service) if self.table else None
             is_engine = known is not None and known.engine is not None
-            self._dispatchers[service] = dispatch.Dispatcher(
-                service, is_engine, self._rng
-            )
+            dispatcher = dispatch.Dispatcher(service, is_engine, self._rng)
+            dispatcher.select = self.releases.select
+            self._dispatchers[service] = dispatcher
         return self._dispatchers[service]
 
     def list_dispatchers(self):
@@ -165,6 +172,7 @@
         if known and known.registration.born_ms != registration.born_ms:
             self._confirm_crash(server_id, now_s)
         dispatcher.register(registration)
+        self.releases.note_version(registration.service, registration.version, now_s)
 
     def take_removal(self, server_id, now_s):
         """Takes the news that a backend server is no longer registered.
@@ -232,6 +240,36 @@
         """
         return -1 if self.read_s is None else round((now_s - self.read_s) * 1_000)
 
+    # Releases
+
+    def note_evidence(self, ticket, server, outcome, held_s, events):
+        """Notes the end of a send as evidence on a release.
+
+        :param ticket: ``arrivals.Ticket``.
+        :param server: ``servers.Server``.
+        :param outcome: ``outcomes.Outcome``.
+        :param held_s: time since it was sent.
+        :param events: events that came.
+        """
+        if self.crashes.count(ticket.fingerprint):
+            return
+        pace = None
+        if outcome is outcomes.Outcome.WHOLE:
+            pace = held_s * 1_000 / paces.predict_whole_ms(ticket.prompt_tokens, events)
+        self.releases.note(ticket, server, outcome, pace)
+
+    def count_old_running(self, order):
+        """Counts the requests at backend servers that an order replaces.
+
+        :param order: ``registrations.ReleaseOrder``.
+        :return: requests of all entries that are heard.
+        """
+        return sum(
+            server.count_running()
+            for server in self.find_dispatcher(order.service).servers.values()
+            if server.registration.version != order.target
+        )
+
     # Crashes
 
     def note_lost(self, crash, server, now_s):
@@ -284,11 +322,17 @@
                     known.running + use.running,
                     known.unread_tokens + use.unread_tokens,
                 )
+        mates = [
+            peer.member.name
+            for peer in self.roster.list_mates()
+            if not peer.is_silent(now_s)
+        ]
         count = self.roster.count_mates(now_s)
         built = self._build(now_s, uses, self.allowances.relayed)
         return msgspec.structs.replace(
             built,
             group=self.roster.group.name,
+            evidence=self.releases.sum_evidence(mates),
             heard=count.heard,
             members=count.members,
         )
@@ -307,6 +351,7 @@
             crash_news=self.crashes.list_news(now_s, CRASH_NEWS_S),
             is_stopping=self.is_stopping,
             read_age_ms=self.measure_age_ms(now_s),
+            evidence=self.releases.list_evidence(),
         )
 
     def _list_uses(self):
@@ -344,6 +389,7 @@
         self.allowances.take_peer(
             (source, digest.run), digest.used, now_s, not digest.group
         )
+        self.releases.take_evidence(source, digest.evidence)
         for crash in digest.crash_news:
             self.crashes.take(crash, now_s)
         return peer
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -110,7 +110,8 @@
         self.service = service
         self.is_engine = is_engine
         self.servers = {}
-        self.is_allowed = None
+        # Selects by version: a function of request, backend servers and time.
+        self.select = None
         self._rng = rng
         self._waiting = {}
         self._sent_s = collections.deque()
@@ -304,7 +305,7 @@
         :param now_s: present time.
         :return: pair of ``servers.Server`` and milliseconds, or ``None``.
         """
-        usable = self._list_usable(ticket)
+        usable = self._list_usable(ticket, now_s)
         found = [item for item in usable if self._is_open(item, now_s)]
         if not found:
             # With all of them in doubt, a try is better than a refusal.
@@ -323,10 +324,10 @@
         best = min(scored, key=lambda row: row[:2])
         return best[2], best[0]
 
-    def _list_usable(self, ticket):
+    def _list_usable(self, ticket, now_s):
         staying = [item for item in self.servers.values() if not item.is_leaving]
-        if self.is_allowed is not None:
-            staying = [item for item in staying if self.is_allowed(ticket, item)]
+        if self.select is not None:
+            staying = self.select(ticket, staying, now_s)
         fresh = [item for item in staying if item.server_id not in ticket.tried]
         return fresh or staying
 
--- a/packages/kernel/wasabiknot_kernel/events.py
+++ b/packages/kernel/wasabiknot_kernel/events.py
@@ -52,6 +52,18 @@
     VERSION_BLOCKED = Entry(
         1203, logging.WARNING, "{service}: no more traffic to {target}: {reason}"
     )
+    RELEASE_ORDERED = Entry(
+        1204, logging.INFO, "{service}: ordered to {target} within {duration_s} s"
+    )
+    RELEASE_PHASE = Entry(
+        1205, logging.INFO, "{service}: {target} is {phase}, read from {source}"
+    )
+    RELEASE_CONDEMNED = Entry(
+        1206, logging.WARNING, "{service}: no more traffic to {target}: {reason}"
+    )
+    RELEASE_WRITTEN = Entry(
+        1207, logging.INFO, "{service}: wrote {phase} for {target}: {result}"
+    )
     WORKER_CRASHED = Entry(1301, logging.WARNING, "worker {worker} crashed: {crash}")
     QUARANTINED = Entry(1302, logging.WARNING, "content {content} is quarantined")
     WORKER_LEAVING = Entry(1303, logging.INFO, "worker {worker} is leaving")
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from wasabiknot_kernel import crashes, servers
+from wasabiknot_kernel import crashes, releases, servers
 
 # Silence after which a peer's load is no longer counted.
 SILENCE_S = 1.0
@@ -49,6 +49,7 @@
     :param group: group that it sums up; empty if it speaks for itself.
     :param heard: entries that it speaks for.
     :param members: entries of the group that are not forgotten.
+    :param evidence: what was seen of versions while their service moves.
     """
 
     name: str
@@ -63,6 +64,7 @@
     group: str = ""
     heard: int = 1
     members: int = 1
+    evidence: dict[str, releases.Tally] = {}
 
 
 class Bundle(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/kernel/wasabiknot_kernel/paces.py
+++ b/packages/kernel/wasabiknot_kernel/paces.py
@@ -10,6 +10,8 @@
 PREFILL_MS_PER_TOKEN = 0.011
 # Time between tokens of an engine of usual speed, with a batch half full.
 DECODE_MS_PER_TOKEN = 4.0
+# Time between events of an engine of usual speed.
+EVENT_MS = 20.0
 # Time of a request to a plain service before any was seen.
 PLAIN_MS = 30.0
 SAMPLE_WEIGHT = 0.15
@@ -56,6 +58,18 @@
     return FIRST_MS + PREFILL_MS_PER_TOKEN * tokens
 
 
+def predict_whole_ms(tokens, events):
+    """Predicts the time of a whole answer at usual speed.
+
+    :param tokens: prompt tokens that are read.
+    :param events: events of the answer; 0 for plain requests.
+    :return: milliseconds.
+    """
+    if not events:
+        return PLAIN_MS
+    return predict_first_ms(tokens) + EVENT_MS * events
+
+
 def learn_first(pace, tokens, first_ms):
     """Learns from the first event of a stream.
 
