Count what a group let in by one leader at a time; long answers on fast engines

And 37 streams ended at their route's time, as answers of thousands of tokens went to the slowest engines. A dispatcher made before the first configuration stayed plain for good. Ruled out: the limit itself (the customer with the lowered limit is let in at 60,000 of 61,015 tokens a second). Change: one source per group and run; placement weighs the time behind the first event and the time left; dispatchers take their engine later.

--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -116,6 +116,8 @@
             request=ticket.request_id,
             server=placed.server.server_id,
             send=ticket.sends,
+            customer=ticket.customer,
+            charge=ticket.charge,
             version=ticket.version,
             running=placed.server.count_running(),
             waited_ms=round(placed.waited_s * 1_000),
@@ -468,7 +470,8 @@
         wait_s = self._scheduler.allowances.take(customer.name, cost, now_s)
         if wait_s > 0:
             return_s = max(0.1, wait_s) * self._rng.uniform(1.0, 1.3)
-            reason = f"{customer.name} needs {cost} tokens"
+            state = self._scheduler.allowances.describe(customer.name)
+            reason = f"{customer.name} needs {cost} tokens, {state}"
             return Answer(Kind.OVER_ALLOWANCE, 429, return_s, reason)
         ticket.charge = cost
         return ticket
--- a/packages/kernel/wasabiknot_kernel/allowances.py
+++ b/packages/kernel/wasabiknot_kernel/allowances.py
@@ -132,6 +132,19 @@
         rate = self.find_rate(bucket.rate, bucket.burst)
         return -bucket.level / max(rate, LEAST_FRACTION * bucket.rate)
 
+    def describe(self, name):
+        """Describes the state of a customer's allowance for the log.
+
+        :param name: customer name.
+        :return: short text.
+        """
+        bucket = self._buckets[name]
+        rate = self.find_rate(bucket.rate, bucket.burst)
+        return (
+            f"has {bucket.level:.0f}, {rate:.0f} of {bucket.rate:.0f} a second, "
+            f"hears {self._heard} of {self._members}"
+        )
+
     def give_back(self, name, tokens):
         """Takes back the charge of a request that did not run.
 
@@ -145,18 +158,20 @@
         self.used[name] -= tokens
         self.relayed[name] -= tokens
 
-    def take_peer(self, peer, used, now_s, is_relayed):
-        """Charges what a peer let in since it was last heard.
+    def take_peer(self, source, run, used, now_s, is_relayed):
+        """Charges what a peer or a group let in since it was last heard.
 
-        :param peer: name and incarnation of the peer.
+        :param source: name of the peer or the group.
+        :param run: id of the run that counts; another one counts anew.
         :param used: mapping of customers to tokens since the peer started.
         :param now_s: present time.
         :param is_relayed: whether other groups hear of it from this one.
         """
-        before = self._seen.get(peer)
-        if before is None:
-            # What it let in before it was first heard is no news.
-            self._seen[peer] = dict(used)
+        known_run, before = self._seen.get(source, (None, {}))
+        self._seen[source] = (run, {**before, **used} if run == known_run else used)
+        if run != known_run:
+            # What was let in before this run was first heard is no news, and two
+            # leaders of a group count the same requests.
             return
         for name, tokens in used.items():
             bucket = self._buckets.get(name)
@@ -167,4 +182,3 @@
             bucket.level = min(bucket.level - added, bucket.burst)
             if is_relayed:
                 self.relayed[name] += added
-        self._seen[peer] = {**before, **used}
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -116,6 +116,9 @@
             return False
         self.table = table
         self.allowances.set_customers(table.customers, now_s)
+        # Backend servers may have been registered before their service was known.
+        for service, dispatcher in self._dispatchers.items():
+            dispatcher.set_engine(self._find_engine(service))
         return True
 
     def find_dispatcher(self, service):
@@ -125,13 +128,16 @@
         :return: ``dispatch.Dispatcher``.
         """
         if service not in self._dispatchers:
-            known = self.table.find_service(service) if self.table else None
-            is_engine = known is not None and known.engine is not None
-            dispatcher = dispatch.Dispatcher(service, is_engine, self._rng)
+            dispatcher = dispatch.Dispatcher(service, self._rng)
             dispatcher.select = self.releases.select
+            dispatcher.set_engine(self._find_engine(service))
             self._dispatchers[service] = dispatcher
         return self._dispatchers[service]
 
+    def _find_engine(self, service):
+        known = self.table.find_service(service) if self.table else None
+        return known.engine if known is not None else None
+
     def list_dispatchers(self):
         """Lists the dispatchers.
 
@@ -387,7 +393,7 @@
                 else:
                     server.peers.pop(source, None)
         self.allowances.take_peer(
-            (source, digest.run), digest.used, now_s, not digest.group
+            source, digest.run, digest.used, now_s, not digest.group
         )
         self.releases.take_evidence(source, digest.evidence)
         for crash in digest.crash_news:
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -28,6 +28,11 @@
 MAX_KEPT = 512
 # Weight of a failure, as a part of the time that a caller is ready to wait.
 FAILURE_COST_MS = 600.0
+# Weight of the time behind the first event: a slot is held for it, and long
+# answers belong on fast engines.
+REST_WEIGHT = 0.05
+# Factor by which callers' estimates of an answer's length may fall short.
+HINT_MARGIN = 1.5
 # Requests that a plain backend server is given for each of its slots.
 PLAIN_DEPTH = 1.0
 # Part of its time that a request may wait here before it is sent. Callers that
@@ -102,13 +107,12 @@
     """The backend servers of one service, and the requests that wait for them.
 
     :param service: service name.
-    :param is_engine: whether they are model engines.
     :param rng: random numbers.
     """
 
-    def __init__(self, service, is_engine, rng):
+    def __init__(self, service, rng):
         self.service = service
-        self.is_engine = is_engine
+        self.is_engine = False
         self.servers = {}
         # Selects by version: a function of request, backend servers and time.
         self.select = None
@@ -120,6 +124,18 @@
         self.share = 1.0
         # Backend servers that are compared for a request; ``None`` for all.
         self.sample = None
+        # Answer tokens that one event of a stream holds.
+        self.event_tokens = 1
+
+    def set_engine(self, engine):
+        """Sets what the model engines of the service have in common.
+
+        :param engine: ``routes.Engine``; ``None`` for a plain service.
+        """
+        self.is_engine = engine is not None
+        self.event_tokens = engine.event_tokens if engine is not None else 1
+        for server in self.servers.values():
+            server.is_engine = self.is_engine
 
     # Membership
 
@@ -157,7 +173,7 @@
             return paces.create_pace()
         middle = sorted(known, key=lambda pace: pace.first.value)[len(known) // 2]
         return paces.create_pace(
-            middle.first.value, middle.decode_ms.value, middle.plain_ms.value
+            middle.first.value, middle.event_ms.value, middle.plain_ms.value
         )
 
     # Waiting
@@ -352,10 +368,13 @@
         own = self._estimate_reading(ticket, server, preferred, now_s)
         ahead = server.count_unread() + own
         factor = server.pace.first.value
-        decode_ms = server.pace.decode_ms.value * min(ticket.estimate_output(), 100)
         busy = server.count_running() / max(1, server.slots)
-        first_ms = paces.predict_first_ms(ahead) * factor
-        return first_ms * (1 + 0.5 * busy) + 0.1 * decode_ms + failure_ms
+        first_ms = paces.predict_first_ms(ahead) * factor * (1 + 0.5 * busy)
+        events = ticket.estimate_output() / self.event_tokens
+        rest_ms = server.pace.event_ms.value * events
+        left_ms = (ticket.deadline_s - now_s) * 1_000
+        late_ms = max(0.0, first_ms + HINT_MARGIN * rest_ms - left_ms)
+        return first_ms + REST_WEIGHT * rest_ms + late_ms + failure_ms
 
     def _estimate_reading(self, ticket, server, preferred, now_s):
         parts = ticket.arrival.parts
@@ -443,4 +462,4 @@
         if not self.is_engine:
             server.pace.plain_ms.add(min(held_s * 1_000, 2_000))
         elif tokens > 1 and send.first_s is not None:
-            server.pace.decode_ms.add((now_s - send.first_s) * 1_000 / tokens)
+            server.pace.event_ms.add((now_s - send.first_s) * 1_000 / tokens)
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -216,12 +216,9 @@
         if peer is None or peer.member.run != digest.run:
             return None
         if digest.group:
-            if digest.group == self.group.name:
+            peer = self._find_sum(digest, peer.member, now_s)
+            if peer is None:
                 return None
-            peer = self.sums.setdefault(digest.group, Peer(peer.member, now_s))
-            if peer.member.name != digest.name or peer.member.run != digest.run:
-                peer = Peer(self._peers[digest.name].member, now_s)
-                self.sums[digest.group] = peer
         if digest.sequence <= peer.sequence:
             return None
         peer.sequence = digest.sequence
@@ -229,6 +226,18 @@
         peer.digest = digest
         return peer
 
+    def _find_sum(self, digest, member, now_s):
+        if digest.group == self.group.name:
+            return None
+        known = self.sums.get(digest.group)
+        if known is not None and known.member.run == member.run:
+            return known
+        is_led = known is not None and not known.is_silent(now_s)
+        if is_led and known.member.name < member.name:
+            return None
+        self.sums[digest.group] = Peer(member, now_s)
+        return self.sums[digest.group]
+
     def count_mates(self, now_s):
         """Counts the entries of the own group, this one included.
 
--- a/packages/kernel/wasabiknot_kernel/paces.py
+++ b/packages/kernel/wasabiknot_kernel/paces.py
@@ -8,9 +8,7 @@
 # for each prompt token that must be read before it.
 FIRST_MS = 60.0
 PREFILL_MS_PER_TOKEN = 0.011
-# Time between tokens of an engine of usual speed, with a batch half full.
-DECODE_MS_PER_TOKEN = 4.0
-# Time between events of an engine of usual speed.
+# Time between events of an engine of usual speed, with a batch half full.
 EVENT_MS = 20.0
 # Time of a request to a plain service before any was seen.
 PLAIN_MS = 30.0
@@ -25,26 +23,26 @@
     """The speed of one backend server against the usual one.
 
     :param first: factor of the time to the first event.
-    :param decode_ms: milliseconds for each answer token.
+    :param event_ms: milliseconds for each event of an answer.
     :param plain_ms: milliseconds of a whole plain request.
     """
 
     first: estimates.Average
-    decode_ms: estimates.Average
+    event_ms: estimates.Average
     plain_ms: estimates.Average
 
 
-def create_pace(first=1.0, decode_ms=DECODE_MS_PER_TOKEN, plain_ms=PLAIN_MS):
+def create_pace(first=1.0, event_ms=EVENT_MS, plain_ms=PLAIN_MS):
     """Creates the speed of a backend server before anything was seen of it.
 
     :param first: factor of the time to the first event.
-    :param decode_ms: milliseconds for each answer token.
+    :param event_ms: milliseconds for each event of an answer.
     :param plain_ms: milliseconds of a whole plain request.
     :return: ``Pace``.
     """
     return Pace(
         estimates.Average(first, SAMPLE_WEIGHT),
-        estimates.Average(decode_ms, SAMPLE_WEIGHT),
+        estimates.Average(event_ms, SAMPLE_WEIGHT),
         estimates.Average(plain_ms, SAMPLE_WEIGHT),
     )
 
--- a/packages/kernel/wasabiknot_kernel/routes.py
+++ b/packages/kernel/wasabiknot_kernel/routes.py
@@ -75,10 +75,12 @@
 
     :param slots: requests that run at once.
     :param kv_tokens: memory for prompts and answers, in tokens.
+    :param event_tokens: answer tokens that one event of a stream holds.
     """
 
     slots: int
     kv_tokens: int
+    event_tokens: int = 1
 
 
 class Service(msgspec.Struct, frozen=True):
