Mend what tests of the decisions found

Cause, each found by a test that failed first: buckets of customers began empty, as the first refill was cut to a burst of nought; a customer at exactly nought was let in without a charge; with all backend servers of a service in doubt requests waited though a try was meant; requests counted as fresh up to the moment they were due, so those sent last were all late by the time to the first event; one good version in fifty with 5% usual failures was condemned.

--- a/.ci/run_tests.py
+++ b/.ci/run_tests.py
@@ -24,6 +24,14 @@
     }
 
 
+def list_directories():
+    """Lists the directories of tests of all members of the workspace.
+
+    :return: sorted list of paths.
+    """
+    return sorted([*ROOT.glob("packages/*/tests"), *ROOT.glob("platform/tests")])
+
+
 def load_tests(directory, pattern):
     """Loads the tests of one or of all packages.
 
@@ -32,7 +40,7 @@
     :return: test suite.
     """
     suite = unittest.TestSuite()
-    directories = [directory] if directory else sorted(ROOT.glob("packages/*/tests"))
+    directories = [directory] if directory else list_directories()
     for item in directories:
         found = unittest.TestLoader().discover(
             str(item), pattern=pattern, top_level_dir=str(item)
--- a/Makefile
+++ b/Makefile
@@ -2,15 +2,16 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-PACKAGES := kernel entry operator standins
+PACKAGES := packages/kernel platform packages/entry packages/operator \
+	packages/standins
 
 .PHONY: demo demo-saddle-road test lint format fuzz bench drills experiment clean
 
-$(STAMP): requirements.lock $(PACKAGES:%=packages/%/pyproject.toml)
+$(STAMP): requirements.lock $(PACKAGES:%=%/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --requirement requirements.lock
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation \
-		$(PACKAGES:%=--editable packages/%)
+		$(PACKAGES:%=--editable %)
 	touch $(STAMP)
 
 demo: $(STAMP)
--- a/packages/entry/wasabiknot_entry/duties.py
+++ b/packages/entry/wasabiknot_entry/duties.py
@@ -9,10 +9,10 @@
 
 import msgspec
 from twisted.internet import defer, task
-from wasabiknot_platform import configurations, stores
 
 from wasabiknot_entry import calls, followers, journal
 from wasabiknot_kernel import events, facts, registrations, releases
+from wasabiknot_platform import configurations, stores
 
 CHECK_S = 0.2
 # Delay for each group before this one, so that the first one writes alone.
--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -12,7 +12,6 @@
 from returns import pipeline
 from twisted.internet import reactor, task
 from twisted.web import resource, server
-from wasabiknot_platform import configurations, servers as platform_servers, stores
 
 from wasabiknot_entry import (
     connections,
@@ -26,6 +25,7 @@
     settings as entry_settings,
 )
 from wasabiknot_kernel import allowances, deployments, events, members, releases, routes
+from wasabiknot_platform import configurations, servers as platform_servers, stores
 
 SETTINGS_VARIABLE = "WASABIKNOT_SETTINGS"
 EXIT_BAD_SETTINGS = 2
--- a/packages/entry/wasabiknot_entry/followers.py
+++ b/packages/entry/wasabiknot_entry/followers.py
@@ -2,10 +2,10 @@
 
 import msgspec
 from twisted.internet import defer, task
-from wasabiknot_platform import stores
 
 from wasabiknot_entry import calls, journal
 from wasabiknot_kernel import events, exceptions, facts
+from wasabiknot_platform import stores
 
 # Time that the store may take for an answer, beyond the time that it is told to
 # wait for a record.
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -3,7 +3,6 @@
 import msgspec
 import xxhash
 from twisted.web import http
-from wasabiknot_platform import headers as platform_headers
 
 from wasabiknot_entry import connections, journal, sendings
 from wasabiknot_kernel import (
@@ -15,6 +14,7 @@
     outcomes,
     routes,
 )
+from wasabiknot_platform import headers as platform_headers
 
 Kind = exceptions.ErrorKind
 Outcome = outcomes.Outcome
--- a/packages/entry/wasabiknot_entry/sendings.py
+++ b/packages/entry/wasabiknot_entry/sendings.py
@@ -4,10 +4,10 @@
 
 import msgspec
 from twisted.internet import error
-from wasabiknot_platform import headers as platform_headers
 
 from wasabiknot_entry import eventstreams
 from wasabiknot_kernel import outcomes
+from wasabiknot_platform import headers as platform_headers
 
 Outcome = outcomes.Outcome
 OK = 200
--- /dev/null
+++ b/packages/kernel/tests/builders.py
@@ -0,0 +1,119 @@
+"""Builds the objects that tests of the decisions need."""
+
+import random
+
+from wasabiknot_kernel import (
+    allowances,
+    arrivals,
+    deployments,
+    dispatch,
+    members,
+    registrations,
+    routes,
+)
+
+TOLERANCE = allowances.Tolerance(window_s=8.0, ratio=0.1, slack_tokens=140_000)
+POLICY = deployments.Policy(
+    retry_ratio=0.2,
+    retry_window_s=10.0,
+    retry_slack=54.0,
+    tolerance=TOLERANCE,
+    canary_share=0.1,
+)
+ENGINE = routes.Engine(slots=4, kv_tokens=100_000, event_tokens=6)
+
+
+def build_route(**changes):
+    """Builds a route; a stream that may run once, unless changed."""
+    fields = {
+        "name": "draft",
+        "host": "desk.example",
+        "prefix": "/draft/",
+        "repetition": routes.Repetition.STREAM,
+        "shares": (routes.Share("pool", 1.0),),
+        "timeout_ms": 10_000.0,
+        "objective_ms": 300.0,
+        "gap_ms": 250.0,
+        "rank": 1,
+        "attempts": 2,
+        "is_public": False,
+        "is_resumable": False,
+    }
+    return routes.Route(**{**fields, **changes})
+
+
+def build_ticket(request_id="q1", now_s=0.0, route=None, prompt=600, output=60, rank=1):
+    """Builds a request that was let in."""
+    route = route or build_route()
+    arrival = arrivals.Arrival(
+        request_id=request_id,
+        host=route.host,
+        path=route.prefix,
+        key="k1",
+        deadline_ms=route.timeout_ms,
+        prompt_tokens=prompt,
+        output_tokens=output,
+        has_tokens=True,
+    )
+    return arrivals.Ticket(
+        arrival=arrival,
+        route=route,
+        service="pool",
+        customer="graz",
+        rank=rank,
+        arrived_s=now_s,
+        deadline_s=now_s + route.timeout_ms / 1_000,
+        version=1,
+        fingerprint=request_id,
+    )
+
+
+def build_registration(server_id="w1", **changes):
+    """Builds the registration of a backend server."""
+    fields = {
+        "server_id": server_id,
+        "service": "pool",
+        "address": "10.0.0.1:80",
+        "domain": "graz",
+        "version": "v1",
+        "slots": 4,
+        "state": registrations.ServerState.READY,
+        "born_ms": 1,
+    }
+    return registrations.Registration(**{**fields, **changes})
+
+
+def build_dispatcher(servers=2, slots=4, seed=1):
+    """Builds the dispatcher of a service with model engines."""
+    dispatcher = dispatch.Dispatcher("pool", random.Random(seed))
+    dispatcher.set_engine(ENGINE)
+    for number in range(servers):
+        dispatcher.register(build_registration(f"w{number}", slots=slots))
+    return dispatcher
+
+
+def build_configuration(version=1, rate=1_000.0, burst=1_000.0, customers=("graz",)):
+    """Builds a configuration with one engine service."""
+    return routes.Configuration(
+        version=version,
+        routes=(build_route(),),
+        services=(routes.Service("pool", "/healthz", 100, ENGINE),),
+        customers=tuple(
+            routes.Customer(name, (f"key-{name}",), None, rate, burst, 200)
+            for name in customers
+        ),
+        limits=routes.Limits(),
+    )
+
+
+def build_deployment(name="e1", seed=1, domain="graz"):
+    """Builds the state of one entry."""
+    member = members.Member(name, f"run-{name}", "10.0.0.1", 7000, domain)
+    return deployments.Deployment(member, POLICY, random.Random(seed))
+
+
+def introduce(entries, now_s):
+    """Makes all entries known to each other."""
+    for entry in entries:
+        for other in entries:
+            entry.roster.take_member(other.member, now_s)
--- a/packages/kernel/wasabiknot_kernel/allowances.py
+++ b/packages/kernel/wasabiknot_kernel/allowances.py
@@ -60,14 +60,16 @@
         """
         self._customers = customers
         for name, customer in customers.items():
+            rate = customer.tokens_per_s
+            burst = max(customer.burst_tokens, rate)
             bucket = self._buckets.get(name)
             if bucket is None:
-                bucket = _Bucket(customer.burst_tokens, now_s, 0.0, 0.0)
-                self._buckets[name] = bucket
+                self._buckets[name] = _Bucket(burst, now_s, rate, burst)
+                continue
             self._refill(bucket, now_s)
-            bucket.rate = customer.tokens_per_s
-            bucket.burst = max(customer.burst_tokens, customer.tokens_per_s)
-            bucket.level = min(bucket.level, bucket.burst)
+            bucket.rate = rate
+            bucket.burst = burst
+            bucket.level = min(bucket.level, burst)
         for name in set(self._buckets) - set(customers):
             del self._buckets[name]
 
@@ -130,7 +132,7 @@
             self.relayed[name] += tokens
             return 0.0
         rate = self.find_rate(bucket.rate, bucket.burst)
-        return -bucket.level / max(rate, LEAST_FRACTION * bucket.rate)
+        return (1 - bucket.level) / max(rate, LEAST_FRACTION * bucket.rate)
 
     def describe(self, name):
         """Describes the state of a customer's allowance for the log.
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -12,6 +12,7 @@
 
 from wasabiknot_kernel import (
     arrivals,
+    estimates,
     exceptions,
     outcomes,
     paces,
@@ -33,6 +34,14 @@
 REST_WEIGHT = 0.05
 # Factor by which callers' estimates of an answer's length may fall short.
 HINT_MARGIN = 1.5
+# Margin on the time to the first event, so that those that go first are in time.
+FIRST_MARGIN = 1.3
+USUAL_WEIGHT = 0.02
+# Part of an objective up to which the time to the first event is reckoned with:
+# the longest prompts would count as late from the start.
+FIRST_PART = 0.5
+# Longest time of a plain request that is taken for its speed.
+LONGEST_PLAIN_MS = 2_000.0
 # Requests that a plain backend server is given for each of its slots.
 PLAIN_DEPTH = 1.0
 # Part of its time that a request may wait here before it is sent. Callers that
@@ -126,6 +135,9 @@
         self.sample = None
         # Answer tokens that one event of a stream holds.
         self.event_tokens = 1
+        # Over all backend servers: the factor of an engine's time to the first
+        # event, or the milliseconds of a plain request.
+        self._usual_first = estimates.Average(1.0, USUAL_WEIGHT)
 
     def set_engine(self, engine):
         """Sets what the model engines of the service have in common.
@@ -234,8 +246,9 @@
         # Within a rank those that can still be in time go first: the others have
         # lost most of their worth, and would make more of them late. Customers'
         # ranks go before those of routes, which settle what is left open.
-        due_s = ticket.arrived_s + ticket.route.objective_ms / 1_000
-        is_late = now_s + self._estimate_least_s(ticket) > due_s
+        objective_s = ticket.route.objective_ms / 1_000
+        first_s = min(self._estimate_first_s(ticket), FIRST_PART * objective_s)
+        is_late = now_s + first_s > ticket.arrived_s + objective_s
         return (ticket.rank, is_late, ticket.route.rank, ticket.arrived_s)
 
     def _estimate_gap_s(self, now_s):
@@ -263,7 +276,7 @@
             self._waiting.values(), key=lambda item: self._find_place(item, now_s)
         )
         for ticket in waiting:
-            if not self._has_room(now_s):
+            if not self._has_room():
                 break
             decision = self._decide(ticket, now_s)
             if decision is not None:
@@ -287,10 +300,11 @@
                 done.append(self._refuse(ticket, kind, reason, now_s))
         return done
 
-    def _estimate_least_s(self, ticket):
+    def _estimate_first_s(self, ticket):
         if not self.is_engine:
-            return 0.01
-        return paces.predict_first_ms(ticket.prompt_tokens) / 1_000 * 0.5
+            return self._usual_first.value / 1_000
+        usual_ms = paces.predict_first_ms(ticket.prompt_tokens)
+        return FIRST_MARGIN * self._usual_first.value * usual_ms / 1_000
 
     def _decide(self, ticket, now_s):
         chosen = self.choose(ticket, now_s)
@@ -300,8 +314,11 @@
         self.start(ticket, server, now_s, score_ms)
         return Placed(ticket, server, now_s - ticket.arrived_s, score_ms)
 
-    def _has_room(self, now_s):
-        return any(self._is_open(item, now_s) for item in self.servers.values())
+    def _has_room(self):
+        return any(
+            not item.is_leaving and self._count_free(item) > 0
+            for item in self.servers.values()
+        )
 
     def _is_open(self, server, now_s):
         if server.is_leaving or server.is_avoided(now_s):
@@ -422,7 +439,8 @@
         send.first_s = now_s
         if self.is_engine:
             first_ms = (now_s - send.sent_s) * 1_000
-            paces.learn_first(server.pace, send.ahead_tokens, first_ms)
+            factor = paces.learn_first(server.pace, send.ahead_tokens, first_ms)
+            self._usual_first.add(factor)
             self._note_kept(ticket, server, now_s)
 
     def _note_kept(self, ticket, server, now_s):
@@ -460,6 +478,8 @@
     def _learn_whole(self, server, send, held_s, now_s, tokens):
         server.note_success()
         if not self.is_engine:
-            server.pace.plain_ms.add(min(held_s * 1_000, 2_000))
+            held_ms = min(held_s * 1_000, LONGEST_PLAIN_MS)
+            server.pace.plain_ms.add(held_ms)
+            self._usual_first.add(held_ms)
         elif tokens > 1 and send.first_s is not None:
             server.pace.event_ms.add((now_s - send.first_s) * 1_000 / tokens)
--- a/packages/kernel/wasabiknot_kernel/paces.py
+++ b/packages/kernel/wasabiknot_kernel/paces.py
@@ -74,6 +74,9 @@
     :param pace: ``Pace``.
     :param tokens: prompt tokens that were read before it.
     :param first_ms: time from sending to the first event.
+    :return: the factor that was learned.
     """
     factor = first_ms / predict_first_ms(tokens)
-    pace.first.add(min(max(factor, MIN_FACTOR), MAX_FACTOR))
+    factor = min(max(factor, MIN_FACTOR), MAX_FACTOR)
+    pace.first.add(factor)
+    return factor
--- a/packages/kernel/wasabiknot_kernel/releases.py
+++ b/packages/kernel/wasabiknot_kernel/releases.py
@@ -24,10 +24,12 @@
 FINISH_PART = 0.93
 # Shortest time for which old backend servers finish their work.
 SETTLE_S = 1.0
-# Evidence that a version is failing: failures, and their part of the answers.
-MIN_FAILURES = 4
-MIN_FAILURE_PART = 0.15
-FAILURE_FACTOR = 3.0
+# Evidence that a version is failing: failures, and by how many standard
+# deviations their part exceeds that of the versions beside it.
+MIN_FAILURES = 5
+FAILURE_SCORE = 5.0
+# Least part of failures that is taken to be usual.
+USUAL_FAILURE_PART = 0.03
 # Evidence that a version is slow: answers, and the factor over the slowest of
 # the backend servers beside it.
 MIN_PACES = 5
@@ -415,7 +417,9 @@
         usual = before.bad / max(1, before.good + before.bad)
         if tally.bad < MIN_FAILURES:
             continue
-        if part > max(MIN_FAILURE_PART, FAILURE_FACTOR * usual):
+        likely = min(max(usual, USUAL_FAILURE_PART), 0.5)
+        deviation = math.sqrt(likely * (1 - likely) / (tally.good + tally.bad))
+        if (part - likely) / deviation > FAILURE_SCORE:
             return f"{key[2:]}: {tally.bad} failed, {part:.0%} against {usual:.0%}"
     return ""
 
