Reckon with twice the time to the first event

Cause: requests sent at the edge of their objective become late at the engine. Change: margin 1.3 to 2.

--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -35,7 +35,7 @@
 # Factor by which callers' estimates of an answer's length may fall short.
 HINT_MARGIN = 1.5
 # Margin on the time to the first event, so that those that go first are in time.
-FIRST_MARGIN = 1.3
+FIRST_MARGIN = 2.0
 USUAL_WEIGHT = 0.02
 # Part of an objective up to which the time to the first event is reckoned with:
 # the longest prompts would count as late from the start.
