--- /dev/null
+++ b/packages/entry/tests/test_edge_settings.py
@@ -0,0 +1,53 @@
+import pathlib
+import tempfile
+import unittest
+
+from returns import pipeline
+
+from wasabiknot_entry import edge_settings
+
+TEXT = """
+name: e1
+domain: graz
+host: 10.0.0.1
+caller_address: 10.0.0.1:8221
+ready_address: 10.0.0.1:8224
+ports: [7600, 7615]
+store_address: 10.9.0.1:8225
+beat_ms: 1200
+bounds:
+  configuration_ms: 2000
+  leaving_ms: 2000
+  grace_s: 8
+  retry_ratio: 0.2
+  retry_window_s: 10
+  retry_slack: 54
+  allowance_window_s: 8
+  allowance_overrun: 0.1
+  allowance_slack: 140000
+  canary_share: 0.1
+  rollback_ms: 5000
+"""
+
+
+def load(text):
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "settings.yaml"
+        path.write_text(text, encoding="utf-8")
+        return edge_settings.load_settings(path)
+
+
+class LoadSettingsTests(unittest.TestCase):
+    def test_whole_file(self):
+        settings = load(TEXT).unwrap()
+        self.assertEqual(settings.ports, (7600, 7615))
+        self.assertEqual(settings.bounds.grace_s, 8)
+
+    def test_missing_value_is_named(self):
+        loaded = load(TEXT.replace("store_address: 10.9.0.1:8225\n", ""))
+        self.assertFalse(pipeline.is_successful(loaded))
+        self.assertIn("store_address: expected a value", str(loaded.failure()))
+
+    def test_bad_bound_is_named_with_its_line(self):
+        loaded = load(TEXT.replace("grace_s: 8", "grace_s: soon"))
+        self.assertIn("settings.yaml:13: bounds.grace_s", str(loaded.failure()))
--- /dev/null
+++ b/packages/entry/tests/test_journal.py
@@ -0,0 +1,54 @@
+import logging
+import os
+import unittest
+
+import msgspec
+
+from wasabiknot_entry import journal
+from wasabiknot_kernel import events
+
+
+class JournalTests(unittest.TestCase):
+    def setUp(self):
+        self.reader, writer = os.pipe()
+        self.writer = writer
+        self.handler = journal.LineHandler(writer)
+        logger = logging.getLogger("wasabiknot")
+        logger.addHandler(self.handler)
+        logger.setLevel(logging.INFO)
+        self.addCleanup(logger.removeHandler, self.handler)
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, writer)
+        journal._limiter.__init__()
+
+    def read_lines(self):
+        os.set_blocking(self.reader, False)
+        data = b""
+        try:
+            while piece := os.read(self.reader, 65_536):
+                data += piece
+        except BlockingIOError:
+            pass
+        return [msgspec.json.decode(line) for line in data.splitlines()]
+
+    def test_line_names_event_request_and_inputs(self):
+        journal.write(events.Event.DISPATCHED, request="q1", server="w1", version=7)
+        (line,) = self.read_lines()
+        self.assertEqual(line["event"], "WK1403")
+        self.assertEqual((line["request"], line["version"]), ("q1", 7))
+
+    def test_volume_stays_bounded_in_a_burst(self):
+        for number in range(5_000):
+            journal.write(events.Event.REFUSED, request=f"q{number}", kind="x")
+        # The burst may cross one border between seconds.
+        self.assertLessEqual(len(self.read_lines()), 2 * journal.MAX_LINES_PER_S + 2)
+
+    def test_full_pipe_blocks_nothing(self):
+        os.set_blocking(self.writer, False)
+        try:
+            while True:
+                os.write(self.writer, b"x" * 65_536)
+        except BlockingIOError:
+            pass
+        journal.write(events.Event.REFUSED, request="q1", kind="x")
+        self.assertEqual(self.handler.dropped, 1)
--- /dev/null
+++ b/packages/standins/tests/test_soaks.py
@@ -0,0 +1,23 @@
+import subprocess
+import sys
+import unittest
+
+# A run takes its duration and some seconds to start and to end.
+DURATION_S = 6
+TIMEOUT_S = 90
+# Seeds that failed once, each with its cause, are kept here.
+SEEDS = (1,)
+
+
+class SoakTests(unittest.TestCase):
+    def test_promises_hold_under_faults(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                arguments = ["-m", "wasabiknot_standins.soaks"]
+                done = subprocess.run(
+                    [sys.executable, *arguments, str(seed), str(DURATION_S), "3"],
+                    capture_output=True,
+                    text=True,
+                    timeout=TIMEOUT_S,
+                )
+                self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
