Tell a group one sum of all others; look at silent peers once

Ruled out: longer intervals alone at 80 entries. Change: leaders merge what the other groups say into one sum for their own; sums come less often with more groups; loads are kept by source and dropped once.

--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -33,6 +33,7 @@
 CONNECT_TIMEOUT_S = 0.4
 STORE_CONNECT_TIMEOUT_S = 0.6
 TICK_S = 0.025
+REVIEW_S = 0.1
 # Time for which a read of configurations waits for the next one.
 CONFIGURATION_WAIT_MS = 1_500
 MEMBER_WAIT_MS = 5_000
@@ -160,11 +161,13 @@
         self._follow(stores.MEMBER_TOPIC, MEMBER_WAIT_MS, lambda: 0.0)
         self._follow(stores.RELEASE_TOPIC, MEMBER_WAIT_MS, lambda: 0.0)
         self._announce()
-        self._loop(self._tick, TICK_S, "tick")
-        self._loop(self._gossip.send_digest, gossip.DIGEST_INTERVAL_S, "digest")
+        self._loop(self._gateway.tick, TICK_S, "tick")
+        self._loop(self._review, REVIEW_S, "review")
+        self._loop(self._gossip.send_digest, members.DIGEST_INTERVAL_S, "digest")
         duties.Duties(reactor, self._deployment, self._store, self._take_facts).start()
         self._loop(self._check_settings, SETTINGS_CHECK_S, "settings")
         signal.signal(signal.SIGHUP, self._note_hangup)
+        signal.signal(signal.SIGTERM, self._note_stop)
         journal.write(events.Event.STARTED, entry=settings.name, run=self._run)
 
     def _listen(self, address, factory):
@@ -210,9 +213,8 @@
         if response.status != stores.OK:
             raise followers.StoreError(f"status {response.status}")
 
-    def _tick(self):
+    def _review(self):
         self._deployment.tick(reactor.seconds())
-        self._gateway.tick()
 
     # Settings
 
@@ -225,6 +227,14 @@
     def _note_hangup(self, number, frame):
         reactor.callFromThread(self._reload)
 
+    def _note_stop(self, number, frame):
+        reactor.callFromThread(self._stop)
+
+    def _stop(self):
+        # A second signal finds the shutdown on its way.
+        if not self._is_stopping:
+            reactor.stop()
+
     def _check_settings(self):
         changed_ns = self._find_change()
         if changed_ns != self._changed_ns:
--- a/packages/entry/wasabiknot_entry/gossip.py
+++ b/packages/entry/wasabiknot_entry/gossip.py
@@ -10,10 +10,7 @@
 STATE_PATH = "/facts"
 # Own reads up to this age find changes soon enough by themselves.
 OWN_READ_S = 0.6
-# Digests of one entry between two sums of other groups.
-SUM_EVERY = 2
 FETCH_TIMEOUT_S = 0.8
-DIGEST_INTERVAL_S = 0.1
 
 
 class Copied(msgspec.Struct, frozen=True, array_like=True):
@@ -104,14 +101,10 @@
         roster = self._deployment.roster
         digests = [self._deployment.build_digest(now_s)]
         self._turn += 1
-        is_sum_due = self._turn % SUM_EVERY == 0 and roster.is_grouped
+        is_sum_due = self._turn % roster.sum_turns == 0 and roster.is_grouped
         if is_sum_due and roster.is_leader(now_s):
             self._send_sums(now_s)
-            digests += [
-                peer.digest
-                for peer in roster.sums.values()
-                if not peer.is_silent(now_s)
-            ]
+            digests.append(self._deployment.build_rest(now_s))
         self._send(digests, roster.list_mates())
 
     def _send_sums(self, now_s):
--- a/packages/kernel/wasabiknot_kernel/allowances.py
+++ b/packages/kernel/wasabiknot_kernel/allowances.py
@@ -50,6 +50,8 @@
         self.used = collections.Counter()
         # What this entry and the members of its group let in, as it heard it.
         self.relayed = collections.Counter()
+        # What the other groups let in, as a leader heard it.
+        self.rest = collections.Counter()
         self._seen = {}
 
     def set_customers(self, customers, now_s):
@@ -160,14 +162,14 @@
         self.used[name] -= tokens
         self.relayed[name] -= tokens
 
-    def take_peer(self, source, run, used, now_s, is_relayed):
+    def take_peer(self, source, run, used, now_s, total=None):
         """Charges what a peer or a group let in since it was last heard.
 
         :param source: name of the peer or the group.
         :param run: id of the run that counts; another one counts anew.
         :param used: mapping of customers to tokens since the peer started.
         :param now_s: present time.
-        :param is_relayed: whether other groups hear of it from this one.
+        :param total: counter to which it is added, to be told to others.
         """
         known_run, before = self._seen.get(source, (None, {}))
         self._seen[source] = (run, {**before, **used} if run == known_run else used)
@@ -182,5 +184,5 @@
             self._refill(bucket, now_s)
             added = tokens - before.get(name, 0)
             bucket.level = min(bucket.level - added, bucket.burst)
-            if is_relayed:
-                self.relayed[name] += added
+            if total is not None:
+                total[name] += added
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -69,6 +69,7 @@
         self._budgets = {}
         self._places = {}
         self._lost = []
+        self._heard = {}
         self._lapsed = {}
         self.read_s = None
         self._known_read_s = None
@@ -313,32 +314,48 @@
         return self._build(now_s, self._list_uses(), self.allowances.used)
 
     def build_sum(self, now_s):
-        """Builds the sum of the own group, for the others.
+        """Builds the sum of the own group, for the leaders of the others.
 
         :param now_s: present time.
         :return: ``members.Digest``.
         """
+        heard = _list_heard(self.roster.list_mates(), now_s)
         uses = self._list_uses()
-        for peer in self.roster.list_mates():
-            if peer.is_silent(now_s):
-                continue
-            for server_id, use in peer.digest.uses.items():
-                known = uses.get(server_id, servers.PeerUse(0, 0))
-                uses[server_id] = servers.PeerUse(
-                    known.running + use.running,
-                    known.unread_tokens + use.unread_tokens,
-                )
-        mates = [
-            peer.member.name
-            for peer in self.roster.list_mates()
-            if not peer.is_silent(now_s)
-        ]
+        for digest in heard.values():
+            _add_uses(uses, digest.uses)
         count = self.roster.count_mates(now_s)
         built = self._build(now_s, uses, self.allowances.relayed)
         return msgspec.structs.replace(
             built,
             group=self.roster.group.name,
-            evidence=self.releases.sum_evidence(mates),
+            evidence=self.releases.sum_evidence(heard),
+            heard=count.heard,
+            members=count.members,
+        )
+
+    def build_rest(self, now_s):
+        """Builds the sum of the other groups, for the own one.
+
+        :param now_s: present time.
+        :return: ``members.Digest``.
+        """
+        uses = {}
+        news = set()
+        sums = {
+            name: peer.digest
+            for name, peer in self.roster.sums.items()
+            if not peer.is_silent(now_s)
+        }
+        for digest in sums.values():
+            _add_uses(uses, digest.uses)
+            news.update(digest.crash_news)
+        count = self.roster.count_others(now_s)
+        built = self._build(now_s, uses, self.allowances.rest)
+        return msgspec.structs.replace(
+            built,
+            group=members.REST,
+            evidence=self.releases.sum_evidence(sums, with_own=False),
+            crash_news=tuple(news),
             heard=count.heard,
             members=count.members,
         )
@@ -385,21 +402,35 @@
         if digest.read_age_ms >= 0:
             self._note_known_read(now_s - digest.read_age_ms / 1_000, now_s)
         source = digest.group or digest.name
-        for dispatcher in self._dispatchers.values():
-            for server in dispatcher.servers.values():
-                use = digest.uses.get(server.server_id)
-                if use is not None:
-                    server.peers[source] = use
-                else:
-                    server.peers.pop(source, None)
-        self.allowances.take_peer(
-            source, digest.run, digest.used, now_s, not digest.group
-        )
+        self._take_uses(source, digest.uses)
+        total = None
+        if not digest.group:
+            total = self.allowances.relayed
+        elif digest.group != members.REST:
+            total = self.allowances.rest
+        self.allowances.take_peer(source, digest.run, digest.used, now_s, total)
         self.releases.take_evidence(source, digest.evidence)
         for crash in digest.crash_news:
             self.crashes.take(crash, now_s)
         return peer
 
+    def _take_uses(self, source, uses):
+        before = self._heard.get(source, {})
+        for server_id in before.keys() - uses.keys():
+            self._set_use(server_id, source, None)
+        for server_id, use in uses.items():
+            self._set_use(server_id, source, use)
+        self._heard[source] = uses
+
+    def _set_use(self, server_id, source, use):
+        server = self.find_server(server_id)
+        if server is None:
+            return
+        if use is None:
+            server.peers.pop(source, None)
+        else:
+            server.peers[source] = use
+
     def is_behind(self, peer):
         """Whether a peer knows of changes that this entry does not know.
 
@@ -438,18 +469,28 @@
             dispatcher.sample = SAMPLE if self.roster.is_grouped else None
         for budget in self._budgets.values():
             budget.members = count.members
-        for peer in self.roster:
-            if peer.is_silent(now_s):
-                self._forget_load(peer.member.name)
-        for name, peer in self.roster.sums.items():
-            if peer.is_silent(now_s):
-                self._forget_load(name)
+        live = set(_list_heard(self.roster.list_mates(), now_s))
+        live.update(
+            name for name, peer in self.roster.sums.items() if not peer.is_silent(now_s)
+        )
+        for source in self._heard.keys() - live:
+            self._take_uses(source, {})
+            del self._heard[source]
         for server_id, due_s in list(self._lapsed.items()):
             if now_s >= due_s and not self.is_store_away(now_s):
                 del self._lapsed[server_id]
                 self._remove(server_id, now_s)
 
-    def _forget_load(self, name):
-        for dispatcher in self._dispatchers.values():
-            for server in dispatcher.servers.values():
-                server.peers.pop(name, None)
+
+def _list_heard(peers, now_s):
+    return {
+        peer.member.name: peer.digest for peer in peers if not peer.is_silent(now_s)
+    }
+
+
+def _add_uses(total, uses):
+    for server_id, use in uses.items():
+        known = total.get(server_id, servers.PeerUse(0, 0))
+        total[server_id] = servers.PeerUse(
+            known.running + use.running, known.unread_tokens + use.unread_tokens
+        )
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -13,6 +13,16 @@
 GROUP_SIZE = 10
 # Members up to which one group is enough.
 MAX_SINGLE_GROUP = 12
+# Group name of the sum of all other groups, which a leader tells its group.
+REST = "rest"
+# Time between digests of one entry.
+DIGEST_INTERVAL_S = 0.1
+# Digests between two sums: the least number, and the groups for one more. Sums
+# grow with the system, so they come less often in a large one.
+LEAST_SUM_TURNS = 2
+GROUPS_PER_TURN = 2
+# Sums that may be lost before a group counts as silent.
+LOST_SUMS = 3
 # Age up to which what a peer read from the store is fresh.
 FRESH_S = 0.9
 
@@ -81,10 +91,12 @@
 
     :param member: ``Member``.
     :param now_s: present time.
+    :param silence_s: silence after which its load is unknown.
     """
 
-    def __init__(self, member, now_s):
+    def __init__(self, member, now_s, silence_s=SILENCE_S):
         self.member = member
+        self._silence_s = silence_s
         self.found_s = now_s
         self.heard_s = None
         self.sequence = -1
@@ -96,7 +108,7 @@
         :param now_s: present time.
         :return: ``True`` if its load is unknown.
         """
-        return self.heard_s is None or now_s - self.heard_s > SILENCE_S
+        return self.heard_s is None or now_s - self.heard_s > self._silence_s
 
     def is_forgotten(self, now_s):
         """Whether it has been silent for so long that it is taken to be gone.
@@ -168,6 +180,11 @@
         """Whether there is more than one group."""
         return len(self._groups) > 1
 
+    @property
+    def sum_turns(self):
+        """Digests between two sums."""
+        return max(LEAST_SUM_TURNS, len(self._groups) // GROUPS_PER_TURN)
+
     def list_mates(self):
         """Lists the peers of the own group.
 
@@ -227,17 +244,25 @@
         return peer
 
     def _find_sum(self, digest, member, now_s):
-        if digest.group == self.group.name:
+        # Leaders hear the other groups themselves, the others hear their leader.
+        is_rest = digest.group == REST
+        if is_rest == self.is_leader(now_s) or digest.group == self.group.name:
             return None
+        self._drop_sums(is_rest)
         known = self.sums.get(digest.group)
         if known is not None and known.member.run == member.run:
             return known
         is_led = known is not None and not known.is_silent(now_s)
         if is_led and known.member.name < member.name:
             return None
-        self.sums[digest.group] = Peer(member, now_s)
+        silence_s = max(SILENCE_S, LOST_SUMS * self.sum_turns * DIGEST_INTERVAL_S)
+        self.sums[digest.group] = Peer(member, now_s, silence_s)
         return self.sums[digest.group]
 
+    def _drop_sums(self, is_rest):
+        for name in [name for name in self.sums if (name == REST) != is_rest]:
+            del self.sums[name]
+
     def count_mates(self, now_s):
         """Counts the entries of the own group, this one included.
 
@@ -257,13 +282,21 @@
         :return: ``Count``.
         """
         found = self.count_mates(now_s)
-        heard = found.heard
-        members = found.members
-        for group in self.list_other_groups():
-            total = self.sums.get(group.name)
-            if total is None or total.is_forgotten(now_s):
+        others = self.count_others(now_s)
+        return Count(found.heard + others.heard, found.members + others.members)
+
+    def count_others(self, now_s):
+        """Counts the entries of the other groups.
+
+        :param now_s: present time.
+        :return: ``Count``.
+        """
+        heard = 0
+        members = 0
+        for total in self.sums.values():
+            if total.digest is None or total.is_forgotten(now_s):
                 continue
-            members += total.digest.members if total.digest else len(group.members)
+            members += total.digest.members
             if not total.is_silent(now_s):
                 heard += total.digest.heard
         return Count(heard, members)
--- a/packages/kernel/wasabiknot_kernel/releases.py
+++ b/packages/kernel/wasabiknot_kernel/releases.py
@@ -282,13 +282,15 @@
             if any(key.startswith(start) for start in opened)
         }
 
-    def sum_evidence(self, sources):
-        """Sums the evidence of this entry and some peers.
+    def sum_evidence(self, sources, with_own=True):
+        """Sums the evidence of some peers, and of this entry.
 
         :param sources: names of the peers.
+        :param with_own: whether this entry's evidence is part of it.
         :return: mapping of keys to ``Tally``.
         """
-        total = {key: msgspec.structs.replace(t) for key, t in self._evidence.items()}
+        own = self._evidence if with_own else {}
+        total = {key: msgspec.structs.replace(tally) for key, tally in own.items()}
         for source in sources:
             for key, tally in self._peers.get(source, {}).items():
                 total.setdefault(key, Tally()).add(tally)
