Give each group backend servers of its own; copy drops from late starters

Change: cells of backend servers, shared evenly, near ones first, others only with ample room; copies are whole where drops may be missing, and packed; an entry that could not copy reads the store itself; the ablest entry of a group reads and leads. Tests for each, that failed first.

--- a/packages/entry/tests/test_edge_settings.py
+++ b/packages/entry/tests/test_edge_settings.py
@@ -14,6 +14,8 @@
 ready_address: 10.0.0.1:8224
 ports: [7600, 7615]
 store_address: 10.9.0.1:8225
+link_mbps: 1000.0
+cpu_cores: 0.5
 beat_ms: 1200
 bounds:
   configuration_ms: 2000
@@ -50,4 +52,4 @@
 
     def test_bad_bound_is_named_with_its_line(self):
         loaded = load(TEXT.replace("grace_s: 8", "grace_s: soon"))
-        self.assertIn("settings.yaml:13: bounds.grace_s", str(loaded.failure()))
+        self.assertIn("settings.yaml:15: bounds.grace_s", str(loaded.failure()))
--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -35,6 +35,7 @@
 STORE_CONNECT_TIMEOUT_S = 0.6
 TICK_S = 0.025
 REVIEW_S = 0.1
+WIDE_LINK_MBPS = 50.0
 # Time for which a read of configurations waits for the next one.
 CONFIGURATION_WAIT_MS = 1_500
 MEMBER_WAIT_MS = 5_000
@@ -121,6 +122,7 @@
             settings.host,
             settings.ports[0],
             settings.domain,
+            _measure_capacity(settings),
         )
         rng = random.Random(secrets.randbits(64))
         policy = _create_policy(settings.bounds)
@@ -410,6 +412,11 @@
         return waited.addCallback(lambda _: self._wait_until_empty(notice_s, end_s))
 
 
+def _measure_capacity(settings):
+    # Beyond some width the link no longer matters to a leader.
+    return min(settings.link_mbps, WIDE_LINK_MBPS) * settings.cpu_cores
+
+
 def _create_policy(bounds):
     tolerance = allowances.Tolerance(
         bounds.allowance_window_s, bounds.allowance_overrun, bounds.allowance_slack
--- a/packages/entry/wasabiknot_entry/edge_settings.py
+++ b/packages/entry/wasabiknot_entry/edge_settings.py
@@ -50,6 +50,8 @@
     :param ready_address: address for readiness checks.
     :param ports: first and last port for use between entries.
     :param store_address: address of the platform's store.
+    :param link_mbps: width of its link.
+    :param cpu_cores: processor that it may use, in cores.
     :param beat_ms: interval at which backend servers renew their registration.
     :param bounds: ``Bounds``.
     """
@@ -61,6 +63,8 @@
     ready_address: entry_settings.Address
     ports: tuple[int, int]
     store_address: entry_settings.Address
+    link_mbps: Positive
+    cpu_cores: Positive
     beat_ms: Positive
     bounds: Bounds
 
--- a/packages/entry/wasabiknot_entry/gossip.py
+++ b/packages/entry/wasabiknot_entry/gossip.py
@@ -1,5 +1,7 @@
 """The task that talks with the other entries."""
 
+import zlib
+
 import msgspec
 from twisted.internet import defer, protocol
 from twisted.web import resource, server
@@ -10,22 +12,9 @@
 STATE_PATH = "/facts"
 # Own reads up to this age find changes soon enough by themselves.
 OWN_READ_S = 0.6
-FETCH_TIMEOUT_S = 0.8
-
-
-class Copied(msgspec.Struct, frozen=True, array_like=True):
-    """Facts of one topic, as a peer has them.
-
-    :param topic: name of the topic.
-    :param position: position up to which nothing is missing.
-    :param is_known: whether the peer has listed the topic.
-    :param facts: tuple of ``facts.Fact``.
-    """
-
-    topic: str
-    position: int
-    is_known: bool
-    facts: tuple[facts.Fact, ...]
+FETCH_TIMEOUT_S = 1.2
+COPY_TYPE = b"application/zlib"
+FASTEST = 1
 
 
 class FactsResource(resource.Resource):
@@ -46,16 +35,11 @@
         for name, topic in self._deployment.topics.items():
             asked = request.args.get(name.encode(), [b"0"])[0]
             since = int(asked) if asked.isdigit() else 0
-            copied.append(
-                Copied(
-                    name,
-                    topic.news_position,
-                    topic.is_known,
-                    tuple(topic.list_since(since)),
-                )
-            )
-        request.setHeader(b"content-type", b"application/json")
-        return msgspec.json.encode(copied)
+            if topic.is_known:
+                copied.append(topic.copy_since(since))
+        request.setHeader(b"content-type", COPY_TYPE)
+        # Large configurations go to all mates at once, over narrow links.
+        return zlib.compress(msgspec.json.encode(copied), FASTEST)
 
 
 def create_site(deployment, metrics):
@@ -155,27 +139,27 @@
             response = yield calls.call(
                 self._reactor, self._pool, address, request, FETCH_TIMEOUT_S
             )
-            copied = msgspec.json.decode(response.body, type=list[Copied])
-        except (calls.CallError, msgspec.MsgspecError) as error:
-            journal.write(events.Event.DATAGRAM_BAD, peer=member.name, error=str(error))
+            data = zlib.decompress(response.body)
+            copied = msgspec.json.decode(data, type=list[facts.Copy])
+        except (calls.CallError, msgspec.MsgspecError, zlib.error) as error:
+            journal.write(events.Event.COPY_FAILED, peer=member.name, error=str(error))
+            self._deployment.note_fetch_failed(self._reactor.seconds())
             return
         finally:
             self._is_fetching = False
         for item in copied:
             self._take(item, member)
 
-    def _take(self, item, member):
-        if not item.is_known:
-            return
-        topic = self._deployment.find_topic(item.topic)
-        changed = topic.take(item.facts, 0)
+    def _take(self, copied, member):
+        topic = self._deployment.find_topic(copied.topic)
+        changed = topic.take_copy(copied)
         if changed:
             journal.write(
                 events.Event.FACTS_COPIED,
-                topic=item.topic,
+                topic=copied.topic,
                 count=len(changed),
-                position=item.position,
+                position=copied.position,
                 peer=member.name,
             )
-        self._receive(item.topic, changed, member.name)
-        topic.note_news(item.position - 1)
+        self._receive(copied.topic, changed, member.name)
+        topic.note_news(copied.position - 1)
--- a/packages/kernel/tests/test_dispatch.py
+++ b/packages/kernel/tests/test_dispatch.py
@@ -143,6 +143,18 @@
         (second,) = dispatcher.submit(ticket, 0.1)
         self.assertIsNot(second.server, first.server)
 
+    def test_own_servers_first_then_those_with_ample_room(self):
+        dispatcher = builders.build_dispatcher(2, 4)
+        dispatcher.cell = {"w0"}
+        placed = []
+        for number in range(8):
+            ticket = builders.build_ticket(f"q{number}")
+            placed += list_placed(dispatcher.submit(ticket, 0.0))
+        servers_used = [item.server.server_id for item in placed]
+        self.assertEqual(servers_used[:4], ["w0"] * 4)
+        # With fewer than two of four slots free another group's server is left.
+        self.assertEqual(servers_used[4:], ["w1"] * 3)
+
     def test_engine_is_learned_with_the_configuration(self):
         # A registration may be read before the configuration that says what its
         # service is.
--- a/packages/kernel/tests/test_facts.py
+++ b/packages/kernel/tests/test_facts.py
@@ -20,6 +20,53 @@
     return newest
 
 
+class CopyTests(unittest.TestCase):
+    def test_copy_of_a_late_starter_drops_what_it_never_saw(self):
+        # A server is registered, another one is dropped, an entry starts, lists,
+        # and is the first to tell its mates of a change after that.
+        mate = facts.Topic("t")
+        mate.take([facts.Fact("a", b"1", 0), facts.Fact("b", b"1", 1)], 2)
+        mate.note_news(1)
+        starter = facts.Topic("t")
+        starter.take_listing([facts.Fact("b", b"1", 1)], 3)
+        starter.take([facts.Fact("b", b"2", 3)], 4)
+        starter.note_news(3)
+        changed = mate.take_copy(starter.copy_since(mate.news_position))
+        self.assertEqual({fact.key: fact.value for fact in changed}["a"], None)
+        self.assertEqual(mate.facts["b"].value, b"2")
+
+    def test_copy_keeps_what_is_newer_than_it(self):
+        mate = facts.Topic("t")
+        mate.take([facts.Fact("c", b"1", 9)], 10)
+        starter = facts.Topic("t")
+        starter.take_listing([facts.Fact("b", b"1", 1)], 3)
+        starter.note_news(1)
+        mate.take_copy(starter.copy_since(0))
+        self.assertEqual(mate.facts["c"].value, b"1")
+
+    @settings(derandomize=True, max_examples=200)
+    @given(RECORDS, strategies.integers(0, 20), strategies.integers(0, 20))
+    def test_copies_make_equal(self, log, listed, read):
+        listed, read = min(listed, len(log)), min(read, len(log))
+        everything = [
+            facts.Fact(key, value, offset) for offset, (key, value) in enumerate(log)
+        ]
+        starter = facts.Topic("t")
+        live = [item for item in fold(log[:listed]).values() if item.value is not None]
+        starter.take_listing(live, listed)
+        starter.take(everything[listed:], len(log))
+        mate = facts.Topic("t")
+        mate.take(everything[:read], read)
+        for topic, end in ((starter, len(log)), (mate, read)):
+            topic.note_news(end - 1)
+        mate.take_copy(starter.copy_since(mate.news_position))
+        values = [
+            {key: fact.value for key, fact in topic.facts.items() if fact.value}
+            for topic in (starter, mate)
+        ]
+        self.assertEqual(*values)
+
+
 class TopicTests(unittest.TestCase):
     @settings(derandomize=True, max_examples=200)
     @given(RECORDS, strategies.data())
--- a/packages/kernel/tests/test_members.py
+++ b/packages/kernel/tests/test_members.py
@@ -106,6 +106,16 @@
             talk(entries, 0.1 * step)
         self.assertTrue(all(entry.is_reader(1.4) for entry in entries))
 
+    def test_entry_reads_itself_once_a_copy_failed(self):
+        # A large configuration did not pass the reader's narrow link in time.
+        entries = build_entries(8)
+        for entry in entries:
+            entry.note_read(0.0)
+        talk(entries, 0.1)
+        entries[5].note_fetch_failed(0.2)
+        self.assertTrue(entries[5].is_reader(0.3))
+        self.assertFalse(entries[6].is_reader(0.3))
+
     def test_next_one_takes_over(self):
         entries = build_entries(8)
         for step in range(1, 15):
--- /dev/null
+++ b/packages/kernel/wasabiknot_kernel/cells.py
@@ -0,0 +1,54 @@
+"""Which backend servers a group of entries uses first.
+
+Many entries that look at the same backend servers all see the same free slot and
+fill it several times over. So each group has backend servers of its own, as a small
+system would, and uses others only while those have ample room.
+"""
+
+import msgspec
+import xxhash
+
+
+class Place(msgspec.Struct, frozen=True, order=True):
+    """A backend server or a group, and its failure domain.
+
+    :param name: id of the backend server, or name of the group.
+    :param domain: failure domain.
+    """
+
+    name: str
+    domain: str
+
+
+def share_servers(servers, groups):
+    """Shares backend servers among groups, evenly, near ones first.
+
+    Every entry comes to the same result from the same lists.
+
+    :param servers: iterable of ``Place``.
+    :param groups: iterable of ``Place``.
+    :return: mapping of group names to sets of server ids.
+    """
+    names = sorted(groups)
+    shares = {group.name: set() for group in names}
+    if not names:
+        return shares
+    waiting = sorted(
+        servers, key=lambda item: xxhash.xxh64_intdigest(item.name.encode())
+    )
+    quota = -(-len(waiting) // len(names))
+    far = []
+    for server in waiting:
+        near = [group for group in names if group.domain == server.domain]
+        chosen = _find_emptiest(near, shares)
+        if chosen is None or len(shares[chosen.name]) >= quota:
+            far.append(server)
+            continue
+        shares[chosen.name].add(server.name)
+    for server in far:
+        shares[_find_emptiest(names, shares).name].add(server.name)
+    return shares
+
+
+def _find_emptiest(groups, shares):
+    return min(groups, key=lambda group: len(shares[group.name]), default=None)
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -5,6 +5,7 @@
 from wasabiknot_kernel import (
     allowances,
     budgets,
+    cells,
     crashes,
     dispatch,
     facts,
@@ -24,9 +25,9 @@
 # the request.
 CRASH_SPAN_S = 2.0
 CRASH_NEWS_S = 2.0
-# Backend servers that are compared for a request once the entries are so many
-# that their choices would meet on the same one.
-SAMPLE = 4
+# Time for which an entry reads the store itself after a peer did not give it
+# what it knows.
+OWN_READS_S = 2.0
 
 
 class Policy(msgspec.Struct, frozen=True):
@@ -73,6 +74,7 @@
         self._lapsed = {}
         self.read_s = None
         self._known_read_s = None
+        self._fetch_failed_s = None
         self._back_s = None
         self._sequence = 0
         self.is_stopping = False
@@ -442,20 +444,51 @@
             for name, position in peer.digest.positions.items()
         )
 
+    def note_fetch_failed(self, now_s):
+        """Notes that facts could not be fetched from a peer.
+
+        :param now_s: present time.
+        """
+        self._fetch_failed_s = now_s
+
     def is_reader(self, now_s):
         """Whether this entry should read the store for itself and its group.
 
         :param now_s: present time.
         :return: ``False`` while an earlier member of the group does so.
         """
+        failed_s = self._fetch_failed_s
+        if failed_s is not None and now_s - failed_s < OWN_READS_S:
+            return True
         reader = self.roster.find_reader(now_s)
         if reader is None:
             return True
-        if reader.member.name > self.member.name:
+        if reader.member.order > self.member.order:
             age_ms = self.measure_age_ms(now_s)
             return 0 <= age_ms < members.FRESH_S * 1_000
         return False
 
+    def _share_servers(self):
+        if not self.roster.is_grouped:
+            for dispatcher in self._dispatchers.values():
+                dispatcher.cell = None
+            return
+        own = self.roster.group
+        groups = frozenset(
+            cells.Place(group.name, group.domain)
+            for group in [own, *self.roster.list_other_groups()]
+        )
+        for dispatcher in self._dispatchers.values():
+            places = frozenset(
+                _find_place(server)
+                for server in dispatcher.servers.values()
+                if not server.is_leaving
+            )
+            shared = (own.name, groups, places)
+            if dispatcher.shared_by != shared:
+                dispatcher.shared_by = shared
+                dispatcher.cell = cells.share_servers(places, groups)[own.name]
+
     def tick(self, now_s):
         """Brings what depends on time up to date.
 
@@ -466,7 +499,7 @@
         is_majority = 2 * count.heard > count.members
         for dispatcher in self._dispatchers.values():
             dispatcher.share = 1.0 if is_majority else count.heard / count.members
-            dispatcher.sample = SAMPLE if self.roster.is_grouped else None
+        self._share_servers()
         for budget in self._budgets.values():
             budget.members = count.members
         live = set(_list_heard(self.roster.list_mates(), now_s))
@@ -482,6 +515,11 @@
                 self._remove(server_id, now_s)
 
 
+def _find_place(server):
+    registration = server.registration
+    return cells.Place(registration.server_id, registration.domain)
+
+
 def _list_heard(peers, now_s):
     return {
         peer.member.name: peer.digest for peer in peers if not peer.is_silent(now_s)
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -42,6 +42,10 @@
 FIRST_PART = 0.5
 # Longest time of a plain request that is taken for its speed.
 LONGEST_PLAIN_MS = 2_000.0
+# Part of its slots that a backend server of another group must have free, and
+# the number of such ones that are compared.
+AMPLE_PART = 0.3
+FOREIGN_SAMPLE = 3
 # Requests that a plain backend server is given for each of its slots.
 PLAIN_DEPTH = 1.0
 # Part of its time that a request may wait here before it is sent. Callers that
@@ -131,8 +135,9 @@
         # Part of each backend server's slots that this entry may take without
         # hearing of the other entries.
         self.share = 1.0
-        # Backend servers that are compared for a request; ``None`` for all.
-        self.sample = None
+        # Backend servers that this entry's group uses first; ``None`` for all.
+        self.cell = None
+        self.shared_by = None
         # Answer tokens that one event of a stream holds.
         self.event_tokens = 1
         # Over all backend servers: the factor of an engine's time to the first
@@ -346,10 +351,10 @@
             if len(doubted) < len(usable) or not doubted:
                 return None
             found = doubted
+        found = self._keep_to_cell(found)
+        if not found:
+            return None
         preferred = self._find_preferred(ticket)
-        if self.sample is not None and len(found) > self.sample:
-            liked = [item for item in found if item.server_id == preferred]
-            found = [*self._rng.sample(found, self.sample), *liked]
         scored = [
             (self._score_ms(ticket, item, preferred, now_s), self._rng.random(), item)
             for item in found
@@ -364,6 +369,18 @@
         fresh = [item for item in staying if item.server_id not in ticket.tried]
         return fresh or staying
 
+    def _keep_to_cell(self, found):
+        if not self.cell or not self.is_engine:
+            return found
+        own = [item for item in found if item.server_id in self.cell]
+        if own:
+            return own
+        ample = [
+            item for item in found if self._count_free(item) >= AMPLE_PART * item.slots
+        ]
+        # What is known of them is older, and all groups know the same.
+        return self._rng.sample(ample, min(len(ample), FOREIGN_SAMPLE))
+
     def _find_preferred(self, ticket):
         parts = ticket.arrival.parts
         if not parts or not self.is_engine:
--- a/packages/kernel/wasabiknot_kernel/events.py
+++ b/packages/kernel/wasabiknot_kernel/events.py
@@ -46,6 +46,9 @@
     FACTS_COPIED = Entry(
         1112, logging.INFO, "{topic}: took {count} facts up to {position} from {peer}"
     )
+    COPY_FAILED = Entry(
+        1115, logging.WARNING, "facts not copied from {peer}, reads the store: {error}"
+    )
     MEMBER_FOUND = Entry(1113, logging.INFO, "peer {peer} at {address}, run {run}")
     MEMBER_GONE = Entry(1114, logging.INFO, "peer {peer} has left")
     MOVE_STEP = Entry(1201, logging.INFO, "{service}: step {step} to {target}")
--- a/packages/kernel/wasabiknot_kernel/facts.py
+++ b/packages/kernel/wasabiknot_kernel/facts.py
@@ -21,6 +21,21 @@
     offset: int
 
 
+class Copy(msgspec.Struct, frozen=True, array_like=True):
+    """Facts of one topic, as a peer gives them.
+
+    :param topic: name of the topic.
+    :param position: position up to which no change is missing.
+    :param is_whole: whether keys that are missing in it were dropped.
+    :param facts: tuple of ``Fact``.
+    """
+
+    topic: str
+    position: int
+    is_whole: bool
+    facts: tuple[Fact, ...]
+
+
 class Topic:
     """The facts of one topic.
 
@@ -34,6 +49,9 @@
         self.news_position = 0
         self.is_known = False
         self.facts = {}
+        # End of the newest listing: of a key that was dropped before it nothing is
+        # known here.
+        self._listed_at = 0
 
     def take(self, found, position):
         """Takes facts up to a position.
@@ -67,6 +85,7 @@
             for key, fact in self.facts.items()
             if key not in listed and fact.value is not None and fact.offset < position
         ]
+        self._listed_at = max(self._listed_at, position)
         return self.take([*found, *dropped], position)
 
     def note_news(self, offset):
@@ -76,10 +95,31 @@
         """
         self.news_position = max(self.news_position, offset + 1)
 
-    def list_since(self, position):
-        """Lists what has changed since a position.
+    def copy_since(self, position):
+        """Copies what has changed since a position, for a peer.
 
-        :param position: the position.
-        :return: list of ``Fact``.
+        :param position: position up to which the peer misses no change.
+        :return: ``Copy``; a whole one if keys may have been dropped unseen.
+        """
+        is_whole = position < self._listed_at
+        found = tuple(
+            fact
+            for fact in self.facts.values()
+            if (is_whole and fact.value is not None) or fact.offset >= position
+        )
+        return Copy(self.name, self.news_position, is_whole, found)
+
+    def take_copy(self, copied):
+        """Takes a copy of a peer's facts.
+
+        :param copied: ``Copy``.
+        :return: list of the facts that changed a value.
         """
-        return [fact for fact in self.facts.values() if fact.offset >= position]
+        if not copied.is_whole:
+            return self.take(copied.facts, 0)
+        listed_at, position = self._listed_at, self.position
+        changed = self.take_listing(copied.facts, copied.position)
+        # A copy ends at a change and not at the end of the topic.
+        self.position = position
+        self._listed_at = max(listed_at, copied.position)
+        return changed
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -35,6 +35,7 @@
     :param host: IP number.
     :param port: port for datagrams, and for calls from peers.
     :param domain: failure domain in which it runs.
+    :param capacity: what it can do for its group, against other entries.
     """
 
     name: str
@@ -42,6 +43,12 @@
     host: str
     port: int
     domain: str = ""
+    capacity: float = 1.0
+
+    @property
+    def order(self):
+        """Sort key: the ablest entry of a group reads and speaks for it."""
+        return (-self.capacity, self.name)
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True):
@@ -124,10 +131,12 @@
 
     :param name: its name.
     :param members: names of its members, sorted.
+    :param domain: failure domain in which they run; empty for a single group.
     """
 
     name: str
     members: tuple[str, ...]
+    domain: str = ""
 
 
 class Roster:
@@ -191,7 +200,8 @@
         :return: list of ``Peer``.
         """
         names = self.group.members
-        return [self._peers[name] for name in names if name in self._peers]
+        mates = [self._peers[name] for name in names if name in self._peers]
+        return sorted(mates, key=lambda peer: peer.member.order)
 
     def list_other_groups(self):
         """Lists the groups of the other peers.
@@ -253,7 +263,7 @@
         if known is not None and known.member.run == member.run:
             return known
         is_led = known is not None and not known.is_silent(now_s)
-        if is_led and known.member.name < member.name:
+        if is_led and known.member.order < member.order:
             return None
         silence_s = max(SILENCE_S, LOST_SUMS * self.sum_turns * DIGEST_INTERVAL_S)
         self.sums[digest.group] = Peer(member, now_s, silence_s)
@@ -308,7 +318,7 @@
         :return: ``True`` if no earlier member is heard.
         """
         return not any(
-            peer.member.name < self._name
+            peer.member.order < self._own.order
             and not peer.is_silent(now_s)
             and not peer.digest.is_stopping
             for peer in self.list_mates()
@@ -355,5 +365,6 @@
         names.sort()
         count = max(1, round(len(names) / GROUP_SIZE))
         for index in range(count):
-            groups.append(Group(f"{domain}/{index}", tuple(names[index::count])))
+            members = tuple(names[index::count])
+            groups.append(Group(f"{domain}/{index}", members, domain))
     return groups
--- a/packages/standins/wasabiknot_standins/soaks.py
+++ b/packages/standins/wasabiknot_standins/soaks.py
@@ -122,6 +122,8 @@
 ready_address: {self.ready_address}
 ports: [{inner}, {inner + 1}]
 store_address: {store}
+link_mbps: 1000
+cpu_cores: 1
 beat_ms: {BEAT_S * 1_000}
 bounds:
   configuration_ms: 2000
