Give each free slot one winner; tell mates of faulty backend servers

Ruled out: engines that are too slow (p50 of the first event 70 to 130 ms). Change: a slot given back since the last digest stays with its entry, other free ones go to the contender with the highest hash; digests name servers that are avoided, and rejections lengthen the pause like failures.

--- a/packages/kernel/tests/test_cells.py
+++ b/packages/kernel/tests/test_cells.py
@@ -41,3 +41,11 @@
 
     def test_no_groups(self):
         self.assertEqual(cells.share_servers(build_places("s", ["graz"]), []), {})
+
+
+class FindWinnerTests(unittest.TestCase):
+    def test_each_slot_has_one_winner(self):
+        names = tuple(f"e{number}" for number in range(8))
+        won = [cells.find_winner("w1", slot, names) for slot in range(400)]
+        self.assertEqual(set(won), set(names))
+        self.assertLess(max(won.count(name) for name in names), 100)
--- a/packages/kernel/tests/test_dispatch.py
+++ b/packages/kernel/tests/test_dispatch.py
@@ -166,6 +166,72 @@
         self.assertTrue(entry.find_server("w1").is_engine)
 
 
+class ContentionTests(unittest.TestCase):
+    COUNT = 6
+    SLOTS = 4
+
+    def test_entries_that_all_wait_do_not_overfill(self):
+        # Each of them sees every free slot; together they must not fill it twice.
+        entries = [
+            builders.build_deployment(f"e{number}", seed=number)
+            for number in range(self.COUNT)
+        ]
+        builders.introduce(entries, 0.0)
+        table = routes.RouteTable(builders.build_configuration(rate=0.0))
+        for entry in entries:
+            entry.take_configuration(table, 0.0)
+            for number in range(3):
+                registration = builders.build_registration(
+                    f"w{number}", slots=self.SLOTS
+                )
+                entry.take_registration(registration, 0.0)
+        now_s = 0.0
+        held = []
+        most = 0
+        for step in range(60):
+            now_s += 0.05
+            if step % 2 == 0:
+                self.talk(entries, now_s)
+            for number, entry in enumerate(entries):
+                ticket = builders.build_ticket(f"q{step}-{number}", now_s=now_s)
+                dispatcher = entry.find_dispatcher("pool")
+                decisions = dispatcher.submit(ticket, now_s) + dispatcher.pump(now_s)
+                held += [(now_s + 0.4, entry, it) for it in list_placed(decisions)]
+            if step > 20:
+                most = max(most, len(held))
+            for end in [item for item in held if item[0] <= now_s]:
+                held.remove(end)
+                _, entry, placed = end
+                whole = outcomes.Outcome.WHOLE
+                dispatcher = entry.find_dispatcher("pool")
+                dispatcher.finish(placed.ticket, placed.server, whole, now_s)
+        self.assertGreater(most, 0.8 * 3 * self.SLOTS)
+        self.assertLessEqual(most, 1.25 * 3 * self.SLOTS)
+
+    def talk(self, entries, now_s):
+        for entry in entries:
+            digest = entry.build_digest(now_s)
+            for other in entries:
+                if other is not entry:
+                    other.take_digest(digest, now_s)
+        for entry in entries:
+            entry.tick(now_s)
+
+    def test_server_that_a_mate_found_faulty_is_avoided(self):
+        entries = [builders.build_deployment(f"e{number}") for number in range(2)]
+        builders.introduce(entries, 0.0)
+        for entry in entries:
+            entry.note_read(0.0)
+            for number in range(2):
+                entry.take_registration(builders.build_registration(f"w{number}"), 0.0)
+        entries[0].find_server("w0").note_failure(0.0, True)
+        self.talk(entries, 0.1)
+        self.assertTrue(entries[1].find_server("w0").is_avoided(0.1))
+        self.assertFalse(entries[1].find_server("w1").is_avoided(0.1))
+        self.talk(entries, 1.0)
+        self.assertFalse(entries[1].find_server("w0").is_avoided(1.0))
+
+
 class WaitingTests(unittest.TestCase):
     def fill(self, dispatcher):
         for number in range(4):
--- a/packages/kernel/wasabiknot_kernel/cells.py
+++ b/packages/kernel/wasabiknot_kernel/cells.py
@@ -1,13 +1,17 @@
-"""Which backend servers a group of entries uses first.
+"""Which backend servers a group of entries uses first, and who takes a free slot.
 
 Many entries that look at the same backend servers all see the same free slot and
 fill it several times over. So each group has backend servers of its own, as a small
 system would, and uses others only while those have ample room.
 """
 
+import functools
+
 import msgspec
 import xxhash
 
+WINNERS_KEPT = 8_192
+
 
 class Place(msgspec.Struct, frozen=True, order=True):
     """A backend server or a group, and its failure domain.
@@ -52,3 +56,21 @@
 
 def _find_emptiest(groups, shares):
     return min(groups, key=lambda group: len(shares[group.name]), default=None)
+
+
+@functools.lru_cache(maxsize=WINNERS_KEPT)
+def find_winner(server_id, slot, contenders):
+    """Finds the entry that may take a free slot.
+
+    Entries that know the same contenders come to the same result, so a slot that
+    several of them wait for is filled once.
+
+    :param server_id: the backend server.
+    :param slot: number of the free slot.
+    :param contenders: sorted tuple of the names of entries that wait.
+    :return: name of an entry.
+    """
+    return max(
+        contenders,
+        key=lambda name: xxhash.xxh64_intdigest(f"{name}/{server_id}/{slot}".encode()),
+    )
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -133,6 +133,7 @@
         if service not in self._dispatchers:
             dispatcher = dispatch.Dispatcher(service, self._rng)
             dispatcher.select = self.releases.select
+            dispatcher.name = self.member.name
             dispatcher.set_engine(self._find_engine(service))
             self._dispatchers[service] = dispatcher
         return self._dispatchers[service]
@@ -313,7 +314,17 @@
         :param now_s: present time.
         :return: ``members.Digest``.
         """
-        return self._build(now_s, self._list_uses(), self.allowances.used)
+        built = self._build(now_s, self._list_uses(), self.allowances.used)
+        waiting = {}
+        shunned = []
+        for name, dispatcher in self._dispatchers.items():
+            if len(dispatcher):
+                waiting[name] = len(dispatcher)
+            for server in dispatcher.servers.values():
+                server.announced = len(server.sends)
+                if server.is_faulty(now_s):
+                    shunned.append(server.server_id)
+        return msgspec.structs.replace(built, waiting=waiting, shunned=tuple(shunned))
 
     def build_sum(self, now_s):
         """Builds the sum of the own group, for the leaders of the others.
@@ -489,6 +500,15 @@
                 dispatcher.shared_by = shared
                 dispatcher.cell = cells.share_servers(places, groups)[own.name]
 
+    def _note_mates(self, now_s):
+        heard = _list_heard(self.roster.list_mates(), now_s)
+        shunned = {name for digest in heard.values() for name in digest.shunned}
+        for service, dispatcher in self._dispatchers.items():
+            waiting = [name for name, item in heard.items() if service in item.waiting]
+            dispatcher.contenders = tuple(sorted([self.member.name, *waiting]))
+            for server in dispatcher.servers.values():
+                server.is_shunned = server.server_id in shunned
+
     def tick(self, now_s):
         """Brings what depends on time up to date.
 
@@ -500,6 +520,7 @@
         for dispatcher in self._dispatchers.values():
             dispatcher.share = 1.0 if is_majority else count.heard / count.members
         self._share_servers()
+        self._note_mates(now_s)
         for budget in self._budgets.values():
             budget.members = count.members
         live = set(_list_heard(self.roster.list_mates(), now_s))
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -12,6 +12,7 @@
 
 from wasabiknot_kernel import (
     arrivals,
+    cells,
     estimates,
     exceptions,
     outcomes,
@@ -137,6 +138,10 @@
         self.share = 1.0
         # Backend servers that this entry's group uses first; ``None`` for all.
         self.cell = None
+        # Entries of the group that wait for slots of this service, this one
+        # included, as a sorted tuple.
+        self.contenders = ()
+        self.name = ""
         self.shared_by = None
         # Answer tokens that one event of a stream holds.
         self.event_tokens = 1
@@ -331,10 +336,26 @@
         return self._count_free(server) > 0
 
     def _count_free(self, server):
-        if self.is_engine:
-            own = math.ceil(self.share * server.slots) - len(server.sends)
-            return min(own, server.slots - server.count_running())
-        return PLAIN_DEPTH * server.slots - len(server.sends)
+        if not self.is_engine:
+            return PLAIN_DEPTH * server.slots - len(server.sends)
+        own = len(server.sends)
+        left = math.ceil(self.share * server.slots) - own
+        return min(left, server.slots - server.count_running(), self._claim(server))
+
+    def _claim(self, server):
+        # What this entry has given back since its last digest is still its own;
+        # other free slots go to one of the entries that wait.
+        own = len(server.sends)
+        others = server.count_running() - own
+        public = server.slots - server.announced - others
+        if len(self.contenders) <= 1:
+            won = public
+        else:
+            won = sum(
+                cells.find_winner(server.server_id, slot, self.contenders) == self.name
+                for slot in range(max(0, public))
+            )
+        return server.announced + won - own
 
     def choose(self, ticket, now_s):
         """Chooses the backend server with the earliest expected first event.
@@ -487,7 +508,7 @@
         if outcome is outcomes.Outcome.WHOLE:
             self._learn_whole(server, send, held_s, now_s, tokens)
         elif outcome is outcomes.Outcome.REJECTED:
-            server.avoid_until_s = now_s + servers.FIRST_AVOID_S
+            server.note_rejection(now_s)
         elif outcome is not outcomes.Outcome.CANCELLED:
             is_dark = outcome in (outcomes.Outcome.UNREACHED, outcomes.Outcome.SILENT)
             server.note_failure(now_s, is_dark)
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -67,6 +67,8 @@
     :param heard: entries that it speaks for.
     :param members: entries of the group that are not forgotten.
     :param evidence: what was seen of versions while their service moves.
+    :param waiting: requests that wait, by service.
+    :param shunned: backend servers that it has found to be faulty.
     """
 
     name: str
@@ -82,6 +84,8 @@
     heard: int = 1
     members: int = 1
     evidence: dict[str, releases.Tally] = {}
+    waiting: dict[str, int] = {}
+    shunned: tuple[str, ...] = ()
 
 
 class Bundle(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/kernel/wasabiknot_kernel/servers.py
+++ b/packages/kernel/wasabiknot_kernel/servers.py
@@ -65,6 +65,10 @@
         self.failures_in_turn = 0
         self.avoid_until_s = 0.0
         self.kept = {}
+        # Own requests as the peers know them.
+        self.announced = 0
+        # Whether a mate has just found it unreachable, stalled or rejecting.
+        self.is_shunned = False
 
     @property
     def server_id(self):
@@ -122,6 +126,14 @@
     def is_avoided(self, now_s):
         """Whether it is left alone for the moment.
 
+        :param now_s: present time.
+        :return: ``True`` after failures, or while it is stalled.
+        """
+        return self.is_shunned or self.is_faulty(now_s)
+
+    def is_faulty(self, now_s):
+        """Whether this entry itself has found it to be faulty.
+
         :param now_s: present time.
         :return: ``True`` after failures, or while it is stalled.
         """
@@ -133,6 +145,13 @@
         self.avoid_until_s = 0.0
         self.failure_rate -= self.failure_rate * FAILURE_WEIGHT
 
+    def note_rejection(self, now_s):
+        """Notes that it took a request for one too many, or not for its own.
+
+        :param now_s: present time.
+        """
+        self._avoid(now_s)
+
     def note_failure(self, now_s, is_avoided):
         """Notes an answer that failed or did not come.
 
@@ -140,8 +159,10 @@
         :param is_avoided: whether it is left alone for a while.
         """
         self.failure_rate += (1.0 - self.failure_rate) * FAILURE_WEIGHT
-        if not is_avoided:
-            return
+        if is_avoided:
+            self._avoid(now_s)
+
+    def _avoid(self, now_s):
         pause_s = FIRST_AVOID_S * 2**self.failures_in_turn
         self.avoid_until_s = now_s + min(pause_s, LONGEST_AVOID_S)
         self.failures_in_turn = min(self.failures_in_turn + 1, 5)
