Let a started entry ask the peers that still know its address

Ruled out: slow starts (0.1 to 0.5 s to the first answer). Change: an entry that is not ready fetches from the sender of any digest, as mates go on sending to its address; a topic that was never listed is tried every 0.3 s.

--- a/packages/entry/wasabiknot_entry/followers.py
+++ b/packages/entry/wasabiknot_entry/followers.py
@@ -14,6 +14,8 @@
 # Pause between looks at whether this entry has to read for itself.
 LOOK_S = 0.1
 LONGEST_RETRY_S = 1.0
+# Until a topic has been listed this entry can answer nothing.
+LONGEST_LIST_RETRY_S = 0.3
 
 
 class StoreError(exceptions.WasabiknotError):
@@ -112,7 +114,8 @@
             ) as error:
                 self._health.note_failure(self._topic.name, error)
                 yield self._sleep(retry_s)
-                retry_s = min(2 * retry_s, LONGEST_RETRY_S)
+                longest_s = LONGEST_RETRY_S if self._is_listed else LONGEST_LIST_RETRY_S
+                retry_s = min(2 * retry_s, longest_s)
 
     def _sleep(self, delay_s):
         return task.deferLater(self._reactor, delay_s)
--- a/packages/entry/wasabiknot_entry/gossip.py
+++ b/packages/entry/wasabiknot_entry/gossip.py
@@ -110,11 +110,27 @@
             journal.write(events.Event.DATAGRAM_BAD, peer=addr[0], error=str(error))
             return
         now_s = self._reactor.seconds()
+        self._ask_stranger(bundle, addr)
         for digest in bundle.digests:
             peer = self._deployment.take_digest(digest, now_s)
             if peer is not None and not self._is_fetching:
                 self._compare(peer, now_s)
 
+    def _ask_stranger(self, bundle, addr):
+        # Peers remember an entry's address over its restart. What they know is the
+        # only source while the store is away.
+        deployment = self._deployment
+        if deployment.is_ready or self._is_fetching or not bundle.digests:
+            return
+        digest = bundle.digests[0]
+        if deployment.roster.find(digest.name) is None:
+            self._fetch_from(members.Member(digest.name, digest.run, *addr))
+
+    def _fetch_from(self, member):
+        self._is_fetching = True
+        fetched = self._fetch(member)
+        fetched.addErrback(journal.log_failure, "fetch facts")
+
     def _compare(self, peer, now_s):
         deployment = self._deployment
         if not deployment.is_behind(peer):
@@ -123,9 +139,7 @@
         is_reading = 0 <= age_ms < OWN_READ_S * 1_000
         if is_reading and deployment.is_ready and deployment.is_reader(now_s):
             return
-        self._is_fetching = True
-        fetched = self._fetch(peer.member)
-        fetched.addErrback(journal.log_failure, "fetch facts")
+        self._fetch_from(peer.member)
 
     @defer.inlineCallbacks
     def _fetch(self, member):
