Learn an engine's speed from streams that go on

Ruled out: the weight of the time behind the first event (long answers already avoid engines that are known to be slow). Change: every fourth event counts as a sample.

--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -73,6 +73,7 @@
         self._sending = None
         self._first_head = None
         self._sent_s = 0.0
+        self._sent_events = 0
         self.first_s = None
         self.last_event = ticket.arrival.last_event
         self.events = 0
@@ -94,6 +95,7 @@
         """
         self._placed = placed
         self._sent_s = self._gateway.reactor.seconds()
+        self._sent_events = 0
         ticket = self.ticket
         ticket.sends += 1
         left_ms = (ticket.deadline_s - self._gateway.reactor.seconds()) * 1_000
@@ -137,7 +139,10 @@
         if self.is_ended:
             return True
         now_s = self._gateway.reactor.seconds()
-        self.dispatcher.note_first(self.ticket, self._placed.server, now_s)
+        server = self._placed.server
+        self._sent_events += 1
+        self.dispatcher.note_first(self.ticket, server, now_s)
+        self.dispatcher.note_progress(self.ticket, server, self._sent_events, now_s)
         if event.number is not None:
             if event.number <= self.last_event:
                 return True
@@ -174,7 +179,7 @@
         if result.outcome is Outcome.UNREACHED:
             ticket.sends -= 1
         dispatcher = self.dispatcher
-        dispatcher.finish(ticket, placed.server, result.outcome, now_s, self.events)
+        dispatcher.finish(ticket, placed.server, result.outcome, now_s)
         held_s = now_s - self._sent_s
         gateway.note_evidence(
             ticket, placed.server, result.outcome, held_s, self.events
--- a/packages/kernel/tests/test_dispatch.py
+++ b/packages/kernel/tests/test_dispatch.py
@@ -119,6 +119,19 @@
         (placed,) = dispatcher.submit(ticket, 0.0)
         self.assertEqual(placed.server.server_id, "w1")
 
+    def test_slow_engine_is_known_before_its_streams_end(self):
+        # Streams on it may never end within their time.
+        dispatcher = builders.build_dispatcher(2, 8)
+        ticket = builders.build_ticket("slow", output=1_200)
+        (placed,) = dispatcher.submit(ticket, 0.0)
+        dispatcher.note_first(ticket, placed.server, 0.1)
+        for events in range(1, 9):
+            at_s = 0.1 + 0.2 * events
+            dispatcher.note_progress(ticket, placed.server, events, at_s)
+        (other,) = dispatcher.submit(builders.build_ticket(output=1_200), 2.0)
+        self.assertIsNot(other.server, placed.server)
+        self.assertGreater(placed.server.pace.event_ms.value, 100.0)
+
     def test_stalled_backend_server_is_avoided(self):
         dispatcher = builders.build_dispatcher(2, 8)
         (placed,) = dispatcher.submit(builders.build_ticket("q0"), 0.0)
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -33,6 +33,8 @@
 # Weight of the time behind the first event: a slot is held for it, and long
 # answers belong on fast engines.
 REST_WEIGHT = 0.05
+# Events of a stream from one look at its speed to the next.
+PROGRESS_EVENTS = 4
 # Factor by which callers' estimates of an answer's length may fall short.
 HINT_MARGIN = 1.5
 # Margin on the time to the first event, so that those that go first are in time.
@@ -481,6 +483,22 @@
             self._usual_first.add(factor)
             self._note_kept(ticket, server, now_s)
 
+    def note_progress(self, ticket, server, events, now_s):
+        """Notes that a stream goes on.
+
+        A slow backend server is known by its streams long before they end.
+
+        :param ticket: ``arrivals.Ticket``.
+        :param server: ``servers.Server``.
+        :param events: events that came of this send.
+        :param now_s: present time.
+        """
+        send = server.sends.get(ticket.request_id)
+        if send is None or send.first_s is None or events < 2:
+            return
+        if events % PROGRESS_EVENTS == 0:
+            server.pace.event_ms.add((now_s - send.first_s) * 1_000 / (events - 1))
+
     def _note_kept(self, ticket, server, now_s):
         parts = ticket.arrival.parts
         if not parts:
@@ -490,14 +508,13 @@
         if len(server.kept) > MAX_KEPT:
             del server.kept[next(iter(server.kept))]
 
-    def finish(self, ticket, server, outcome, now_s, tokens=0):
+    def finish(self, ticket, server, outcome, now_s):
         """Notes the end of a send.
 
         :param ticket: ``arrivals.Ticket``.
         :param server: ``servers.Server``.
         :param outcome: ``outcomes.Outcome``.
         :param now_s: present time.
-        :param tokens: answer tokens that came.
         """
         send = server.sends.pop(ticket.request_id, None)
         if server.is_gone and not server.sends:
@@ -506,18 +523,16 @@
             return
         held_s = now_s - send.sent_s
         if outcome is outcomes.Outcome.WHOLE:
-            self._learn_whole(server, send, held_s, now_s, tokens)
+            self._learn_whole(server, held_s)
         elif outcome is outcomes.Outcome.REJECTED:
             server.note_rejection(now_s)
         elif outcome is not outcomes.Outcome.CANCELLED:
             is_dark = outcome in (outcomes.Outcome.UNREACHED, outcomes.Outcome.SILENT)
             server.note_failure(now_s, is_dark)
 
-    def _learn_whole(self, server, send, held_s, now_s, tokens):
+    def _learn_whole(self, server, held_s):
         server.note_success()
         if not self.is_engine:
             held_ms = min(held_s * 1_000, LONGEST_PLAIN_MS)
             server.pace.plain_ms.add(held_ms)
             self._usual_first.add(held_ms)
-        elif tokens > 1 and send.first_s is not None:
-            server.pace.event_ms.add((now_s - send.first_s) * 1_000 / tokens)
