--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := packages/kernel platform packages/entry packages/operator \
 	packages/standins
 
-.PHONY: demo demo-saddle-road test lint format fuzz bench drills experiment clean
+.PHONY: demo demo-saddle-road test lint format fuzz bench drills experiment soak clean
 
 $(STAMP): requirements.lock $(PACKAGES:%=%/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -38,6 +38,9 @@
 	$(BIN)/python -m wasabiknot_standins experiment burst-slow --placements \
 		finish-time random fewest-reported tiered-round-robin
 
+soak: $(STAMP)
+	$(BIN)/python -m wasabiknot_standins.soaks $${SEED:-1} $${SECONDS:-20} $${ENTRIES:-3}
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- /dev/null
+++ b/packages/entry/tests/test_gateways.py
@@ -0,0 +1,132 @@
+import random
+import unittest
+from unittest import mock
+
+from twisted.internet import task
+
+from wasabiknot_entry import gateways
+from wasabiknot_kernel import (
+    allowances,
+    arrivals,
+    deployments,
+    exceptions,
+    members,
+    registrations,
+    routes,
+)
+
+Kind = exceptions.ErrorKind
+POLICY = deployments.Policy(
+    0.2, 10.0, 50.0, allowances.Tolerance(8.0, 0.1, 140_000), 0.1
+)
+
+
+class Schedule:
+    """What a gateway needs of the deployment."""
+
+    connect_timeout_s = 0.4
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.owners = {}
+
+    def __getattr__(self, name):
+        return getattr(self.deployment, name)
+
+    def measure_age_ms(self):
+        return 0
+
+
+def build_configuration(rate=0.0):
+    route = routes.Route(
+        name="draft",
+        host="a.example",
+        prefix="/draft/",
+        repetition=routes.Repetition.ONCE,
+        shares=(routes.Share("desk", 1),),
+        timeout_ms=1_000,
+        objective_ms=300,
+        gap_ms=0,
+        rank=1,
+        attempts=1,
+        is_public=False,
+        is_resumable=False,
+    )
+    customer = routes.Customer("graz", ("k1",), 0, rate, rate, 200)
+    services = (routes.Service("desk", "/", 10, None),)
+    return routes.Configuration(1, (route,), services, (customer,), routes.Limits())
+
+
+class AdmissionTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = task.Clock()
+        member = members.Member("e1", "r1", "10.0.0.1", 7000)
+        self.deployment = deployments.Deployment(member, POLICY, random.Random(1))
+        self.gateway = gateways.Gateway(
+            self.clock, random.Random(1), Schedule(self.deployment), mock.Mock()
+        )
+
+    def configure(self, rate=0.0):
+        table = routes.RouteTable(build_configuration(rate))
+        self.deployment.take_configuration(table, 0.0)
+        self.deployment.has_servers = True
+        self.deployment.take_registration(
+            registrations.Registration(
+                "w1",
+                "desk",
+                "10.0.0.9:80",
+                "d",
+                "v1",
+                4,
+                registrations.ServerState.READY,
+            ),
+            0.0,
+        )
+
+    def admit(self, path="/draft/x", key="k1", request_id="q1", deadline_ms=600.0):
+        arrival = arrivals.Arrival(request_id, "a.example", path, key, deadline_ms)
+        return self.gateway._admit(arrival, mock.Mock(uri=path.encode()), b"")
+
+    def test_without_a_configuration_nothing_is_denied(self):
+        answer = self.admit(key="odd")
+        self.assertEqual((answer.kind, answer.status), (Kind.NOT_READY, 503))
+        self.assertGreater(answer.return_s, 0)
+
+    def test_unknown_route_key_and_id(self):
+        self.configure()
+        self.assertEqual(self.admit(path="/other/").status, 404)
+        self.assertEqual(self.admit(key="odd").status, 401)
+        self.assertEqual(self.admit(request_id="").status, 400)
+
+    def test_customer_rank_and_the_shorter_time_hold(self):
+        self.configure()
+        ticket = self.admit(deadline_ms=5_000.0)
+        self.assertEqual((ticket.rank, ticket.customer), (0, "graz"))
+        self.assertAlmostEqual(ticket.deadline_s, 1.0 - gateways.ANSWER_MARGIN_S)
+
+    def test_used_up_allowance_names_a_return_time(self):
+        self.configure(rate=100.0)
+        self.assertIsInstance(self.admit(), arrivals.Ticket)
+        answer = self.admit(request_id="q2")
+        self.assertEqual((answer.kind, answer.status), (Kind.OVER_ALLOWANCE, 429))
+        self.assertGreater(answer.return_s, 0.9)
+
+    def test_request_that_crashes_servers_is_refused(self):
+        self.configure()
+        ticket = self.admit()
+        for number in range(3):
+            crash = gateways.crashes.Crash(ticket.fingerprint, f"w{number}/1")
+            self.deployment.crashes.note(crash, 0.0)
+        self.assertEqual(self.admit().kind, Kind.QUARANTINED)
+
+    def test_stop_takes_requests_for_a_while_and_none_after_it(self):
+        # A request taken three seconds after SIGTERM was cut off by the end of the
+        # time allowed for the shutdown.
+        self.configure()
+        self.gateway.stop(2.7)
+        self.assertIsInstance(self.admit(), arrivals.Ticket)
+        self.clock.advance(2.69)
+        self.assertIsInstance(self.admit(), arrivals.Ticket)
+        self.clock.advance(0.01)
+        answer = self.admit()
+        self.assertEqual((answer.kind, answer.status), (Kind.STOPPING, 503))
--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -43,8 +43,9 @@
 POLLS_PER_BOUND = 4
 # Interval at which the settings file is looked at, as it may change unannounced.
 SETTINGS_CHECK_S = 1.0
-# After SIGTERM callers still come until the balancer has noticed.
-NOTICE_S = 3.0
+# After SIGTERM callers still come until the balancer has noticed. What is taken
+# later may not be finished in time.
+NOTICE_S = 2.7
 GRACE_MARGIN_S = 0.7
 DRAIN_CHECK_S = 0.05
 LAST_BYTES_S = 0.05
@@ -393,7 +394,7 @@
             return None
         self._is_stopping = True
         self._deployment.is_stopping = True
-        self._gateway.stop()
+        self._gateway.stop(NOTICE_S)
         journal.write(events.Event.STOPPING, running=len(self._gateway))
         now_s = reactor.seconds()
         end_s = now_s + self._settings.bounds.grace_s - GRACE_MARGIN_S
@@ -401,8 +402,6 @@
 
     def _wait_until_empty(self, notice_s, end_s):
         now_s = reactor.seconds()
-        if now_s >= notice_s:
-            self._gateway.is_refusing = True
         is_done = now_s >= notice_s and not len(self._gateway)
         if is_done or now_s >= end_s:
             self._gateway.close_idle()
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -332,7 +332,7 @@
         self._flows = {}
         self._channels = set()
         self.is_stopping = False
-        self.is_refusing = False
+        self._refuse_from_s = None
 
     def __len__(self):
         return len(self._flows)
@@ -429,7 +429,7 @@
         now_s = self.reactor.seconds()
         if not scheduler.is_ready:
             return Answer(Kind.NOT_READY, 503, 0.5, "no configuration yet")
-        if self.is_refusing:
+        if self._refuse_from_s is not None and now_s >= self._refuse_from_s:
             return Answer(Kind.STOPPING, 503, 0.2, "shutting down")
         table = scheduler.table
         route = table.find_route(arrival.host, arrival.path)
@@ -614,9 +614,13 @@
 
     # Stop
 
-    def stop(self):
-        """Takes no new connections' work for granted: answers close them."""
+    def stop(self, notice_s):
+        """Closes connections behind their answers, and soon takes nothing new.
+
+        :param notice_s: time for which new requests are still taken.
+        """
         self.is_stopping = True
+        self._refuse_from_s = self.reactor.seconds() + notice_s
 
     def close_idle(self):
         """Closes the callers' connections that wait for a request."""
