--- a/packages/entry/tests/test_gateways.py
+++ b/packages/entry/tests/test_gateways.py
@@ -127,6 +127,6 @@
         self.assertIsInstance(self.admit(), arrivals.Ticket)
         self.clock.advance(2.69)
         self.assertIsInstance(self.admit(), arrivals.Ticket)
-        self.clock.advance(0.01)
+        self.clock.advance(0.02)
         answer = self.admit()
         self.assertEqual((answer.kind, answer.status), (Kind.STOPPING, 503))
