Reckon with what other groups let in before it is heard

Ruled out: double counting (levels match), debt by large requests (under 5%). Change: with several groups a customer is let in only beyond what the other groups are likely to have let in unheard, by the own group's recent use.

--- a/packages/kernel/tests/test_allowances.py
+++ b/packages/kernel/tests/test_allowances.py
@@ -69,6 +69,42 @@
         self.assertLess(minority * 8, spare)
 
 
+class UnheardTests(unittest.TestCase):
+    GROUPS = 10
+    DELAY_S = 0.8
+
+    def play(self, unheard):
+        # A customer asks for six times its limit, at all groups alike; each hears
+        # of the others' use after a while.
+        groups = [build_allowances() for _ in range(self.GROUPS)]
+        for group in groups:
+            group.set_unheard(self.GROUPS - 1 if unheard else 0, self.DELAY_S)
+        now_s = 0.0
+        admitted = []
+        for step in range(200):
+            now_s += 0.05
+            if step % 16 == 15:
+                for group in groups:
+                    for number, other in enumerate(groups):
+                        if other is not group:
+                            used = {"graz": other.used["graz"]}
+                            group.take_peer(f"g{number}", "r", used, now_s, group.rest)
+            for group in groups:
+                for _ in range(6):
+                    tokens = RATE * 0.05 / self.GROUPS
+                    if group.take("graz", tokens, now_s) == 0.0:
+                        admitted.append((now_s, tokens))
+        return sum(tokens for at_s, tokens in admitted if at_s <= 8.0)
+
+    def test_use_that_is_not_heard_yet_is_reckoned_with(self):
+        limit = (RATE * 8 + BURST) * 1.1
+        self.assertGreater(self.play(unheard=False), limit)
+        self.assertLess(self.play(unheard=True), limit)
+
+    def test_limit_itself_can_be_used(self):
+        self.assertGreater(self.play(unheard=True), 0.85 * RATE * 8)
+
+
 class SharedAllowances(stateful.RuleBasedStateMachine):
     """Entries that let requests in, with cuts between them."""
 
--- a/packages/kernel/wasabiknot_kernel/allowances.py
+++ b/packages/kernel/wasabiknot_kernel/allowances.py
@@ -1,11 +1,14 @@
 """What customers may use, over all entries."""
 
 import collections
+import math
 
 import msgspec
 
 # Part of what a limit tolerates that entries cut off from most others may use.
 TOLERANCE_PART = 0.5
+# Span over which the use of the own group is measured.
+USE_SPAN_S = 0.5
 # Least part of the members that is reckoned with in a return time.
 LEAST_FRACTION = 0.01
 
@@ -28,6 +31,8 @@
     refilled_s: float
     rate: float
     burst: float
+    group_use: float = 0.0
+    used_s: float = 0.0
 
 
 class Allowances:
@@ -47,6 +52,9 @@
         self._customers = {}
         self._heard = 1
         self._members = 1
+        # What the other groups let in before it is heard here, as a multiple of
+        # what the own group lets in within a second.
+        self._unheard = 0.0
         self.used = collections.Counter()
         # What this entry and the members of its group let in, as it heard it.
         self.relayed = collections.Counter()
@@ -89,6 +97,27 @@
         self._heard = heard
         self._members = members
 
+    def set_unheard(self, other_groups, delay_s):
+        """Sets how much use by other groups is not heard yet.
+
+        :param other_groups: number of the other groups.
+        :param delay_s: time until their use is heard.
+        """
+        self._unheard = other_groups * delay_s
+
+    def _note_use(self, bucket, tokens, now_s):
+        # A decaying sum: tokens a second that the own group lets in.
+        passed_s = max(0.0, now_s - bucket.used_s)
+        bucket.group_use *= math.exp(-passed_s / USE_SPAN_S)
+        bucket.group_use += tokens / USE_SPAN_S
+        bucket.used_s = now_s
+
+    def _estimate_unheard(self, bucket, now_s):
+        if not self._unheard:
+            return 0.0
+        self._note_use(bucket, 0.0, now_s)
+        return min(bucket.group_use * self._unheard, bucket.burst)
+
     def find_rate(self, rate, burst):
         """Finds the rate at which this entry, with those it hears, may let in.
 
@@ -128,13 +157,15 @@
         self._refill(bucket, now_s)
         # The last request may run into debt, or one that is larger than what is
         # left would wait while smaller ones take every token that comes in.
-        if bucket.level > 0:
+        unheard = self._estimate_unheard(bucket, now_s)
+        if bucket.level > unheard:
             bucket.level -= tokens
+            self._note_use(bucket, tokens, now_s)
             self.used[name] += tokens
             self.relayed[name] += tokens
             return 0.0
         rate = self.find_rate(bucket.rate, bucket.burst)
-        return (1 - bucket.level) / max(rate, LEAST_FRACTION * bucket.rate)
+        return (1 + unheard - bucket.level) / max(rate, LEAST_FRACTION * bucket.rate)
 
     def describe(self, name):
         """Describes the state of a customer's allowance for the log.
@@ -184,5 +215,7 @@
             self._refill(bucket, now_s)
             added = tokens - before.get(name, 0)
             bucket.level = min(bucket.level - added, bucket.burst)
+            if total is self.relayed:
+                self._note_use(bucket, added, now_s)
             if total is not None:
                 total[name] += added
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -516,6 +516,9 @@
         """
         count = self.roster.count(now_s)
         self.allowances.set_members(count.heard, count.members, now_s)
+        self.allowances.set_unheard(
+            len(self.roster.list_other_groups()), self.roster.sum_delay_s
+        )
         is_majority = 2 * count.heard > count.members
         for dispatcher in self._dispatchers.values():
             dispatcher.share = 1.0 if is_majority else count.heard / count.members
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -198,6 +198,11 @@
         """Digests between two sums."""
         return max(LEAST_SUM_TURNS, len(self._groups) // GROUPS_PER_TURN)
 
+    @property
+    def sum_delay_s(self):
+        """Time until the use by another group is heard here, through two leaders."""
+        return 2 * self.sum_turns * DIGEST_INTERVAL_S
+
     def list_mates(self):
         """Lists the peers of the own group.
 
