Count answers that never end against a version

Ruled out: lost writes (each phase was written at the first try). Change: a send that is ended at its time, or whose caller leaves after 1.5 s without an event, counts as failed for the release; others as nothing.

--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -12,6 +12,7 @@
     events,
     exceptions,
     outcomes,
+    releases,
     routes,
 )
 from wasabiknot_platform import headers as platform_headers
@@ -231,11 +232,11 @@
     def _time_out(self):
         if self.is_ended:
             return
-        self._stop_sending(Outcome.CANCELLED)
+        self._stop_sending(is_timed_out=True)
         kind = Kind.DEADLINE_EXCEEDED if self.ticket.has_run else Kind.QUEUE_FULL
         self._gateway.answer(self, kind, "time is over")
 
-    def _stop_sending(self, outcome):
+    def _stop_sending(self, is_timed_out):
         sending, self._sending = self._sending, None
         placed, self._placed = self._placed, None
         if sending is None:
@@ -245,13 +246,20 @@
         if was_sent:
             self.ticket.has_run = True
         now_s = self._gateway.reactor.seconds()
-        self.dispatcher.finish(self.ticket, placed.server, outcome, now_s)
+        cancelled = Outcome.CANCELLED
+        self.dispatcher.finish(self.ticket, placed.server, cancelled, now_s)
+        if was_sent:
+            held_s = now_s - self._sent_s
+            weighed = releases.weigh_unfinished(self._sent_events, held_s, is_timed_out)
+            self._gateway.note_evidence(
+                self.ticket, placed.server, weighed, held_s, self._sent_events
+            )
 
     def leave(self):
         """Stops everything, as the caller has gone."""
         if self.is_ended:
             return
-        self._stop_sending(Outcome.CANCELLED)
+        self._stop_sending(is_timed_out=False)
         self._end("left")
         self._gateway.pump(self.ticket.service)
 
--- a/packages/kernel/tests/test_releases.py
+++ b/packages/kernel/tests/test_releases.py
@@ -140,6 +140,22 @@
         rollout.play(1_500)
         self.assertTrue(rollout.book.is_condemned("pool"))
 
+    def test_version_whose_answers_never_end_is_found(self):
+        # Its slow answers are cut at their route's time, or their callers leave.
+        def answer(number):
+            if number % 2:
+                return releases.weigh_unfinished(3, 8.0, number % 4 == 1), None
+            return releases.weigh_unfinished(0, 2.0, False), None
+
+        rollout = Rollout(answer)
+        rollout.play(1_500)
+        self.assertTrue(rollout.book.is_condemned("pool"))
+
+    def test_caller_that_leaves_soon_says_nothing(self):
+        rollout = Rollout(lambda _: (releases.weigh_unfinished(0, 0.4, False), None))
+        rollout.play(1_500)
+        self.assertFalse(rollout.book.is_condemned("pool"))
+
     @settings(derandomize=True, max_examples=30, deadline=None)
     @given(strategies.integers(0, 200))
     def test_good_version_is_not_condemned(self, seed):
--- a/packages/kernel/wasabiknot_kernel/releases.py
+++ b/packages/kernel/wasabiknot_kernel/releases.py
@@ -36,6 +36,8 @@
 SLOW_FACTOR = 1.6
 # Whole answers without which a version is not promoted.
 MIN_GOOD = 10
+# Time without an event after which a caller's leaving speaks against a version.
+UNANSWERED_S = 1.5
 # Age up to which a version that no order names is kept back, as its order may be
 # on the way.
 UNKNOWN_S = 2.0
@@ -385,6 +387,21 @@
         return None
 
 
+def weigh_unfinished(events, held_s, is_timed_out):
+    """Weighs a send that was ended here, as its time was over or its caller left.
+
+    A slow version is known by the answers that never end.
+
+    :param events: events that came.
+    :param held_s: time since it was sent.
+    :param is_timed_out: whether its time was over.
+    :return: ``outcomes.Outcome``.
+    """
+    if is_timed_out or (not events and held_s > UNANSWERED_S):
+        return Outcome.SILENT
+    return Outcome.CANCELLED
+
+
 class Condemned(msgspec.Struct, frozen=True):
     """An order whose version was found to be bad.
 
