--- a/packages/entry/tests/test_gossip.py
+++ b/packages/entry/tests/test_gossip.py
@@ -34,7 +34,6 @@
             self.deployment,
             None,
             lambda topic, changed, source: self.taken.append((topic, source)),
-            None,
         )
 
     def receive(self, sender, answer):
--- a/packages/entry/wasabiknot_entry/connections.py
+++ b/packages/entry/wasabiknot_entry/connections.py
@@ -204,7 +204,6 @@
         self._reactor = reactor
         self._timeout_s = connect_timeout_s
         self._idle = {}
-        self.opened = 0
 
     def acquire(self, address, max_idle_s, is_used=True):
         """Finds or opens a connection.
@@ -222,7 +221,6 @@
         endpoint = endpoints.TCP4ClientEndpoint(
             self._reactor, host, int(port), timeout=self._timeout_s
         )
-        self.opened += 1
         factory = protocol.Factory.forProtocol(
             functools.partial(Connection, self, address)
         )
--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -134,9 +134,7 @@
         pool = connections.Pool(reactor, STORE_CONNECT_TIMEOUT_S)
         self._store = followers.Store(reactor, pool, settings.store_address)
         self._health = followers.Health(reactor, self._deployment)
-        self._gossip = gossip.Gossip(
-            reactor, self._deployment, pool, self._take_facts, self._health
-        )
+        self._gossip = gossip.Gossip(reactor, self._deployment, pool, self._take_facts)
         self._metrics = metrics
         self._followers = []
         self._is_stopping = False
--- a/packages/entry/wasabiknot_entry/followers.py
+++ b/packages/entry/wasabiknot_entry/followers.py
@@ -34,7 +34,6 @@
         self._reactor = reactor
         self._pool = pool
         self._address = address
-        self.count = 0
 
     def call(self, call, wait_s=0.0):
         """Makes a call.
@@ -43,7 +42,6 @@
         :param wait_s: time for which the store was told to wait.
         :return: deferred ``calls.Response``.
         """
-        self.count += 1
         request = calls.build_request(
             call.method, call.target, self._address, call.body
         )
@@ -81,20 +79,15 @@
         self._is_reader = is_reader
         self._find_pause_s = find_pause_s
         self._is_listed = False
-        self._is_stopped = False
 
     def start(self):
         """Starts to follow the topic."""
         self._run().addErrback(journal.log_failure, f"follow {self._topic.name}")
 
-    def stop(self):
-        """Stops to follow the topic."""
-        self._is_stopped = True
-
     @defer.inlineCallbacks
     def _run(self):
         retry_s = RETRY_S
-        while not self._is_stopped:
+        while True:
             if self._is_listed and not self._is_reader():
                 yield self._sleep(LOOK_S)
                 continue
--- a/packages/entry/wasabiknot_entry/gossip.py
+++ b/packages/entry/wasabiknot_entry/gossip.py
@@ -65,15 +65,13 @@
     :param deployment: ``deployments.Deployment``.
     :param pool: ``connections.Pool``.
     :param receive: function that takes a topic's changed facts and their source.
-    :param health: ``followers.Health``.
     """
 
-    def __init__(self, reactor, deployment, pool, receive, health):
+    def __init__(self, reactor, deployment, pool, receive):
         self._reactor = reactor
         self._deployment = deployment
         self._pool = pool
         self._receive = receive
-        self._health = health
         self._is_fetching = False
         self._turn = 0
 
