Keep one table of requests; cut cells only when something changed

The cells were compared ten times a second by sets of all backend servers and groups. Ruled out: merging the test routes of three packages, as they state different things; AnswerHead.load and is_closing, which tests assert. Change: one table in the gateway; members and backend servers count their changes. Behaviour as before.

--- a/packages/entry/tests/test_gateways.py
+++ b/packages/entry/tests/test_gateways.py
@@ -28,7 +28,6 @@
 
     def __init__(self, deployment):
         self.deployment = deployment
-        self.owners = {}
 
     def __getattr__(self, name):
         return getattr(self.deployment, name)
--- a/packages/entry/wasabiknot_entry/connections.py
+++ b/packages/entry/wasabiknot_entry/connections.py
@@ -205,18 +205,16 @@
         self._timeout_s = connect_timeout_s
         self._idle = {}
 
-    def acquire(self, address, max_idle_s, is_used=True):
+    def acquire(self, address, max_idle_s):
         """Finds or opens a connection.
 
         :param address: host and port.
         :param max_idle_s: longest time that it may have been idle.
-        :param is_used: whether an open connection may be used.
         :return: deferred ``Connection``; it may be cancelled.
         """
-        if is_used:
-            connection = self._take_idle(address, max_idle_s)
-            if connection is not None:
-                return defer.succeed(connection)
+        connection = self._take_idle(address, max_idle_s)
+        if connection is not None:
+            return defer.succeed(connection)
         host, _, port = address.rpartition(":")
         endpoint = endpoints.TCP4ClientEndpoint(
             self._reactor, host, int(port), timeout=self._timeout_s
--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -80,7 +80,6 @@
 
     def __init__(self, deployment):
         self._deployment = deployment
-        self.owners = {}
         self.find_dispatcher = deployment.find_dispatcher
         self.list_dispatchers = deployment.list_dispatchers
         self.find_budget = deployment.find_budget
--- a/packages/entry/wasabiknot_entry/followers.py
+++ b/packages/entry/wasabiknot_entry/followers.py
@@ -164,11 +164,6 @@
         self._deployment = deployment
         self._lost_s = None
 
-    @property
-    def is_lost(self):
-        """Whether the last call failed."""
-        return self._lost_s is not None
-
     def note_answer(self):
         """Notes that the store answered."""
         now_s = self._reactor.seconds()
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -25,6 +25,8 @@
 DEFAULT_WAIT_MS = 30_000.0
 # Taken off the caller's time, for the way back.
 ANSWER_MARGIN_S = 0.015
+# Least time in which another send can succeed.
+LEAST_SEND_S = 0.02
 TEXT_TYPE = b"text/plain"
 # Idle connections are kept a little longer than callers may rely on.
 IDLE_MARGIN_S = 2.0
@@ -196,7 +198,7 @@
         ticket = self.ticket
         budget = self._gateway.find_budget(ticket.service)
         verdict = outcomes.decide_step(
-            ticket, result.outcome, now_s, self._estimate_least_s(), budget
+            ticket, result.outcome, now_s, LEAST_SEND_S, budget
         )
         journal.write(
             events.Event.SEND_ENDED,
@@ -213,9 +215,6 @@
         else:
             self._gateway.answer(self, verdict.kind, verdict.reason)
 
-    def _estimate_least_s(self):
-        return 0.02
-
     def _deliver(self, result):
         head = result.head
         if self._first_head is not None and result.outcome is not Outcome.WHOLE:
@@ -423,7 +422,7 @@
             write_answer(request, admitted)
             return
         flow = Flow(self, request, admitted, fields, body)
-        self._flows[admitted.request_id, id(flow)] = flow
+        self._flows[id(admitted)] = flow
         gone = request.notifyFinish()
         gone.addErrback(self._note_gone, flow)
         self.find_budget(admitted.service).note_request(self.reactor.seconds())
@@ -498,13 +497,8 @@
         """
         dispatcher = self.find_dispatcher(flow.ticket.service)
         now_s = self.reactor.seconds()
-        self._by_ticket(flow)
         self._carry_out(dispatcher.submit(flow.ticket, now_s))
 
-    def _by_ticket(self, flow):
-        self._flows[flow.ticket.request_id, id(flow)] = flow
-        self._scheduler.owners[id(flow.ticket)] = flow
-
     def pump(self, service):
         """Sends what finds room at a service.
 
@@ -525,7 +519,7 @@
 
     def _carry_out(self, decisions):
         for item in decisions:
-            flow = self._scheduler.owners.get(id(item.ticket))
+            flow = self._flows.get(id(item.ticket))
             if flow is None or flow.is_ended:
                 continue
             if isinstance(item, dispatch.Placed):
@@ -545,7 +539,6 @@
         """
         if flow.is_ended:
             return
-        self.find_dispatcher(flow.ticket.service).withdraw(flow.ticket)
         if flow.ticket.has_run:
             late = kind is Kind.DEADLINE_EXCEEDED
             status, return_s = (504 if late else 502), None
@@ -577,8 +570,7 @@
         """
         ticket = flow.ticket
         self.find_dispatcher(ticket.service).withdraw(ticket)
-        self._flows.pop((ticket.request_id, id(flow)), None)
-        self._scheduler.owners.pop(id(ticket), None)
+        self._flows.pop(id(ticket), None)
         if ticket.charge and not ticket.has_run and not ticket.sends:
             self._scheduler.allowances.give_back(ticket.customer, ticket.charge)
         now_s = self.reactor.seconds()
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -483,22 +483,26 @@
         if not self.roster.is_grouped:
             for dispatcher in self._dispatchers.values():
                 dispatcher.cell = None
+                dispatcher.shared_by = None
             return
+        for dispatcher in self._dispatchers.values():
+            shared_by = (self.roster.arranged, dispatcher.registered)
+            if dispatcher.shared_by != shared_by:
+                dispatcher.shared_by = shared_by
+                dispatcher.cell = self._find_cell(dispatcher)
+
+    def _find_cell(self, dispatcher):
         own = self.roster.group
-        groups = frozenset(
+        groups = [
             cells.Place(group.name, group.domain)
             for group in [own, *self.roster.list_other_groups()]
-        )
-        for dispatcher in self._dispatchers.values():
-            places = frozenset(
-                _find_place(server)
-                for server in dispatcher.servers.values()
-                if not server.is_leaving
-            )
-            shared = (own.name, groups, places)
-            if dispatcher.shared_by != shared:
-                dispatcher.shared_by = shared
-                dispatcher.cell = cells.share_servers(places, groups)[own.name]
+        ]
+        places = [
+            _find_place(server)
+            for server in dispatcher.servers.values()
+            if not server.is_leaving
+        ]
+        return cells.share_servers(places, groups)[own.name]
 
     def _note_mates(self, now_s):
         heard = _list_heard(self.roster.list_mates(), now_s)
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -130,6 +130,8 @@
         self.service = service
         self.is_engine = False
         self.servers = {}
+        # Counts the changes of the backend servers.
+        self.registered = 0
         # Selects by version: a function of request, backend servers and time.
         self.select = None
         self._rng = rng
@@ -168,6 +170,7 @@
 
         :param registration: ``registrations.Registration``.
         """
+        self.registered += 1
         server = self.servers.get(registration.server_id)
         if server is None or server.registration.born_ms != registration.born_ms:
             self.servers[registration.server_id] = servers.Server(
@@ -185,6 +188,7 @@
         server = self.servers.get(server_id)
         if server is None:
             return
+        self.registered += 1
         server.is_gone = True
         if not server.sends:
             del self.servers[server_id]
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -154,6 +154,8 @@
         self._name = member.name
         self._peers = {}
         self._groups = {}
+        # Counts the changes of the groups.
+        self.arranged = 0
         self.sums = {}
         self.group = Group("all", (member.name,))
 
@@ -182,6 +184,7 @@
             self._arrange()
 
     def _arrange(self):
+        self.arranged += 1
         records = [self._own, *(peer.member for peer in self)]
         self._groups = {item.name: item for item in _cut_groups(records)}
         for group in self._groups.values():
