Compare the backend servers of two versions one by one

Its mean pace, 2.2 times that of each old server of its class, lay below that of the slowest old server (2.9), which the judgement excuses. Change: with three backend servers on each side, the fastest and the middle one of the new side must both be no more than 1.6 times slower than those of the old side; a part of slow answers shows as spread; answers during warm-up are no evidence of speed. The log line of a written phase names the paces it rests on.

--- a/packages/entry/wasabiknot_entry/duties.py
+++ b/packages/entry/wasabiknot_entry/duties.py
@@ -90,6 +90,7 @@
                 target=due.target,
                 phase=due.phase.value,
                 result=result,
+                paces=self._deployment.releases.describe_evidence(due.service),
             )
         except (calls.CallError, followers.StoreError, msgspec.MsgspecError) as error:
             journal.write(events.Event.STORE_LOST, call="release", error=str(error))
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -185,7 +185,7 @@
         dispatcher.finish(ticket, placed.server, result.outcome, now_s)
         held_s = now_s - self._sent_s
         gateway.note_evidence(
-            ticket, placed.server, result.outcome, held_s, self.events
+            ticket, placed.server, result.outcome, held_s, self.events, now_s
         )
         gateway.note_send(ticket, placed.server, result, now_s)
         if result.outcome in (Outcome.WHOLE, Outcome.CANCELLED):
@@ -251,7 +251,12 @@
             held_s = now_s - self._sent_s
             weighed = releases.weigh_unfinished(self._sent_events, held_s, is_timed_out)
             self._gateway.note_evidence(
-                self.ticket, placed.server, weighed, held_s, self._sent_events
+                self.ticket,
+                placed.server,
+                weighed,
+                held_s,
+                self._sent_events,
+                now_s,
             )
 
     def leave(self):
--- a/packages/kernel/tests/test_releases.py
+++ b/packages/kernel/tests/test_releases.py
@@ -140,6 +140,46 @@
         rollout.play(1_500)
         self.assertTrue(rollout.book.is_condemned("pool"))
 
+    @settings(derandomize=True, max_examples=30, deadline=None)
+    @given(strategies.floats(0.25, 0.75), strategies.integers(0, 200))
+    def test_version_of_which_a_part_is_slow_is_found(self, share, seed):
+        # Its mean pace is within that of the slowest backend server beside it.
+        rng = random.Random(seed)
+
+        def answer(number):
+            factor = 8.0 if rng.random() < share else 1.0
+            return Outcome.WHOLE, rng.uniform(0.4, 0.7) * factor
+
+        rollout = Rollout(answer, seed=seed)
+        rollout.play(1_500)
+        self.assertTrue(rollout.book.is_condemned("pool"))
+
+    def test_version_that_is_slow_on_fast_servers_is_found(self):
+        # Paces of the users' day lost-writes-release, seed 303357945499: four of
+        # six backend servers are three times as fast as the other two.
+        book = build_releases()
+        found = build_servers(6)
+        rng = random.Random(1)
+        usual = {"v1": (0.9, 0.9, 0.9, 0.9, 2.5, 2.9), "v2": (2, 2, 2, 2.4, 3.8, 7)}
+        for number in range(120):
+            server = found[number % 12]
+            paces = usual[server.registration.version]
+            pace = paces[number % 6] * rng.uniform(0.7, 1.4)
+            ticket = builders.build_ticket(f"q{number}")
+            book.note(ticket, server, Outcome.WHOLE, pace)
+        self.assertTrue(book.judge("pool").is_bad)
+
+    def test_version_on_servers_of_other_speeds_is_not_condemned(self):
+        book = build_releases()
+        found = build_servers(3)
+        usual = {"v1": (0.9, 0.9, 2.6), "v2": (0.9, 2.6, 2.6)}
+        for number in range(120):
+            server = found[number % 6]
+            pace = usual[server.registration.version][number % 3]
+            ticket = builders.build_ticket(f"q{number}")
+            book.note(ticket, server, Outcome.WHOLE, pace)
+        self.assertFalse(book.judge("pool").is_bad)
+
     def test_version_whose_answers_never_end_is_found(self):
         # Its slow answers are cut at their route's time, or their callers leave.
         def answer(number):
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -182,6 +182,9 @@
         if known and known.registration.born_ms != registration.born_ms:
             self._confirm_crash(server_id, now_s)
         dispatcher.register(registration)
+        server = dispatcher.servers[server_id]
+        if server is not known:
+            server.warm_until_s = now_s + registration.warmup_ms / 1_000
         self.releases.note_version(registration.service, registration.version, now_s)
 
     def take_removal(self, server_id, now_s):
@@ -252,7 +255,7 @@
 
     # Releases
 
-    def note_evidence(self, ticket, server, outcome, held_s, events):
+    def note_evidence(self, ticket, server, outcome, held_s, events, now_s):
         """Notes the end of a send as evidence on a release.
 
         :param ticket: ``arrivals.Ticket``.
@@ -260,11 +263,14 @@
         :param outcome: ``outcomes.Outcome``.
         :param held_s: time since it was sent.
         :param events: events that came.
+        :param now_s: present time.
         """
         if self.crashes.count(ticket.fingerprint):
             return
         pace = None
-        if outcome is outcomes.Outcome.WHOLE:
+        # What it answers while it warms up says nothing of its version's speed.
+        is_warm = now_s - held_s >= server.warm_until_s
+        if outcome is outcomes.Outcome.WHOLE and is_warm:
             pace = held_s * 1_000 / paces.predict_whole_ms(ticket.prompt_tokens, events)
         self.releases.note(ticket, server, outcome, pace)
 
--- a/packages/kernel/wasabiknot_kernel/releases.py
+++ b/packages/kernel/wasabiknot_kernel/releases.py
@@ -9,6 +9,7 @@
 
 import enum
 import math
+import statistics
 
 import msgspec
 
@@ -34,6 +35,15 @@
 # the backend servers beside it.
 MIN_PACES = 5
 SLOW_FACTOR = 1.6
+# Backend servers on each side from which on the sides are compared one by one.
+MIN_SERVERS = 3
+# Evidence that a part of a version's answers is slow: answers, and the factor
+# between the spread of their paces and that of the backend servers beside it.
+MIN_SPREAD_PACES = 20
+SPREAD_FACTOR = 1.6
+# Least spread, as standard deviation of the logarithm of paces, that is taken
+# to be usual.
+USUAL_SPREAD = 0.45
 # Whole answers without which a version is not promoted.
 MIN_GOOD = 10
 # Time without an event after which a caller's leaving speaks against a version.
@@ -78,12 +88,33 @@
     :param bad: answers that failed or did not come.
     :param paces: answers whose pace is known.
     :param log_sum: sum of the logarithms of their paces.
+    :param square_sum: sum of the squares of these logarithms.
     """
 
     good: int = 0
     bad: int = 0
     paces: int = 0
     log_sum: float = 0.0
+    square_sum: float = 0.0
+
+    def add_pace(self, pace):
+        """Adds the pace of an answer.
+
+        :param pace: its duration over the usual one.
+        """
+        logarithm = math.log(pace)
+        self.paces += 1
+        self.log_sum += logarithm
+        self.square_sum += logarithm * logarithm
+
+    def measure_scatter(self):
+        """Measures how far paces lie from their mean.
+
+        :return: sum of the squares of their distances, as logarithms.
+        """
+        if not self.paces:
+            return 0.0
+        return max(0.0, self.square_sum - self.log_sum**2 / self.paces)
 
     def add(self, other):
         """Adds another tally.
@@ -94,6 +125,7 @@
         self.bad += other.bad
         self.paces += other.paces
         self.log_sum += other.log_sum
+        self.square_sum += other.square_sum
 
 
 class Judgement(msgspec.Struct, frozen=True):
@@ -269,8 +301,7 @@
             else:
                 tally.bad += 1
             if is_good and pace:
-                tally.paces += 1
-                tally.log_sum += math.log(pace)
+                tally.add_pace(pace)
 
     def list_evidence(self):
         """Lists the evidence of this entry on open orders.
@@ -318,9 +349,29 @@
         new = _select(total, f"{prefix}new/")
         old = _select(total, f"{prefix}old/")
         good = sum(tally.good for key, tally in new.items() if key.startswith("r/"))
-        reason = _find_failing(new, old) or _find_slow(new, old)
+        reason = _find_failing(new, old) or _find_slow(new, old) or _find_torn(new, old)
         return Judgement(bool(reason), good, reason)
 
+    def describe_evidence(self, service):
+        """Describes the paces of both sides, for the log.
+
+        :param service: the service.
+        :return: text.
+        """
+        prefix = f"{service}/{self._orders[service].order.offset}/"
+        total = self.sum_evidence(self._peers)
+        sides = []
+        for side in ("new", "old"):
+            tallies = _select(total, f"{prefix}{side}/s/").values()
+            rows = sorted(
+                (_measure_spread([item]), item.paces, item.log_sum / item.paces)
+                for item in tallies
+                if item.paces
+            )
+            texts = [f"{math.exp(row[2]):.2f}~{row[0]:.2f}x{row[1]}" for row in rows]
+            sides.append(f"{side} {' '.join(texts)}")
+        return "; ".join(sides)
+
     def is_condemned(self, service):
         """Whether the version of a service's newest order was found to be bad.
 
@@ -444,18 +495,66 @@
 
 
 def _find_slow(new, old):
-    slowest = [
-        item.log_sum / item.paces
-        for key, item in old.items()
-        if key.startswith("s/") and item.paces >= MIN_PACES
-    ]
+    slowest = _list_means(old)
     if not slowest:
         return ""
     paces = sum(item.paces for key, item in new.items() if key.startswith("r/"))
     if paces < MIN_PACES:
         return ""
     total = sum(item.log_sum for key, item in new.items() if key.startswith("r/"))
-    excess = total / paces - max(slowest)
+    excess = total / paces - slowest[-1]
     if excess > math.log(SLOW_FACTOR):
         return f"{math.exp(excess):.1f} times slower than the slowest beside it"
+    return _compare_sides(_list_means(new), slowest)
+
+
+def _compare_sides(new, old):
+    if min(len(new), len(old)) < MIN_SERVERS:
+        return ""
+    # Backend servers differ in speed, but not those of one version from those of
+    # another, from the fastest to the middle one.
+    fastest = new[0] - old[0]
+    middle = statistics.median(new) - statistics.median(old)
+    if min(fastest, middle) > math.log(SLOW_FACTOR):
+        return f"{math.exp(middle):.1f} times slower than the middle one beside it"
     return ""
+
+
+def _list_means(tallies):
+    return sorted(
+        item.log_sum / item.paces
+        for key, item in tallies.items()
+        if key.startswith("s/") and item.paces >= MIN_PACES
+    )
+
+
+def _find_torn(new, old):
+    spreads = [
+        _measure_spread([item])
+        for key, item in old.items()
+        if key.startswith("s/") and item.paces >= MIN_SPREAD_PACES
+    ]
+    if not spreads:
+        return ""
+    mine = [item for key, item in new.items() if key.startswith("s/") and item.paces]
+    paces = sum(item.paces for item in mine)
+    if paces < MIN_SPREAD_PACES:
+        return ""
+    usual = max(USUAL_SPREAD, *spreads)
+    spread = _measure_spread(mine)
+    slow_end = sum(item.log_sum for item in mine) / paces + spread
+    # A version that is faster on the whole may differ as it likes.
+    is_slower = slow_end > _find_mean(old)
+    if is_slower and spread > SPREAD_FACTOR * usual:
+        return f"paces spread {spread:.2f} against {usual:.2f} beside it"
+    return ""
+
+
+def _find_mean(tallies):
+    rows = [item for key, item in tallies.items() if key.startswith("r/")]
+    return sum(item.log_sum for item in rows) / max(1, sum(item.paces for item in rows))
+
+
+def _measure_spread(tallies):
+    free = sum(item.paces - 1 for item in tallies)
+    return math.sqrt(sum(map(Tally.measure_scatter, tallies)) / max(1, free))
--- a/packages/kernel/wasabiknot_kernel/servers.py
+++ b/packages/kernel/wasabiknot_kernel/servers.py
@@ -61,6 +61,8 @@
         self.sends = {}
         self.peers = {}
         self.is_gone = False
+        # Time until which it is slow after its start.
+        self.warm_until_s = 0.0
         self.failure_rate = 0.0
         self.failures_in_turn = 0
         self.avoid_until_s = 0.0
