--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -1,10 +1,9 @@
 """The task that takes callers' requests and brings them to their final answer."""
 
-import msgspec
 import xxhash
 from twisted.web import http
 
-from wasabiknot_entry import connections, journal, sendings
+from wasabiknot_entry import answers, connections, flows, journal
 from wasabiknot_kernel import (
     arrivals,
     crashes,
@@ -12,314 +11,27 @@
     events,
     exceptions,
     outcomes,
-    releases,
     routes,
 )
 from wasabiknot_platform import headers as platform_headers
 
 Kind = exceptions.ErrorKind
 Outcome = outcomes.Outcome
-Step = outcomes.Step
 
 # Time allowed to a request whose caller states none.
 DEFAULT_WAIT_MS = 30_000.0
 # Taken off the caller's time, for the way back.
 ANSWER_MARGIN_S = 0.015
-# Least time in which another send can succeed.
-LEAST_SEND_S = 0.02
-TEXT_TYPE = b"text/plain"
 # Time between looks at requests that wait.
 TICK_S = 0.025
 # Idle connections are kept a little longer than callers may rely on.
 IDLE_MARGIN_S = 2.0
 
 
-class Answer(msgspec.Struct, frozen=True):
-    """A final answer of the system's own.
-
-    :param kind: kind of error.
-    :param status: HTTP status code.
-    :param return_s: seconds until a return is likely to succeed, or ``None``.
-    :param reason: short text for the log.
-    """
-
-    kind: Kind
-    status: int
-    return_s: float | None
-    reason: str
-
-
-STATUSES = {
-    Kind.UNKNOWN_CALL: http.NOT_FOUND,
-    Kind.KEY_UNKNOWN: http.UNAUTHORIZED,
-    Kind.OVER_ALLOWANCE: 429,
-    Kind.BAD_REQUEST: http.BAD_REQUEST,
-    Kind.BODY_TOO_LARGE: 413,
-}
-
-
-class Flow:
-    """One request on its way, up to its final answer.
-
-    :param gateway: owning ``Gateway``.
-    :param request: the caller's request.
-    :param ticket: ``arrivals.Ticket``.
-    :param fields: headers of the request, as pairs.
-    :param body: its body.
-    """
-
-    def __init__(self, gateway, request, ticket, fields, body):
-        self._gateway = gateway
-        self._request = request
-        self.ticket = ticket
-        self._fields = fields
-        self._body = body
-        self._placed = None
-        self._sending = None
-        self._first_head = None
-        self._sent_s = 0.0
-        self._sent_events = 0
-        self.first_s = None
-        self.last_event = ticket.arrival.last_event
-        self.events = 0
-        self.is_ended = False
-        delay_s = max(0.0, ticket.deadline_s - gateway.reactor.seconds())
-        self._timer = gateway.reactor.callLater(delay_s, self._time_out)
-
-    @property
-    def dispatcher(self):
-        """The dispatcher of its service."""
-        return self._gateway.find_dispatcher(self.ticket.service)
-
-    # Sending
-
-    def send(self, placed):
-        """Sends the request to a backend server.
-
-        :param placed: ``dispatch.Placed``.
-        """
-        self._placed = placed
-        self._sent_s = self._gateway.reactor.seconds()
-        self._sent_events = 0
-        ticket = self.ticket
-        ticket.sends += 1
-        left_ms = (ticket.deadline_s - self._gateway.reactor.seconds()) * 1_000
-        is_resumed = self.last_event > ticket.arrival.last_event
-        fields = platform_headers.build_request_headers(
-            self._fields,
-            len(self._body),
-            ticket,
-            placed.server.server_id,
-            left_ms,
-            self.last_event if is_resumed else 0,
-        )
-        if not self._body and self._request.method in (b"POST", b"PUT", b"PATCH"):
-            fields.append((b"content-length", b"0"))
-        request = connections.Request(
-            self._request.method, self._request.uri, tuple(fields), self._body
-        )
-        journal.write(
-            events.Event.DISPATCHED,
-            request=ticket.request_id,
-            server=placed.server.server_id,
-            send=ticket.sends,
-            customer=ticket.customer,
-            charge=ticket.charge,
-            version=ticket.version,
-            running=placed.server.count_running(),
-            waited_ms=round(placed.waited_s * 1_000),
-            score_ms=round(placed.score_ms),
-        )
-        self._sending = sendings.Sending(
-            self._gateway.reactor, self._gateway.pool, placed, request, self
-        )
-
-    def take_event(self, event, head):
-        """Relays an event of a stream.
-
-        :param event: ``eventstreams.Event``.
-        :param head: head of the answer that it belongs to.
-        :return: whether it fits behind the events before it.
-        """
-        if self.is_ended:
-            return True
-        now_s = self._gateway.reactor.seconds()
-        server = self._placed.server
-        self._sent_events += 1
-        self.dispatcher.note_first(self.ticket, server, now_s)
-        self.dispatcher.note_progress(self.ticket, server, self._sent_events, now_s)
-        if event.number is not None:
-            if event.number <= self.last_event:
-                return True
-            if self.events and event.number != self.last_event + 1:
-                return False
-            self.last_event = event.number
-        self._begin(head)
-        self.events += 1
-        self._request.write(event.data)
-        return True
-
-    def _begin(self, head):
-        if self._first_head is not None:
-            return
-        self._first_head = head
-        self.first_s = self._gateway.reactor.seconds()
-        self._request.setResponseCode(head.status)
-        for name, value in head.headers:
-            self._request.responseHeaders.addRawHeader(name, value)
-        self._gateway.note_first(self)
-
-    def take_result(self, result):
-        """Takes the end of a send.
-
-        :param result: ``sendings.Result``.
-        """
-        placed, self._placed = self._placed, None
-        self._sending = None
-        gateway = self._gateway
-        now_s = gateway.reactor.seconds()
-        ticket = self.ticket
-        if result.outcome not in outcomes.NOT_RUN:
-            ticket.has_run = True
-        if result.outcome is Outcome.UNREACHED:
-            ticket.sends -= 1
-        dispatcher = self.dispatcher
-        dispatcher.finish(ticket, placed.server, result.outcome, now_s)
-        held_s = now_s - self._sent_s
-        gateway.note_evidence(
-            ticket, placed.server, result.outcome, held_s, self.events, now_s
-        )
-        if result.head is not None and result.head.load is not None:
-            load = result.head.load
-            placed.server.reported = load.running + load.waiting
-        gateway.note_send(ticket, placed.server, result, now_s)
-        if result.outcome in (Outcome.WHOLE, Outcome.CANCELLED):
-            self._deliver(result)
-        else:
-            self._go_on(result, now_s)
-        gateway.pump(ticket.service)
-
-    def _go_on(self, result, now_s):
-        ticket = self.ticket
-        budget = self._gateway.find_budget(ticket.service)
-        verdict = outcomes.decide_step(
-            ticket, result.outcome, now_s, LEAST_SEND_S, budget
-        )
-        journal.write(
-            events.Event.SEND_ENDED,
-            request=ticket.request_id,
-            outcome=result.outcome.value,
-            detail=result.detail,
-            step=verdict.step.value,
-            reason=verdict.reason,
-        )
-        if verdict.step is Step.RESEND:
-            self._gateway.submit(self)
-        elif verdict.step is Step.PASS_ON:
-            self._deliver(result)
-        else:
-            self._gateway.answer(self, verdict.kind, verdict.reason)
-
-    def _deliver(self, result):
-        head = result.head
-        if self._first_head is not None and result.outcome is not Outcome.WHOLE:
-            self.break_off(result.detail)
-            return
-        self._begin(head)
-        if result.body:
-            self._request.write(result.body)
-        self._end("whole" if result.outcome is Outcome.WHOLE else "failed")
-        self._request.finish()
-
-    # Ends
-
-    def _time_out(self):
-        if self.is_ended:
-            return
-        self._stop_sending(is_timed_out=True)
-        kind = Kind.DEADLINE_EXCEEDED if self.ticket.has_run else Kind.QUEUE_FULL
-        self._gateway.answer(self, kind, "time is over")
-
-    def _stop_sending(self, is_timed_out):
-        sending, self._sending = self._sending, None
-        placed, self._placed = self._placed, None
-        if sending is None:
-            return
-        was_sent = sending.phase is not sendings.Phase.CONNECTING
-        sending.cancel()
-        if was_sent:
-            self.ticket.has_run = True
-        now_s = self._gateway.reactor.seconds()
-        cancelled = Outcome.CANCELLED
-        self.dispatcher.finish(self.ticket, placed.server, cancelled, now_s)
-        if was_sent:
-            held_s = now_s - self._sent_s
-            weighed = releases.weigh_unfinished(self._sent_events, held_s, is_timed_out)
-            self._gateway.note_evidence(
-                self.ticket,
-                placed.server,
-                weighed,
-                held_s,
-                self._sent_events,
-                now_s,
-            )
-
-    def leave(self):
-        """Stops everything, as the caller has gone."""
-        if self.is_ended:
-            return
-        self._stop_sending(is_timed_out=False)
-        self._end("left")
-        self._gateway.pump(self.ticket.service)
-
-    def refuse(self, answer):
-        """Gives the final answer of the system's own.
-
-        :param answer: ``Answer``.
-        """
-        if self._first_head is not None:
-            self.break_off(answer.reason)
-            return
-        self._end(answer.kind.value)
-        write_answer(self._request, answer)
-
-    def break_off(self, reason):
-        """Ends an answer that has begun so that it cannot look complete.
-
-        :param reason: short text for the log.
-        """
-        self._end(f"broken off: {reason}")
-        channel = self._request.channel
-        if channel is not None:
-            channel.loseConnection()
-
-    def _end(self, ended):
-        self.is_ended = True
-        if self._timer.active():
-            self._timer.cancel()
-        self._gateway.close(self, ended)
-
-
 def _measure_ms(start_s, end_s):
     return None if end_s is None else round((end_s - start_s) * 1_000)
 
 
-def write_answer(request, answer):
-    """Writes an answer of the system's own.
-
-    :param request: the caller's request.
-    :param answer: ``Answer``.
-    """
-    request.setResponseCode(answer.status)
-    body = f"{answer.kind.value}\n".encode()
-    request.setHeader(b"content-type", TEXT_TYPE)
-    request.setHeader(b"content-length", str(len(body)).encode())
-    if answer.return_s is not None:
-        request.setHeader(b"retry-after", f"{answer.return_s:.2f}".encode())
-    request.write(body)
-    request.finish()
-
-
 class CallerRequest(http.Request):
     """A caller's request, read whole before it is decided on."""
 
@@ -428,11 +140,11 @@
         )
         body = request.content.read()
         admitted = self._admit(arrival, request, body)
-        if isinstance(admitted, Answer):
+        if isinstance(admitted, answers.Answer):
             self._note_answer(arrival.request_id, admitted, None)
-            write_answer(request, admitted)
+            answers.write_answer(request, admitted)
             return
-        flow = Flow(self, request, admitted, fields, body)
+        flow = flows.Flow(self, request, admitted, fields, body)
         self._flows[id(admitted)] = flow
         gone = request.notifyFinish()
         gone.addErrback(self._note_gone, flow)
@@ -446,25 +158,27 @@
         scheduler = self._scheduler
         now_s = self.reactor.seconds()
         if not scheduler.is_ready:
-            return Answer(Kind.NOT_READY, 503, 0.5, "no configuration yet")
+            return answers.Answer(Kind.NOT_READY, 503, 0.5, "no configuration yet")
         if self._refuse_from_s is not None and now_s >= self._refuse_from_s:
-            return Answer(Kind.STOPPING, 503, 0.2, "shutting down")
+            return answers.Answer(Kind.STOPPING, 503, 0.2, "shutting down")
         table = scheduler.table
         route = table.find_route(arrival.host, arrival.path)
         if route is None:
-            return Answer(Kind.UNKNOWN_CALL, 404, None, "no route")
+            return answers.Answer(Kind.UNKNOWN_CALL, 404, None, "no route")
         customer = None
         if table.has_customers and not route.is_public:
             customer = table.find_customer(arrival.key)
             if customer is None:
-                return Answer(Kind.KEY_UNKNOWN, 401, None, "unknown key")
+                return answers.Answer(Kind.KEY_UNKNOWN, 401, None, "unknown key")
         if not arrival.request_id:
-            return Answer(Kind.BAD_REQUEST, 400, None, "no request id")
+            return answers.Answer(Kind.BAD_REQUEST, 400, None, "no request id")
         if len(body) > self.limits.body_bytes:
-            return Answer(Kind.BODY_TOO_LARGE, 413, None, "body too large")
+            return answers.Answer(Kind.BODY_TOO_LARGE, 413, None, "body too large")
         ticket = self._create_ticket(arrival, route, customer, request, body, now_s)
         if scheduler.crashes.is_refused(ticket.fingerprint, now_s):
-            return Answer(Kind.QUARANTINED, 503, 10.0, "crashes backend servers")
+            return answers.Answer(
+                Kind.QUARANTINED, 503, 10.0, "crashes backend servers"
+            )
         return self._charge(ticket, customer, now_s)
 
     def _create_ticket(self, arrival, route, customer, request, body, now_s):
@@ -495,7 +209,7 @@
             return_s = max(0.1, wait_s) * self._rng.uniform(1.0, 1.3)
             state = self._scheduler.allowances.describe(customer.name)
             reason = f"{customer.name} needs {cost} tokens, {state}"
-            return Answer(Kind.OVER_ALLOWANCE, 429, return_s, reason)
+            return answers.Answer(Kind.OVER_ALLOWANCE, 429, return_s, reason)
         ticket.charge = cost
         return ticket
 
@@ -504,7 +218,7 @@
     def submit(self, flow):
         """Gives a request to the dispatcher of its service.
 
-        :param flow: ``Flow``.
+        :param flow: ``flows.Flow``.
         """
         dispatcher = self.find_dispatcher(flow.ticket.service)
         now_s = self.reactor.seconds()
@@ -553,7 +267,7 @@
     def answer(self, flow, kind, reason, return_s=None):
         """Gives a request its final answer.
 
-        :param flow: ``Flow``.
+        :param flow: ``flows.Flow``.
         :param kind: kind of error.
         :param reason: short text for the log.
         :param return_s: seconds until a return is likely to succeed.
@@ -564,9 +278,9 @@
             late = kind is Kind.DEADLINE_EXCEEDED
             status, return_s = (504 if late else 502), None
         else:
-            status = STATUSES.get(kind, 503)
+            status = answers.STATUSES.get(kind, 503)
             return_s = return_s or self._rng.uniform(0.3, 0.8)
-        answer = Answer(kind, status, return_s, reason)
+        answer = answers.Answer(kind, status, return_s, reason)
         self._note_answer(flow.ticket.request_id, answer, flow.ticket)
         flow.refuse(answer)
 
@@ -586,7 +300,7 @@
     def close(self, flow, ended):
         """Forgets a request that has its final answer.
 
-        :param flow: ``Flow``.
+        :param flow: ``flows.Flow``.
         :param ended: how it ended.
         """
         ticket = flow.ticket
@@ -610,7 +324,7 @@
     def note_first(self, flow):
         """Notes the first event or the head of an answer.
 
-        :param flow: ``Flow``.
+        :param flow: ``flows.Flow``.
         """
         ticket = flow.ticket
         self._metrics.observe_first(ticket, self.reactor.seconds() - ticket.arrived_s)
--- a/packages/entry/wasabiknot_entry/gauges.py
+++ b/packages/entry/wasabiknot_entry/gauges.py
@@ -48,7 +48,7 @@
     def count_refused(self, answer):
         """Counts an answer of the system's own.
 
-        :param answer: ``gateways.Answer``.
+        :param answer: ``answers.Answer``.
         """
         self._refused.labels(answer.kind.value, answer.status).inc()
 
