--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -11,7 +11,6 @@
 import msgspec
 from returns import pipeline
 from twisted.internet import error, reactor, task
-from twisted.web import resource, server
 
 from wasabiknot_entry import (
     addresses,
@@ -23,6 +22,7 @@
     gauges,
     gossip,
     journal,
+    pages,
 )
 from wasabiknot_kernel import allowances, deployments, events, members, releases, routes
 from wasabiknot_platform import configurations, servers as platform_servers, stores
@@ -31,6 +31,7 @@
 EXIT_BAD_SETTINGS = 2
 EXIT_NOT_LISTENING = 3
 BACKLOG = 512
+NOT_READY = 503
 CONNECT_TIMEOUT_S = 0.4
 STORE_CONNECT_TIMEOUT_S = 0.6
 # Time between looks for connections that have been idle for too long.
@@ -52,25 +53,6 @@
 LAST_BYTES_S = 0.05
 
 
-class ReadyResource(resource.Resource):
-    """Says whether this entry takes new connections.
-
-    :param entry: ``Entry``.
-    """
-
-    isLeaf = True
-
-    def __init__(self, entry):
-        super().__init__()
-        self._entry = entry
-
-    def render_GET(self, request):  # noqa: N802
-        """Returns 200 or 503."""
-        if not self._entry.is_ready:
-            request.setResponseCode(503)
-        return b""
-
-
 class Schedule:
     """What the gateway sees of the deployment.
 
@@ -146,6 +128,11 @@
         """Whether this entry takes new connections."""
         return self._deployment.is_ready and not self._is_stopping
 
+    def _answer_ready(self, request):
+        if not self.is_ready:
+            request.setResponseCode(NOT_READY)
+        return b""
+
     def start(self):
         """Opens the sockets and starts the tasks, or ends the program."""
         try:
@@ -159,13 +146,12 @@
     def _start(self):
         settings = self._settings
         self._listen(settings.caller_address, self._gateway.create_factory())
-        ready = server.Site(ReadyResource(self))
-        ready.log = lambda request: None
+        ready = pages.create_factory(lambda path: self._answer_ready)
         self._listen(settings.ready_address, ready)
         port = settings.ports[0]
         self._listen(
             f"{settings.host}:{port}",
-            gossip.create_site(self._deployment, self._metrics),
+            gossip.create_factory(self._deployment, self._metrics.render),
         )
         reactor.listenUDP(port, self._gossip, interface=settings.host)
         self._follow(stores.OPERATOR_TOPIC, CONFIGURATION_WAIT_MS, lambda: 0.0)
--- a/packages/entry/wasabiknot_entry/gauges.py
+++ b/packages/entry/wasabiknot_entry/gauges.py
@@ -2,20 +2,16 @@
 
 import prometheus_client
 from prometheus_client import exposition
-from twisted.web import resource
 
 # Bounds of latency histograms in seconds, from plain lookups to long streams.
 BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
 MAX_CUSTOMERS = 64
 
 
-class Gauges(resource.Resource):
-    """What is counted, and the resource that serves it."""
-
-    isLeaf = True
+class Gauges:
+    """What is counted."""
 
     def __init__(self):
-        super().__init__()
         self._registry = prometheus_client.CollectorRegistry()
         self._customers = set()
         self._refused = prometheus_client.Counter(
@@ -83,7 +79,11 @@
                 self._customers.add(customer)
         self._first.labels(customer, str(ticket.rank)).observe(first_s)
 
-    def render_GET(self, request):  # noqa: N802
-        """Returns all counters and histograms."""
+    def render(self, request):
+        """Renders all counters and histograms.
+
+        :param request: Twisted web request.
+        :return: bytes of the text.
+        """
         request.setHeader(b"content-type", exposition.CONTENT_TYPE_LATEST.encode())
         return prometheus_client.generate_latest(self._registry)
--- a/packages/entry/wasabiknot_entry/gossip.py
+++ b/packages/entry/wasabiknot_entry/gossip.py
@@ -4,12 +4,12 @@
 
 import msgspec
 from twisted.internet import defer, protocol
-from twisted.web import resource, server
 
-from wasabiknot_entry import calls, journal
+from wasabiknot_entry import calls, journal, pages
 from wasabiknot_kernel import events, facts, members
 
 STATE_PATH = "/facts"
+METRICS_PATH = b"/metrics"
 # Own reads up to this age find changes soon enough by themselves.
 OWN_READ_S = 0.6
 FETCH_TIMEOUT_S = 1.2
@@ -19,45 +19,31 @@
 QUIET_TURNS = 3
 
 
-class FactsResource(resource.Resource):
-    """Serves the facts of this entry to its peers.
+def create_factory(deployment, metrics):
+    """Creates the server side for peers and operators.
 
     :param deployment: ``deployments.Deployment``.
+    :param metrics: page of the counters.
+    :return: a Twisted protocol factory.
     """
 
-    isLeaf = True
+    def copy_facts(request):
+        return _copy_facts(deployment, request)
 
-    def __init__(self, deployment):
-        super().__init__()
-        self._deployment = deployment
+    found = {STATE_PATH.encode(): copy_facts, METRICS_PATH: metrics}
+    return pages.create_factory(found.get)
 
-    def render_GET(self, request):  # noqa: N802
-        """Returns the facts since the positions that are asked for."""
-        copied = []
-        for name, topic in self._deployment.topics.items():
-            asked = request.args.get(name.encode(), [b"0"])[0]
-            since = int(asked) if asked.isdigit() else 0
-            if topic.is_known:
-                copied.append(topic.copy_since(since))
-        request.setHeader(b"content-type", COPY_TYPE)
-        # Large configurations go to all mates at once, over narrow links.
-        return zlib.compress(msgspec.json.encode(copied), FASTEST)
 
-
-def create_site(deployment, metrics):
-    """Creates the server side for peers and operators.
-
-    :param deployment: ``deployments.Deployment``.
-    :param metrics: resource that serves metrics.
-    :return: a Twisted protocol factory.
-    """
-    root = resource.Resource()
-    root.putChild(STATE_PATH[1:].encode(), FactsResource(deployment))
-    root.putChild(b"metrics", metrics)
-    site = server.Site(root)
-    site.noisy = False
-    site.log = lambda request: None
-    return site
+def _copy_facts(deployment, request):
+    copied = []
+    for name, topic in deployment.topics.items():
+        asked = request.args.get(name.encode(), [b"0"])[0]
+        since = int(asked) if asked.isdigit() else 0
+        if topic.is_known:
+            copied.append(topic.copy_since(since))
+    request.setHeader(b"content-type", COPY_TYPE)
+    # Large configurations go to all mates at once, over narrow links.
+    return zlib.compress(msgspec.json.encode(copied), FASTEST)
 
 
 class Gossip(protocol.DatagramProtocol):
