Keep one registry of plug-ins, one check of names, one search for ports

Change: plugins.Registry, documents.check_choice, processes.find_ports serve both sides. Behaviour and assertions stay.

--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -122,10 +122,8 @@
         )
         self._gossip = gossip.Gossip(reactor, self._deployment, pool, self._take_facts)
         self._metrics = metrics
-        self._followers = []
         self._is_stopping = False
         self.exit_code = 0
-        self._loops = []
 
     @property
     def is_ready(self):
@@ -183,7 +181,6 @@
         loop = task.LoopingCall(function)
         loop.clock = reactor
         loop.start(interval_s, now=False).addErrback(journal.log_failure, name)
-        self._loops.append(loop)
 
     def _follow(self, topic, wait_ms, find_pause_s):
         follower = followers.Follower(
@@ -196,7 +193,6 @@
             self._turn,
             find_pause_s,
         )
-        self._followers.append(follower)
         follower.start()
 
     def _find_poll_s(self):
--- a/packages/entry/wasabiknot_entry/edge_settings.py
+++ b/packages/entry/wasabiknot_entry/edge_settings.py
@@ -83,8 +83,4 @@
 
 
 def _check_placement(document):
-    names = choosers.list_names()
-    if document.value.placement not in names:
-        expected = f"expected one of: {', '.join(names)}"
-        return documents.fail([document.fault("placement", expected)])
-    return documents.succeed(document.value)
+    return documents.check_choice(document, "placement", choosers.list_names())
--- a/packages/entry/wasabiknot_entry/settings.py
+++ b/packages/entry/wasabiknot_entry/settings.py
@@ -62,8 +62,4 @@
 
 
 def _check_names(document):
-    names = placements.list_names()
-    if document.value.placement not in names:
-        expected = f"expected one of: {', '.join(names)}"
-        return documents.fail([document.fault("placement", expected)])
-    return documents.succeed(document.value)
+    return documents.check_choice(document, "placement", placements.list_names())
--- a/packages/kernel/wasabiknot_kernel/choosers.py
+++ b/packages/kernel/wasabiknot_kernel/choosers.py
@@ -6,9 +6,14 @@
 
 import abc
 
+from wasabiknot_kernel import plugins
+
 DEFAULT_NAME = "earliest-event"
 
-_choosers = {}
+_registry = plugins.Registry()
+register = _registry.register
+create_chooser = _registry.create
+list_names = _registry.list_names
 
 
 class Chooser(abc.ABC):
@@ -34,38 +39,6 @@
         """
 
 
-def register(name):
-    """Registers a way to choose.
-
-    :param name: name used in settings.
-    :return: class decorator.
-    """
-
-    def decorate(chooser):
-        _choosers[name] = chooser
-        return chooser
-
-    return decorate
-
-
-def create_chooser(name):
-    """Creates a way to choose.
-
-    :param name: registered name.
-    :return: a ``Chooser``.
-    :raises KeyError: if none has that name.
-    """
-    return _choosers[name]()
-
-
-def list_names():
-    """Lists the registered names.
-
-    :return: sorted list.
-    """
-    return sorted(_choosers)
-
-
 @register(DEFAULT_NAME)
 class EarliestEvent(Chooser):
     """The earliest expected first event."""
--- a/packages/kernel/wasabiknot_kernel/documents.py
+++ b/packages/kernel/wasabiknot_kernel/documents.py
@@ -87,6 +87,19 @@
         return self.place.fault(path, expected)
 
 
+def check_choice(document, field, names):
+    """Checks that a field holds one of some names.
+
+    :param document: ``Document``.
+    :param field: name of the field.
+    :param names: the names, in the order in which a fault lists them.
+    :return: ``Success`` with its value, or ``Failure(DocumentError)``.
+    """
+    if getattr(document.value, field) in names:
+        return succeed(document.value)
+    return fail([document.fault(field, f"expected one of: {', '.join(names)}")])
+
+
 def convert_value(value, schema):
     """Converts plain YAML values to a typed structure.
 
--- a/packages/kernel/wasabiknot_kernel/placements.py
+++ b/packages/kernel/wasabiknot_kernel/placements.py
@@ -7,11 +7,14 @@
 
 import msgspec
 
-from wasabiknot_kernel import fleet
+from wasabiknot_kernel import fleet, plugins
 
 AFFINITY_SAVING = 0.6
 
-_policies = {}
+_registry = plugins.Registry()
+register = _registry.register
+create_placement = _registry.create
+list_names = _registry.list_names
 
 
 class Candidate(msgspec.Struct, frozen=True):
@@ -53,38 +56,6 @@
         """
 
 
-def register(name):
-    """Registers a policy class under a name.
-
-    :param name: name used in settings.
-    :return: class decorator.
-    """
-
-    def decorate(policy):
-        _policies[name] = policy
-        return policy
-
-    return decorate
-
-
-def create_placement(name):
-    """Creates a policy.
-
-    :param name: registered name.
-    :return: a ``Placement``.
-    :raises KeyError: if no policy has that name.
-    """
-    return _policies[name]()
-
-
-def list_names():
-    """Lists the registered names.
-
-    :return: sorted list.
-    """
-    return sorted(_policies)
-
-
 @register("finish-time")
 class FinishTime(Placement):
     """Chooses the earliest expected finish, with bounded prefix affinity."""
--- a/packages/standins/wasabiknot_standins/soaks.py
+++ b/packages/standins/wasabiknot_standins/soaks.py
@@ -5,7 +5,6 @@
 import pathlib
 import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -15,7 +14,7 @@
 from twisted.web import server
 
 from wasabiknot_entry import connections
-from wasabiknot_standins import keyedlogs, platformworkers, proxies
+from wasabiknot_standins import keyedlogs, platformworkers, processes, proxies
 
 START_S = 20.0
 GRACE_S = 4.0
@@ -109,7 +108,7 @@
 
     def __init__(self, number, folder, store):
         self.number = number
-        self.caller_port, ready, inner = _find_ports(3)
+        self.caller_port, ready, inner = processes.find_ports(3)
         self.caller_address = f"127.0.0.1:{self.caller_port}"
         self.ready_address = f"127.0.0.1:{ready}"
         self._path = folder / f"entry-{number}.yaml"
@@ -548,20 +547,6 @@
     return task.deferLater(reactor, delay_s)
 
 
-def _find_ports(count):
-    # Below the range from which the system takes ports of outgoing connections.
-    ports = []
-    while len(ports) < count:
-        port = random.SystemRandom().randrange(10_000, 30_000)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        ports.append(port)
-    return ports
-
-
 def run_soak(seed, duration_s, entry_count, folder=None):
     """Runs one soak in this process.
 
