--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -25,7 +25,15 @@
     release_writers,
     request_metrics,
 )
-from wasabiknot_kernel import allowances, deployments, events, members, releases, routes
+from wasabiknot_kernel import (
+    allowances,
+    crashes,
+    deployments,
+    events,
+    members,
+    releases,
+    routes,
+)
 from wasabiknot_platform import configurations, servers as platform_servers, stores
 
 SETTINGS_VARIABLE = "WASABIKNOT_SETTINGS"
@@ -221,6 +229,20 @@
     def _tick(self):
         self._deployment.tick(reactor.seconds())
         self._reader_role.update()
+        self._log_crashes()
+
+    def _log_crashes(self):
+        for observation in self._deployment.crashes.pop_observations():
+            fields = {
+                "fingerprint": observation.crash.fingerprint,
+                "server": observation.crash.server,
+                "evidence": observation.evidence.value,
+                "count": observation.count,
+            }
+            if observation.evidence is crashes.Evidence.NONE:
+                journal.write(events.Event.LOSS_UNATTRIBUTED, **fields)
+            else:
+                journal.write(events.Event.CRASH_RECORDED, **fields)
 
     def _read_settings_mtime_ns(self):
         try:
--- a/packages/entry/wasabiknot_entry/error_responses.py
+++ b/packages/entry/wasabiknot_entry/error_responses.py
@@ -18,12 +18,14 @@
     :param retry_after_s: value of the ``Retry-After`` header in seconds; ``None`` to
         leave the header out.
     :param reason: short text for the log.
+    :param fingerprint: fingerprint of the request, where it decided.
     """
 
     kind: Kind
     status: int
     retry_after_s: float | None
     reason: str
+    fingerprint: str = ""
 
 
 STATUS_BY_KIND = {
--- a/packages/entry/wasabiknot_entry/flows.py
+++ b/packages/entry/wasabiknot_entry/flows.py
@@ -73,6 +73,7 @@
         journal.write(
             events.Event.DISPATCHED,
             request=ticket.request_id,
+            fingerprint=ticket.fingerprint,
             server=assignment.server.server_id,
             send=ticket.sends,
             customer=ticket.customer,
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -188,7 +188,11 @@
         ticket = self._create_ticket(arrival, route, customer, request, body, now_s)
         if deployment.crashes.is_refused(ticket.fingerprint, now_s):
             return error_responses.ErrorResponse(
-                Kind.QUARANTINED, 503, 10.0, "crashes backend servers"
+                Kind.QUARANTINED,
+                503,
+                10.0,
+                "crashes backend servers",
+                ticket.fingerprint,
             )
         return self._charge(ticket, customer, now_s)
 
@@ -303,6 +307,7 @@
             kind=error.kind.value,
             status=error.status,
             reason=error.reason,
+            fingerprint=ticket.fingerprint if ticket else error.fingerprint,
             sends=ticket.sends if ticket else 0,
             version=self._deployment.table.version if self._deployment.table else 0,
             read_ms=self._deployment.compute_read_age_ms(),
--- a/packages/kernel/tests/test_crashes.py
+++ b/packages/kernel/tests/test_crashes.py
@@ -55,3 +55,20 @@
         self.entry.record_refused_connection("w1", 0.5)
         peer.apply_digest(self.entry.build_digest(0.6), 0.6)
         self.assertEqual(peer.crashes.count("f"), 1)
+
+    def test_observations_state_the_evidence(self):
+        lost = crashes.Crash("f", "w1/1")
+        self.entry.record_lost_response(lost, self.server, 0.0)
+        self.entry.record_refused_connection("w1", 0.5)
+        self.entry.record_lost_response(crashes.Crash("g", "w1/1"), self.server, 1.0)
+        self.entry.tick(4.0)
+        observed = [
+            (item.crash.fingerprint, item.evidence)
+            for item in self.entry.crashes.pop_observations()
+        ]
+        expected = [
+            ("f", crashes.Evidence.UNREACHABLE),
+            ("g", crashes.Evidence.NONE),
+        ]
+        self.assertEqual(observed, expected)
+        self.assertEqual(self.entry.crashes.pop_observations(), [])
--- a/packages/kernel/wasabiknot_kernel/crashes.py
+++ b/packages/kernel/wasabiknot_kernel/crashes.py
@@ -1,6 +1,7 @@
 """Detection of requests that crash backend servers."""
 
 import collections
+import enum
 
 import msgspec
 
@@ -10,6 +11,7 @@
 # Time for which a crash counts.
 RETENTION_S = 60.0
 MAX_REQUESTS = 2_048
+MAX_OBSERVATIONS = 256
 
 
 class Crash(msgspec.Struct, frozen=True, array_like=True):
@@ -23,6 +25,29 @@
     server: str
 
 
+class Evidence(enum.Enum):
+    """Why a lost response counts as a crash. The values appear in logs."""
+
+    UNREACHABLE = "unreachable"
+    RESTARTED = "restarted"
+    REMOVED = "removed"
+    PEER = "peer"
+    NONE = "none"
+
+
+class Observation(msgspec.Struct, frozen=True):
+    """A crash that was recorded, or a lost response that was not attributed to one.
+
+    :param crash: ``Crash``.
+    :param evidence: ``Evidence``; ``NONE`` for a response not attributed to a crash.
+    :param count: crashes of the request that are known now.
+    """
+
+    crash: Crash
+    evidence: Evidence
+    count: int
+
+
 class CrashRegister:
     """Counts the backend servers that each request has crashed.
 
@@ -33,21 +58,44 @@
     def __init__(self):
         self._crashes = collections.OrderedDict()
         self._recent = []
+        self._observations = collections.deque(maxlen=MAX_OBSERVATIONS)
 
-    def record(self, crash, now_s):
+    def record(self, crash, now_s, evidence=Evidence.UNREACHABLE):
         """Records a crash that this entry has observed.
 
         :param crash: ``Crash``.
         :param now_s: current time in seconds.
+        :param evidence: ``Evidence``.
         """
-        if self.add(crash, now_s):
+        if self.add(crash, now_s, evidence):
             self._recent.append((now_s, crash))
 
-    def add(self, crash, now_s):
+    def record_unattributed(self, crash):
+        """Records a lost response for which no end of the backend server was seen.
+
+        :param crash: ``Crash`` that it would have been.
+        """
+        self._observe(crash, Evidence.NONE)
+
+    def _observe(self, crash, evidence):
+        count = self.count(crash.fingerprint)
+        self._observations.append(Observation(crash, evidence, count))
+
+    def pop_observations(self):
+        """Returns the observations since the last call, for the log.
+
+        :return: list of ``Observation``.
+        """
+        observations = list(self._observations)
+        self._observations.clear()
+        return observations
+
+    def add(self, crash, now_s, evidence=Evidence.PEER):
         """Adds a crash, observed by this entry or by a peer.
 
         :param crash: ``Crash``.
         :param now_s: current time in seconds.
+        :param evidence: ``Evidence``.
         :return: whether the crash was new.
         """
         servers = self._crashes.setdefault(crash.fingerprint, {})
@@ -56,6 +104,8 @@
         servers[crash.server] = now_s
         if len(self._crashes) > MAX_REQUESTS:
             self._crashes.popitem(last=False)
+        if is_new:
+            self._observe(crash, evidence)
         return is_new
 
     def is_refused(self, fingerprint, now_s):
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -189,7 +189,7 @@
             known_server
             and known_server.registration.started_ms != registration.started_ms
         ):
-            self._confirm_crash(server_id, now_s)
+            self._confirm_crash(server_id, now_s, crashes.Evidence.RESTARTED)
         dispatcher.register(registration)
         server = dispatcher.servers[server_id]
         if server is not known_server:
@@ -218,7 +218,7 @@
         return True
 
     def _remove(self, server_id, now_s):
-        self._confirm_crash(server_id, now_s)
+        self._confirm_crash(server_id, now_s, crashes.Evidence.REMOVED)
         service = self._services_by_server.pop(server_id, None)
         if service is not None:
             self.get_dispatcher(service).remove(server_id)
@@ -323,11 +323,6 @@
         :param server: ``servers.Server``.
         :param now_s: current time in seconds.
         """
-        self._lost_responses = [
-            item
-            for item in self._lost_responses
-            if now_s - item[0] < CRASH_ATTRIBUTION_S
-        ]
         self._lost_responses.append((now_s, server.server_id, crash))
 
     def record_refused_connection(self, server_id, now_s):
@@ -338,12 +333,22 @@
         :param server_id: id of the backend server.
         :param now_s: current time in seconds.
         """
-        self._confirm_crash(server_id, now_s)
-
-    def _confirm_crash(self, server_id, now_s):
-        for lost_s, lost_id, crash in self._lost_responses:
-            if lost_id == server_id and now_s - lost_s < CRASH_ATTRIBUTION_S:
-                self.crashes.record(crash, now_s)
+        self._confirm_crash(server_id, now_s, crashes.Evidence.UNREACHABLE)
+
+    def _drop_unattributed(self, now_s):
+        kept = []
+        for item in self._lost_responses:
+            if now_s - item[0] < CRASH_ATTRIBUTION_S:
+                kept.append(item)
+            else:
+                self.crashes.record_unattributed(item[2])
+        self._lost_responses = kept
+
+    def _confirm_crash(self, server_id, now_s, evidence):
+        self._drop_unattributed(now_s)
+        for _, lost_id, crash in self._lost_responses:
+            if lost_id == server_id:
+                self.crashes.record(crash, now_s, evidence)
         self._lost_responses = [
             item for item in self._lost_responses if item[1] != server_id
         ]
@@ -572,6 +577,7 @@
 
         :param now_s: current time in seconds.
         """
+        self._drop_unattributed(now_s)
         count = self.roster.count(now_s)
         self.allowances.set_member_counts(count.reachable, count.members, now_s)
         self.allowances.set_reporting_delay(
--- a/packages/kernel/wasabiknot_kernel/events.py
+++ b/packages/kernel/wasabiknot_kernel/events.py
@@ -120,6 +120,16 @@
         logging.INFO,
         "server {server} of {service} at {address}: {state}, read from {source}",
     )
+    CRASH_RECORDED = EventDefinition(
+        1305,
+        logging.WARNING,
+        "request {fingerprint} crashed {server}, evidence {evidence}: {count} crashes",
+    )
+    LOSS_UNATTRIBUTED = EventDefinition(
+        1306,
+        logging.INFO,
+        "{server} lost the response to {fingerprint}, no end of it was seen",
+    )
     PREEMPTED = EventDefinition(1401, logging.DEBUG, "preempted {victim} for {request}")
     REFUSED = EventDefinition(1402, logging.INFO, "refused {request}: {kind}")
     DISPATCHED = EventDefinition(1403, logging.INFO, "sending {request} to {server}")
