--- a/packages/standins/wasabiknot_standins/platformworkers.py
+++ b/packages/standins/wasabiknot_standins/platformworkers.py
@@ -12,6 +12,11 @@
 FIRST_EVENT_DELAY_S = 0.03
 EVENT_INTERVAL_S = 0.02
 PLAIN_DELAY_S = 0.02
+# Body of a request that ends each backend server that runs it.
+HARMFUL_BODY = b"harmful"
+CRASH_DELAY_S = 0.05
+# Time after a crash until the registration lapses.
+LAPSE_S = 1.5
 
 
 class Run(msgspec.Struct, frozen=True):
@@ -93,6 +98,8 @@
         self.state = "ready"
         self._sequence = 0
         self._channels = set()
+        # Seconds after which the server starts again after a harmful request.
+        self.restart_delay_s = 2.0
 
     def start(self):
         """Starts listening and registers under a new id, unless already listening."""
@@ -152,6 +159,15 @@
             channel.transport.abortConnection()
         self.running = 0
 
+    def _crash_and_restart(self, server_id):
+        if server_id != self.server_id or not self.listener.connected:
+            return
+        # Ends the heartbeats, and further crashes of the same start.
+        self.server_id = ""
+        self.crash()
+        reactor.callLater(LAPSE_S, self._store.put, SERVER_TOPIC, server_id, b"")
+        reactor.callLater(self.restart_delay_s, self.start)
+
     def deregister(self):
         """Deletes the registration record."""
         self._store.put(SERVER_TOPIC, self.server_id, b"")
@@ -176,6 +192,9 @@
         self._recorder.runs[request_id].append(run)
         self.running += 1
         request.setHeader("x-wasabiknot-server-stamp", self.server_id)
+        if request.content.read() == HARMFUL_BODY:
+            reactor.callLater(CRASH_DELAY_S, self._crash_and_restart, self.server_id)
+            return
         disconnects = []
         request.notifyFinish().addErrback(disconnects.append)
         is_stream = self.is_engine
--- a/packages/standins/wasabiknot_standins/soaks.py
+++ b/packages/standins/wasabiknot_standins/soaks.py
@@ -341,15 +341,7 @@
         response = Response(
             f"q{self._request_count:06}", name, entry.number, reactor.seconds()
         )
-        headers = (
-            (b"host", HOST.encode()),
-            (b"x-wasabiknot-attempt-id", response.request_id.encode()),
-            (b"x-wasabiknot-deadline-ms", b"4000"),
-            (b"x-wasabiknot-token-count", b"200,40"),
-            (b"x-api-key", API_KEY.encode()),
-            (b"content-length", b"2"),
-        )
-        request = connections.Request(b"POST", f"{prefix}x".encode(), headers, b"ok")
+        request = build_request(f"{prefix}x", response.request_id, b"ok")
         yield self._send_request(entry.caller_address, request, response)
         self._responses.append(response)
         self._in_flight -= 1
@@ -563,18 +555,31 @@
     return task.deferLater(reactor, delay_s)
 
 
-def run_soak(seed, duration_s, entry_count, directory=None):
-    """Runs one soak test and prints its results.
+def build_request(path, request_id, body):
+    """Builds a request of a caller.
 
-    :param seed: seed of the random faults and requests.
-    :param duration_s: time in seconds during which load and faults are generated.
-    :param entry_count: number of entries.
-    :param directory: directory for settings and log files; a temporary one if ``None``.
+    :param path: path of the request.
+    :param request_id: id of the request.
+    :param body: body bytes.
+    :return: ``connections.Request``.
+    """
+    headers = (
+        (b"host", HOST.encode()),
+        (b"x-wasabiknot-attempt-id", request_id.encode()),
+        (b"x-wasabiknot-deadline-ms", b"4000"),
+        (b"x-wasabiknot-token-count", b"200,40"),
+        (b"x-api-key", API_KEY.encode()),
+        (b"content-length", str(len(body)).encode()),
+    )
+    return connections.Request(b"POST", path.encode(), headers, body)
+
+
+def play(soak):
+    """Runs the reactor until a soak test has ended.
+
+    :param soak: ``Soak``.
     :return: list of violations.
     """
-    path = pathlib.Path(directory or tempfile.mkdtemp(prefix="wasabiknot-soak-"))
-    path.mkdir(parents=True, exist_ok=True)
-    soak = Soak(seed, duration_s, entry_count, path)
     violations = []
 
     def record_result(result):
@@ -586,6 +591,22 @@
 
     reactor.callWhenRunning(start)
     reactor.run()
+    return violations
+
+
+def run_soak(seed, duration_s, entry_count, directory=None):
+    """Runs one soak test and prints its results.
+
+    :param seed: seed of the random faults and requests.
+    :param duration_s: time in seconds during which load and faults are generated.
+    :param entry_count: number of entries.
+    :param directory: directory for settings and log files; a temporary one if ``None``.
+    :return: list of violations.
+    """
+    path = pathlib.Path(directory or tempfile.mkdtemp(prefix="wasabiknot-soak-"))
+    path.mkdir(parents=True, exist_ok=True)
+    soak = Soak(seed, duration_s, entry_count, path)
+    violations = play(soak)
     statuses = collections.Counter(
         (response.route, response.status if response.is_complete else "incomplete")
         for response in soak._responses
