Check at each send whether a request crashes backend servers

What callers saw: a request that was known to crash backend servers was sent to further ones, if it waited in a queue when the third crash became known, or if one of its sends had just ended.

Cause: only its arrival was checked. The dispatcher sent what waited, and sent again what came back from a lost attempt, without asking.

By itself it gives few sends, as a request waits for a second at most.

The dispatcher now asks at each of its three steps: when a request is submitted, also for another send, when it leaves the queue, and while it waits, so that it gets its answer at once.

--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -187,11 +187,12 @@
             )
         ticket = self._create_ticket(arrival, route, customer, request, body, now_s)
         if deployment.crashes.is_refused(ticket.fingerprint, now_s):
+            refusal = dispatch.create_harmful_refusal(ticket)
             return error_responses.ErrorResponse(
-                Kind.QUARANTINED,
+                refusal.kind,
                 503,
-                10.0,
-                "crashes backend servers",
+                refusal.retry_after_s,
+                refusal.reason,
                 ticket.fingerprint,
             )
         return self._charge(ticket, customer, now_s)
--- a/packages/kernel/tests/test_dispatch.py
+++ b/packages/kernel/tests/test_dispatch.py
@@ -363,3 +363,36 @@
         decided = set(simulation.send_times) | set(simulation.refused)
         self.assertEqual(decided, {f"q{number}" for number in range(100)})
         self.assertEqual(len(dispatcher), 0)
+
+
+class HarmfulRequestTests(unittest.TestCase):
+    def setUp(self):
+        self.dispatcher = builders.build_dispatcher(servers=1, slots=1)
+        self.harmful = set()
+        self.dispatcher.is_refused = lambda fingerprint, now_s: (
+            fingerprint in self.harmful
+        )
+        self.running = builders.build_ticket("running")
+        self.dispatcher.submit(self.running, 0.0)
+        self.queued = builders.build_ticket("queued")
+        self.assertEqual(self.dispatcher.submit(self.queued, 0.0), [])
+        self.harmful.add("queued")
+
+    def check_refused(self, decisions):
+        self.assertEqual([item.ticket for item in decisions], [self.queued])
+        kind = exceptions.ErrorKind.QUARANTINED
+        self.assertEqual(decisions[0].kind, kind)
+        self.assertEqual(len(self.dispatcher), 0)
+
+    def test_queued_request_is_not_sent_once_it_is_known_to_be_harmful(self):
+        server = self.dispatcher.servers["w0"]
+        complete = outcomes.Outcome.COMPLETE
+        self.dispatcher.record_end(self.running, server, complete, 0.1)
+        self.check_refused(self.dispatcher.dispatch_waiting(0.1))
+
+    def test_queued_request_is_refused_while_no_slot_is_free(self):
+        self.check_refused(self.dispatcher.refuse_expired(0.1))
+
+    def test_harmful_request_is_not_sent_again(self):
+        self.dispatcher.withdraw(self.queued)
+        self.check_refused(self.dispatcher.submit(self.queued, 0.1))
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -139,6 +139,7 @@
             chooser = choosers.create_chooser(self.policy.placement)
             dispatcher = dispatch.Dispatcher(service, self._rng, chooser)
             dispatcher.select = self.releases.select
+            dispatcher.is_refused = self.crashes.is_refused
             dispatcher.name = self.member.name
             dispatcher.set_engine(self._find_engine(service))
             self._dispatchers[service] = dispatcher
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -73,6 +73,8 @@
 # Bounds on the retry time of a refusal, before jitter.
 MIN_RETRY_AFTER_S = 0.25
 MAX_RETRY_AFTER_S = 4.0
+# Retry time of a request that crashes backend servers; it counts far longer.
+HARMFUL_RETRY_AFTER_S = 10.0
 
 
 def compute_max_wait_s(ticket):
@@ -124,6 +126,16 @@
     reason: str
 
 
+def create_harmful_refusal(ticket):
+    """Creates the refusal of a request that crashes backend servers.
+
+    :param ticket: ``arrivals.Ticket``.
+    :return: ``Refusal``.
+    """
+    kind = exceptions.ErrorKind.QUARANTINED
+    return Refusal(ticket, kind, HARMFUL_RETRY_AFTER_S, "crashes backend servers")
+
+
 class Dispatcher:
     """Queues the requests of one service and assigns them to backend servers.
 
@@ -141,6 +153,9 @@
         # Function of a ticket, a list of servers and the time; returns the servers
         # whose version may run the request. None for no selection.
         self.select = None
+        # Function of a fingerprint and the time; tells whether the request must not be
+        # sent to a backend server. None for no check.
+        self.is_refused = None
         self._rng = rng
         self._chooser = chooser or choosers.EarliestEvent()
         self._waiting = {}
@@ -251,7 +266,14 @@
         """
         return self._waiting.pop(id(ticket), None) is not None
 
+    def _is_harmful(self, ticket, now_s):
+        return self.is_refused is not None and self.is_refused(
+            ticket.fingerprint, now_s
+        )
+
     def _find_refusal(self, ticket, now_s):
+        if self._is_harmful(ticket, now_s):
+            return create_harmful_refusal(ticket)
         if not any(not item.is_leaving for item in self.servers.values()):
             return self._create_refusal(
                 ticket, exceptions.ErrorKind.NO_WORKER, "no server"
@@ -317,6 +339,10 @@
         for ticket in waiting:
             if not self._has_free_slot():
                 break
+            if self._is_harmful(ticket, now_s):
+                self.withdraw(ticket)
+                decisions.append(create_harmful_refusal(ticket))
+                continue
             decision = self._try_assign(ticket, now_s)
             if decision is not None:
                 self.withdraw(ticket)
@@ -332,7 +358,10 @@
         decisions = []
         for ticket in self.list_waiting():
             waited_s = now_s - ticket.arrived_s
-            if waited_s > compute_max_wait_s(ticket):
+            if self._is_harmful(ticket, now_s):
+                self.withdraw(ticket)
+                decisions.append(create_harmful_refusal(ticket))
+            elif waited_s > compute_max_wait_s(ticket):
                 self.withdraw(ticket)
                 kind = exceptions.ErrorKind.QUEUE_FULL
                 reason = f"waited {waited_s:.2f} s"
