Attribute a lost response to a crash on every evidence of the end

What callers saw: backend servers went on ending under one request, beyond the three after which it is to be refused.

Cause: a loss counted as a crash only if the same entry saw a reset and then, within 2 s, failed to connect to that backend server itself or read its removal or restart. After one entry was refused a connection, its digest made all others avoid that server, so the entry that had lost the response did not try it; a removal takes three missed heartbeats, 3.6 s; a connection closed in order, a silence, a send cut by its deadline or its caller were no losses; a second end under one registration counted once.

Any send without a complete response is now a possible loss for 10 s, in either order with the evidence: a refused connection here or at a peer (digests name them), an own failure to connect, a restart, a removal, another server at the address. A reset or closed connection is followed by one attempt to connect, so that the end shows without other requests. Responses that arrive later than the loss take the suspicion away; a server that responds after its end counts as started again.

--- a/packages/entry/tests/test_gateways.py
+++ b/packages/entry/tests/test_gateways.py
@@ -8,6 +8,7 @@
 from wasabiknot_kernel import (
     allowances,
     arrivals,
+    crashes,
     deployments,
     exceptions,
     members,
@@ -114,8 +115,8 @@
         self.configure()
         ticket = self.admit()
         for number in range(3):
-            crash = gateways.crashes.Crash(ticket.fingerprint, f"w{number}/1")
-            self.deployment.crashes.record(crash, 0.0)
+            crash = crashes.Crash(ticket.fingerprint, f"w{number}/1")
+            self.deployment.crashes.add(crash, 0.0)
         self.assertEqual(self.admit().kind, Kind.QUARANTINED)
 
     def test_stopping_gateway_rejects_requests_after_delay(self):
--- a/packages/entry/wasabiknot_entry/connections.py
+++ b/packages/entry/wasabiknot_entry/connections.py
@@ -217,6 +217,14 @@
         connection = self._pop_idle(address, max_idle_s)
         if connection is not None:
             return defer.succeed(connection)
+        return self.connect(address)
+
+    def connect(self, address):
+        """Opens a new connection.
+
+        :param address: host and port, separated by a colon.
+        :return: deferred ``Connection``; cancelling it stops the connection attempt.
+        """
         host, _, port = address.rpartition(":")
         endpoint = endpoints.TCP4ClientEndpoint(
             self._reactor, host, int(port), timeout=self._connect_timeout_s
--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -77,8 +77,10 @@
         self.get_budget = deployment.get_budget
         self.allowances = deployment.allowances
         self.crashes = deployment.crashes
-        self.record_lost_response = deployment.record_lost_response
-        self.record_refused_connection = deployment.record_refused_connection
+        self.record_loss = deployment.record_loss
+        self.record_response = deployment.record_response
+        self.record_failed_connection = deployment.record_failed_connection
+        self.should_check = deployment.should_check
         self.record_evidence = deployment.record_evidence
 
     @property
--- a/packages/entry/wasabiknot_entry/flows.py
+++ b/packages/entry/wasabiknot_entry/flows.py
@@ -105,6 +105,7 @@
         self.dispatcher.record_progress(
             self.ticket, server, self._received_count, now_s
         )
+        self._gateway.record_event(self.ticket, server, now_s)
         if event.event_id is not None:
             if event.event_id <= self.last_event_id:
                 return True
@@ -213,6 +214,7 @@
         cancelled = Outcome.CANCELLED
         self.dispatcher.record_end(self.ticket, assignment.server, cancelled, now_s)
         if is_sent:
+            self._gateway.record_cancel(self.ticket, assignment.server, now_s)
             elapsed_s = now_s - self._sent_s
             outcome = releases.classify_unfinished(
                 self._received_count, elapsed_s, is_timed_out
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -1,12 +1,12 @@
 """Accepts callers' requests, admits them and tracks them to the final response."""
 
 import xxhash
+from twisted.internet import error
 from twisted.web import http
 
 from wasabiknot_entry import connections, error_responses, flows, journal
 from wasabiknot_kernel import (
     arrivals,
-    crashes,
     dispatch,
     events,
     exceptions,
@@ -18,6 +18,14 @@
 Kind = exceptions.ErrorKind
 Outcome = outcomes.Outcome
 
+# Outcomes of requests that were sent and got no complete response.
+LOST_OUTCOMES = (Outcome.RESPONSE_LOST, Outcome.TIMED_OUT)
+CONNECTION_LOSSES = (
+    connections.LossReason.RESET.value,
+    connections.LossReason.CLOSED.value,
+)
+# Lowest status that is not a success.
+MULTIPLE = http.MULTIPLE_CHOICE
 # Timeout of a request whose caller sends no deadline.
 DEFAULT_TIMEOUT_MS = 30_000.0
 # Part of the caller's timeout that is reserved for returning the response.
@@ -357,16 +365,54 @@
         :param result: ``send_attempts.Result``.
         :param now_s: current reactor time in seconds.
         """
-        if result.outcome is Outcome.RESPONSE_LOST and result.detail == "reset":
-            registration = server.registration
-            start = f"{server.server_id}/{registration.started_ms}"
-            self._deployment.record_lost_response(
-                crashes.Crash(ticket.fingerprint, start), server, now_s
+        deployment = self._deployment
+        if result.outcome is Outcome.UNREACHABLE:
+            deployment.record_failed_connection(server, result.is_refused, now_s)
+        elif result.outcome in LOST_OUTCOMES:
+            deployment.record_loss(ticket, server, now_s)
+            if result.detail in CONNECTION_LOSSES:
+                self._check_server(server, now_s)
+        else:
+            is_success = (
+                result.outcome is Outcome.COMPLETE and result.head.status < MULTIPLE
             )
-        elif result.outcome is Outcome.UNREACHABLE:
-            self._deployment.record_refused_connection(server.server_id, now_s)
+            deployment.record_response(ticket, server, is_success, now_s)
         self._metrics.count_attempt(result.outcome)
 
+    def record_cancel(self, ticket, server, now_s):
+        """Records that an attempt was cancelled after the request had been sent.
+
+        :param ticket: ``arrivals.Ticket``.
+        :param server: ``servers.Server``.
+        :param now_s: current reactor time in seconds.
+        """
+        self._deployment.record_loss(ticket, server, now_s)
+
+    def record_event(self, ticket, server, now_s):
+        """Records an event of a streamed response.
+
+        :param ticket: ``arrivals.Ticket``.
+        :param server: ``servers.Server``.
+        :param now_s: current reactor time in seconds.
+        """
+        self._deployment.record_response(ticket, server, False, now_s)
+
+    def _check_server(self, server, now_s):
+        # Shows at once whether the server has ended, also without other requests to it.
+        if not self._deployment.should_check(server, now_s):
+            return
+        connecting = self.pool.connect(server.registration.address)
+        connecting.addCallbacks(
+            lambda connection: self.pool.release(connection, None),
+            self._handle_failed_check,
+            errbackArgs=(server,),
+        )
+
+    def _handle_failed_check(self, failure, server):
+        is_refused = failure.check(error.ConnectionRefusedError) is not None
+        now_s = self.reactor.seconds()
+        self._deployment.record_failed_connection(server, is_refused, now_s)
+
     def stop(self, accept_s):
         """Closes connections after their responses and later rejects new requests.
 
--- a/packages/entry/wasabiknot_entry/send_attempts.py
+++ b/packages/entry/wasabiknot_entry/send_attempts.py
@@ -42,12 +42,14 @@
     :param head: ``platform_headers.ResponseHead``, or ``None``.
     :param body: body of a response that was not relayed as events.
     :param detail: short text for the log.
+    :param is_refused: whether the backend server refused the connection.
     """
 
     outcome: Outcome
     head: platform_headers.ResponseHead | None = None
     body: bytes = b""
     detail: str = ""
+    is_refused: bool = False
 
 
 class SendAttempt:
@@ -92,7 +94,9 @@
         if self.phase is not Phase.ENDED:
             is_refused = failure.check(error.ConnectionRefusedError) is not None
             detail = "refused" if is_refused else "no connection"
-            self._finish(Result(Outcome.UNREACHABLE, detail=detail))
+            self._finish(
+                Result(Outcome.UNREACHABLE, detail=detail, is_refused=is_refused)
+            )
 
     def _start_first_event_timer(self):
         route = self._ticket.route
--- a/packages/kernel/wasabiknot_kernel/crashes.py
+++ b/packages/kernel/wasabiknot_kernel/crashes.py
@@ -28,9 +28,13 @@
 class Evidence(enum.Enum):
     """Why a lost response counts as a crash. The values appear in logs."""
 
+    REFUSED = "refused"
     UNREACHABLE = "unreachable"
     RESTARTED = "restarted"
     REMOVED = "removed"
+    REPLACED = "replaced"
+    PEER_REFUSED = "peer-refused"
+    ENDED_BEFORE = "ended-before"
     PEER = "peer"
     NONE = "none"
 
@@ -60,7 +64,7 @@
         self._recent = []
         self._observations = collections.deque(maxlen=MAX_OBSERVATIONS)
 
-    def record(self, crash, now_s, evidence=Evidence.UNREACHABLE):
+    def record(self, crash, now_s, evidence=Evidence.REFUSED):
         """Records a crash that this entry has observed.
 
         :param crash: ``Crash``.
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -4,6 +4,7 @@
 
 from wasabiknot_kernel import (
     allowances,
+    attribution,
     budgets,
     choosers,
     crashes,
@@ -22,9 +23,6 @@
 REMOVAL_GRACE_S = 2.2
 # Age of the latest read by any entry after which the store counts as unavailable.
 STORE_TIMEOUT_S = 1.5
-# A backend server that turns out to have stopped within this time of a lost response
-# counts as crashed by that request.
-CRASH_ATTRIBUTION_S = 2.0
 # Time for which digests include a crash.
 CRASH_REPORT_S = 2.0
 # Time for which an entry reads the store itself after it failed to fetch facts from a
@@ -72,11 +70,11 @@
         self.roster = members.Roster(member)
         self.allowances = allowances.Allowances(policy.tolerance)
         self.crashes = crashes.CrashRegister()
+        self._attribution = attribution.Attribution()
         self.releases = releases.Releases(policy.canary_share, rng)
         self._dispatchers = {}
         self._budgets = {}
         self._services_by_server = {}
-        self._lost_responses = []
         self._peer_loads = {}
         self._pending_removals = {}
         self.last_read_s = None
@@ -190,10 +188,13 @@
             known_server
             and known_server.registration.started_ms != registration.started_ms
         ):
-            self._confirm_crash(server_id, now_s, crashes.Evidence.RESTARTED)
+            self._record_end(
+                known_server.registration, now_s, crashes.Evidence.RESTARTED
+            )
         dispatcher.register(registration)
         server = dispatcher.servers[server_id]
         if server is not known_server:
+            self._record_replaced(registration, now_s)
             server.warm_until_s = now_s + registration.warmup_ms / 1_000
             self._apply_known_loads(server_id)
         self.releases.record_version(registration.service, registration.version, now_s)
@@ -219,7 +220,12 @@
         return True
 
     def _remove(self, server_id, now_s):
-        self._confirm_crash(server_id, now_s, crashes.Evidence.REMOVED)
+        server = self.find_server(server_id)
+        if server is not None:
+            # One that has announced its end may break off what it still runs.
+            if not server.is_leaving:
+                self._record_end(server.registration, now_s, crashes.Evidence.REMOVED)
+            self._attribution.forget(server.registration)
         service = self._services_by_server.pop(server_id, None)
         if service is not None:
             self.get_dispatcher(service).remove(server_id)
@@ -317,42 +323,79 @@
             if server.registration.version != order.target
         )
 
-    def record_lost_response(self, crash, server, now_s):
-        """Records that a backend server closed a connection before the response ended.
+    def record_loss(self, ticket, server, now_s):
+        """Records that a request was sent and got no complete response.
 
-        :param crash: ``crashes.Crash``.
+        :param ticket: ``arrivals.Ticket``.
         :param server: ``servers.Server``.
-        :param now_s: current time in seconds.
+        :param now_s: current time in Unix seconds.
+        """
+        server_key = self._attribution.get_server_key(server.registration)
+        crash = crashes.Crash(ticket.fingerprint, server_key)
+        if self._attribution.record_loss(crash, now_s):
+            self.crashes.record(crash, now_s, crashes.Evidence.ENDED_BEFORE)
+
+    def should_check(self, server, now_s):
+        """Tells whether to check that a backend server still accepts connections.
+
+        :param server: ``servers.Server`` that has reset a connection.
+        :param now_s: current time in Unix seconds.
+        :return: ``True`` if there was no such check shortly before.
         """
-        self._lost_responses.append((now_s, server.server_id, crash))
+        server_key = self._attribution.get_server_key(server.registration)
+        return self._attribution.should_check(server_key, now_s)
 
-    def record_refused_connection(self, server_id, now_s):
-        """Records that a backend server refused a connection.
+    def record_failed_connection(self, server, is_refused, now_s):
+        """Records that a connection to a backend server could not be opened.
 
         Requests whose responses it lost shortly before count as having crashed it.
 
-        :param server_id: id of the backend server.
-        :param now_s: current time in seconds.
+        :param server: ``servers.Server``.
+        :param is_refused: whether it refused the connection. Otherwise it may be
+            unreachable for this entry alone, so peers are not told.
+        :param now_s: current time in Unix seconds.
         """
-        self._confirm_crash(server_id, now_s, crashes.Evidence.UNREACHABLE)
-
-    def _drop_unattributed(self, now_s):
-        kept = []
-        for item in self._lost_responses:
-            if now_s - item[0] < CRASH_ATTRIBUTION_S:
-                kept.append(item)
-            else:
-                self.crashes.record_unattributed(item[2])
-        self._lost_responses = kept
-
-    def _confirm_crash(self, server_id, now_s, evidence):
-        self._drop_unattributed(now_s)
-        for _, lost_id, crash in self._lost_responses:
-            if lost_id == server_id:
-                self.crashes.record(crash, now_s, evidence)
-        self._lost_responses = [
-            item for item in self._lost_responses if item[1] != server_id
-        ]
+        if is_refused:
+            server_key = self._attribution.get_server_key(server.registration)
+            self._attribution.record_refusal(server_key, now_s)
+            evidence = crashes.Evidence.REFUSED
+        else:
+            evidence = crashes.Evidence.UNREACHABLE
+        self._record_end(server.registration, now_s, evidence)
+
+    def record_response(self, ticket, server, is_success, now_s):
+        """Records bytes of a response.
+
+        :param ticket: ``arrivals.Ticket``.
+        :param server: ``servers.Server``.
+        :param is_success: whether the response is complete and a success.
+        :param now_s: current time in Unix seconds.
+        """
+        self._attribution.record_life(server.registration, now_s)
+
+    def _record_end(self, registration, now_s, evidence):
+        server_key = self._attribution.get_server_key(registration)
+        for crash in self._attribution.record_end(server_key, now_s):
+            self.crashes.record(crash, now_s, evidence)
+
+    def _record_replaced(self, registration, now_s):
+        for dispatcher in self._dispatchers.values():
+            for server in list(dispatcher.servers.values()):
+                previous = server.registration
+                if (
+                    previous.address == registration.address
+                    and previous.server_id != registration.server_id
+                ):
+                    self._record_end(previous, now_s, crashes.Evidence.REPLACED)
+
+    def _apply_refused(self, source, refused_servers, now_s):
+        for server_key in self._attribution.apply_report(source, refused_servers):
+            for crash in self._attribution.record_end(server_key, now_s):
+                self.crashes.record(crash, now_s, crashes.Evidence.PEER_REFUSED)
+
+    def _expire_crashes(self, now_s):
+        for crash in self._attribution.drop_expired(now_s):
+            self.crashes.record_unattributed(crash)
 
     def build_digest(self, now_s):
         """Builds the digest of this entry.
@@ -436,6 +479,7 @@
             is_stopping=self.is_stopping,
             read_age_ms=self.compute_read_age_ms(now_s),
             evidence=self.releases.list_evidence(),
+            refused_servers=self._attribution.list_refused(now_s),
         )
 
     def _list_loads(self):
@@ -473,6 +517,7 @@
         self.releases.apply_evidence(source, digest.evidence)
         for crash in digest.recent_crashes:
             self.crashes.add(crash, now_s)
+        self._apply_refused(source, digest.refused_servers, now_s)
         return peer
 
     def _apply_known_loads(self, server_id):
@@ -578,7 +623,7 @@
 
         :param now_s: current time in seconds.
         """
-        self._drop_unattributed(now_s)
+        self._expire_crashes(now_s)
         count = self.roster.count(now_s)
         self.allowances.set_member_counts(count.reachable, count.members, now_s)
         self.allowances.set_reporting_delay(
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -73,6 +73,8 @@
     :param evidence: results of requests by version, during a release.
     :param waiting: number of queued requests, by service.
     :param faulty_servers: backend servers that the sender considers faulty.
+    :param refused_servers: ids and start times of the backend servers that have
+        recently refused a connection of the sender.
     """
 
     name: str
@@ -90,6 +92,7 @@
     evidence: dict[str, releases.ResponseStats] = {}
     waiting: dict[str, int] = {}
     faulty_servers: tuple[str, ...] = ()
+    refused_servers: tuple[str, ...] = ()
 
 
 class Bundle(msgspec.Struct, frozen=True, array_like=True):
