Keep crashes in the store, so that they outlive every entry

What callers saw: a request under which three backend servers had ended was sent on and ended further ones, after entries had been killed and started again.

Cause: what is known of crashes lived in the memory of processes. A digest carried a crash for 2 s after it was observed, so an entry that started, was cut off or stood still meanwhile never learnt of it, and after a herd restart nobody knew any. A leader passed on only what it had seen itself, so other groups learnt of nothing else.

Each crash is now a record of its own in a topic of the store, keyed by fingerprint and start of the backend server: writing twice changes nothing and writers don't race. An entry is ready only once it has read the topic or copied it from a peer. Until a crash is stored, everybody who knows it repeats it in digests; after 3 s the reader of a group stores it for an observer that has gone. Crashes count for an hour; writes are batched and bounded.

So that longer memory refuses no harmless request: a complete response clears a request at all entries and in the store, and one that completed within the last minute isn't put down to a crash.

--- /dev/null
+++ b/packages/entry/tests/test_crash_writers.py
@@ -0,0 +1,73 @@
+import unittest
+
+from twisted.internet import defer, task
+
+from wasabiknot_entry import calls, crash_writers
+from wasabiknot_kernel import crashes
+
+Evidence = crashes.Evidence
+
+
+class FakeStore:
+    def __init__(self):
+        self.bodies = []
+        self.responses = []
+
+    def call(self, call, wait_s=0.0):
+        self.bodies.append(call.body)
+        response = self.responses.pop(0) if self.responses else calls.Response(200, b"")
+        if isinstance(response, Exception):
+            return defer.fail(response)
+        return defer.succeed(response)
+
+
+class FakeDeployment:
+    def __init__(self):
+        self.crashes = crashes.CrashRegister()
+
+    def should_read_store(self, now_s):
+        return False
+
+
+class CrashWriterTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = task.Clock()
+        self.store = FakeStore()
+        self.deployment = FakeDeployment()
+        self.register = self.deployment.crashes
+        self.writer = crash_writers.CrashWriter(self.clock, self.deployment, self.store)
+
+    def record(self, *servers):
+        for server in servers:
+            crash = crashes.Crash("f", server, self.clock.seconds())
+            self.register.record(crash, self.clock.seconds(), Evidence.REFUSED)
+
+    def check(self, after_s=0.0):
+        self.clock.advance(after_s)
+        self.writer.check()
+        return len(self.store.bodies)
+
+    def test_writes_nothing_without_crashes(self):
+        self.assertEqual(self.check(60.0), 0)
+
+    def test_writes_all_due_crashes_in_one_call(self):
+        self.record("w1/1", "w2/1")
+        self.assertEqual(self.check(), 1)
+        self.assertIn(b"f/w1/1", self.store.bodies[0])
+        self.assertIn(b"f/w2/1", self.store.bodies[0])
+        self.assertEqual(self.check(60.0), 1)
+
+    def test_write_is_repeated_until_it_is_acknowledged(self):
+        self.record("w1/1", "w2/1")
+        self.store.responses = [calls.CallError("reset"), calls.Response(503, b"")]
+        self.assertEqual([self.check(), self.check(0.5)], [1, 1])
+        self.assertEqual([self.check(0.6), self.check(1.1)], [2, 3])
+        self.assertEqual(self.check(60.0), 3)
+
+    def test_crashes_of_a_harmless_request_are_deleted(self):
+        self.record("w1/1", "w2/1")
+        self.check()
+        self.register.record_success("f", self.clock.seconds())
+        self.assertEqual(self.check(), 2)
+        self.assertTrue(self.store.bodies[1].endswith(b"f/w2/1"))
+        self.assertEqual(self.check(60.0), 2)
--- a/packages/entry/tests/test_gateways.py
+++ b/packages/entry/tests/test_gateways.py
@@ -70,6 +70,7 @@
         table = routes.RouteTable(build_configuration(rate))
         self.deployment.apply_configuration(table, 0.0)
         self.deployment.has_servers = True
+        self.deployment.has_crashes = True
         self.deployment.apply_registration(
             registrations.Registration(
                 "w1",
--- /dev/null
+++ b/packages/entry/wasabiknot_entry/crash_writers.py
@@ -0,0 +1,66 @@
+"""Writes the crashes that requests have caused to the store."""
+
+import msgspec
+from twisted.internet import defer
+
+from wasabiknot_entry import calls, followers, journal
+from wasabiknot_kernel import events
+from wasabiknot_platform import stores
+
+RETRY_DELAY_S = 1.0
+
+
+class CrashWriter:
+    """Writes the crashes that are due and deletes those that no longer count.
+
+    Writing or deleting a record twice changes nothing, so a write whose response was
+    lost is repeated.
+
+    :param reactor: Twisted reactor.
+    :param deployment: ``deployments.Deployment``.
+    :param store: ``followers.StoreClient``.
+    """
+
+    def __init__(self, reactor, deployment, store):
+        self._reactor = reactor
+        self._deployment = deployment
+        self._store = store
+        self._is_writing = False
+        self._retry_from_s = 0.0
+
+    def check(self):
+        """Starts a write if something is due and none is in progress."""
+        now_s = self._reactor.seconds()
+        if self._is_writing or now_s < self._retry_from_s:
+            return
+        register = self._deployment.crashes
+        is_reader = self._deployment.should_read_store(now_s)
+        due = register.list_due(now_s, is_reader)
+        deletions = register.list_deletions()
+        if not due and not deletions:
+            return
+        self._is_writing = True
+        written = self._write(due, deletions)
+        written.addErrback(journal.log_failure, "write crashes")
+
+    @defer.inlineCallbacks
+    def _write(self, due, deletions):
+        values = {crash.key: msgspec.json.encode(crash) for crash in due}
+        values.update(dict.fromkeys(deletions, b""))
+        try:
+            response = yield self._store.call(
+                stores.build_batch_call(stores.CRASH_TOPIC, values)
+            )
+            if response.status != stores.OK:
+                raise followers.StoreError(f"status {response.status}")
+        except (calls.CallError, followers.StoreError) as error:
+            self._retry_from_s = self._reactor.seconds() + RETRY_DELAY_S
+            journal.write(events.Event.STORE_LOST, call="crashes", error=str(error))
+            return
+        finally:
+            self._is_writing = False
+        self._deployment.crashes.mark_stored(due)
+        self._deployment.crashes.mark_deleted(deletions)
+        journal.write(
+            events.Event.CRASHES_WRITTEN, count=len(due), deleted=len(deletions)
+        )
--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -16,6 +16,7 @@
 from wasabiknot_entry import (
     addresses,
     connections,
+    crash_writers,
     edge_settings,
     followers,
     gateways,
@@ -134,6 +135,9 @@
             lambda: self._deployment.should_read_store(reactor.seconds())
         )
         self._gossip = gossip.Gossip(reactor, self._deployment, pool, self._apply_facts)
+        self._crash_writer = crash_writers.CrashWriter(
+            reactor, self._deployment, self._store
+        )
         self._metrics = metrics
         self._is_stopping = False
         self.exit_code = 0
@@ -173,6 +177,7 @@
         self._follow(stores.SERVER_TOPIC, 0, self._compute_poll_interval_s)
         self._follow(stores.MEMBER_TOPIC, MEMBER_LONG_POLL_MS, lambda: 0.0)
         self._follow(stores.RELEASE_TOPIC, MEMBER_LONG_POLL_MS, lambda: 0.0)
+        self._follow(stores.CRASH_TOPIC, MEMBER_LONG_POLL_MS, lambda: 0.0)
         self._publish_member()
         self._start_loop(
             self._gateway.pool.close_expired, IDLE_SWEEP_INTERVAL_S, "sweep"
@@ -231,6 +236,7 @@
     def _tick(self):
         self._deployment.tick(reactor.seconds())
         self._reader_role.update()
+        self._crash_writer.check()
         self._log_crashes()
 
     def _log_crashes(self):
@@ -290,11 +296,14 @@
     def _apply_facts(self, topic, changed, source):
         if topic == stores.SERVER_TOPIC:
             self._deployment.has_servers = True
+        elif topic == stores.CRASH_TOPIC:
+            self._deployment.has_crashes = True
         handlers = {
             stores.OPERATOR_TOPIC: self._apply_operator_fact,
             stores.SERVER_TOPIC: self._apply_server,
             stores.MEMBER_TOPIC: self._apply_member,
             stores.RELEASE_TOPIC: self._apply_release,
+            stores.CRASH_TOPIC: self._apply_crash,
         }
         apply = handlers.get(topic)
         if apply is None:
@@ -355,6 +364,14 @@
         )
         return True
 
+    def _apply_crash(self, fact, source):
+        if fact.value is None:
+            self._deployment.crashes.remove_stored(fact.key)
+            return True
+        crash = msgspec.json.decode(fact.value, type=crashes.Crash)
+        self._deployment.crashes.add_stored(crash, reactor.seconds())
+        return True
+
     def _apply_server(self, fact, source):
         now_s = reactor.seconds()
         if fact.value is None:
--- a/packages/kernel/tests/test_crashes.py
+++ b/packages/kernel/tests/test_crashes.py
@@ -7,25 +7,101 @@
 Evidence = crashes.Evidence
 
 
+def crash(number, fingerprint="f", at_s=0.0):
+    return crashes.Crash(fingerprint, f"w{number}/1", at_s)
+
+
 class CrashRegisterTests(unittest.TestCase):
+    def setUp(self):
+        self.register = crashes.CrashRegister()
+
+    def record(self, count, now_s=0.0):
+        for number in range(count):
+            self.register.record(crash(number, at_s=now_s), now_s, Evidence.REFUSED)
+
     def test_request_is_refused_after_third_crash(self):
-        register = crashes.CrashRegister()
         for number in range(crashes.MAX_CRASHES):
-            self.assertFalse(register.is_refused("f", 0.0))
-            register.record(crashes.Crash("f", f"w{number}/1"), 0.0)
-        self.assertTrue(register.is_refused("f", 0.0))
+            self.assertFalse(self.register.is_refused("f", 0.0))
+            self.register.record(crash(number), 0.0, Evidence.REFUSED)
+        self.assertTrue(self.register.is_refused("f", 0.0))
 
     def test_repeated_crash_counts_once(self):
-        register = crashes.CrashRegister()
         for _ in range(5):
-            register.record(crashes.Crash("f", "w1/1"), 0.0)
-        self.assertEqual(register.count("f"), 1)
+            self.register.record(crash(1), 0.0, Evidence.REFUSED)
+        self.assertEqual(self.register.count("f"), 1)
 
     def test_crashes_expire(self):
-        register = crashes.CrashRegister()
-        for number in range(3):
-            register.record(crashes.Crash("f", f"w{number}/1"), 0.0)
-        self.assertFalse(register.is_refused("f", crashes.RETENTION_S + 1))
+        self.record(3)
+        self.assertFalse(self.register.is_refused("f", crashes.RETENTION_S + 1))
+
+    def test_crash_is_reported_until_it_is_stored(self):
+        self.record(1)
+        self.assertEqual(self.register.list_reported(600.0), (crash(0),))
+        self.register.mark_stored([crash(0)])
+        self.assertEqual(self.register.list_reported(601.0), ())
+        self.assertEqual(self.register.count("f"), 1)
+
+    def test_second_crash_is_due_at_once(self):
+        self.record(1)
+        self.assertEqual(self.register.list_due(0.1, False), [])
+        self.register.record(crash(7), 0.1, Evidence.REFUSED)
+        self.assertEqual(len(self.register.list_due(0.1, False)), 2)
+
+    def test_reader_stores_what_the_observer_has_not(self):
+        self.register.add(crash(1), 0.0)
+        self.assertEqual(self.register.list_due(2.9, True), [])
+        self.assertEqual(self.register.list_due(3.1, False), [])
+        self.assertEqual(self.register.list_due(3.1, True), [crash(1)])
+
+    def test_complete_response_clears_the_request_everywhere(self):
+        peer = crashes.CrashRegister()
+        self.record(2)
+        self.register.mark_stored([crash(0)])
+        for item in self.register.list_reported(0.1):
+            peer.add(item, 0.1)
+        self.register.record_success("f", 1.0)
+        self.assertEqual(self.register.list_deletions(), [crash(0).key])
+        self.assertEqual(self.register.list_cleared(1.1), ("f",))
+        peer.clear("f", 1.1)
+        peer.add(crash(1), 1.2)
+        self.assertEqual((self.register.count("f"), peer.count("f")), (0, 0))
+        self.assertEqual(peer.list_deletions(), [])
+
+    def test_crash_stored_while_the_request_completes_is_deleted(self):
+        self.record(2)
+        self.register.record_success("f", 0.2)
+        self.register.mark_stored([crash(0), crash(1)])
+        self.assertEqual(len(self.register.list_deletions()), 2)
+        self.register.mark_deleted([crash(0).key])
+        self.assertEqual(self.register.list_deletions(), [crash(1).key])
+
+    def test_request_that_has_just_completed_is_not_put_down_to_a_crash(self):
+        self.register.record_success("f", 0.0)
+        self.record(3, now_s=1.0)
+        self.assertEqual(self.register.count("f"), 0)
+        later_s = crashes.SUCCESS_RETENTION_S + 1
+        self.record(3, now_s=later_s)
+        self.assertTrue(self.register.is_refused("f", later_s))
+
+    def test_reader_deletes_expired_crashes(self):
+        self.register.add_stored(crash(1), 1.0)
+        self.register.drop_expired(crashes.RETENTION_S + 1, False)
+        self.assertEqual(self.register.list_deletions(), [])
+        self.register.add_stored(crash(1), crashes.RETENTION_S + 2)
+        self.register.drop_expired(crashes.RETENTION_S + 3, True)
+        self.assertEqual(self.register.list_deletions(), [crash(1).key])
+        self.assertEqual(self.register.count("f"), 0)
+
+    def test_number_of_requests_is_bounded(self):
+        for number in range(crashes.MAX_REQUESTS + 5):
+            item = crashes.Crash(f"f{number}", "w/1", 0.0)
+            self.register.add_stored(item, 0.0)
+        self.assertEqual(self.register.count("f4"), 0)
+        self.assertEqual(self.register.count("f5"), 1)
+        self.assertEqual(len(self.register.list_deletions()), 5)
+        self.assertLessEqual(
+            len(self.register.list_reported(0.0)), crashes.MAX_REPORTED
+        )
 
 
 class AttributionTests(unittest.TestCase):
@@ -139,6 +215,30 @@
     def test_crash_is_sent_to_peers(self):
         entry, peer = (builders.build_deployment(name) for name in ("e1", "e2"))
         builders.connect_entries([entry, peer], 0.0)
-        entry.crashes.record(crashes.Crash("f", "w1/1"), 0.5)
+        entry.crashes.record(crash(1), 0.5, Evidence.REFUSED)
         peer.apply_digest(entry.build_digest(0.6), 0.6)
         self.assertEqual(peer.crashes.count("f"), 1)
+
+    def test_peer_that_was_cut_off_learns_of_a_crash_that_is_not_stored(self):
+        entry, peer = (builders.build_deployment(name) for name in ("e1", "e2"))
+        builders.connect_entries([entry, peer], 0.0)
+        entry.crashes.record(crash(1), 0.5, Evidence.REFUSED)
+        peer.apply_digest(entry.build_digest(30.0), 30.0)
+        self.assertEqual(peer.crashes.count("f"), 1)
+
+    def test_leader_passes_on_what_a_member_of_its_group_has_seen(self):
+        entry, leader = (builders.build_deployment(name) for name in ("e2", "e1"))
+        builders.connect_entries([entry, leader], 0.0)
+        entry.crashes.record(crash(1), 0.5, Evidence.REFUSED)
+        leader.apply_digest(entry.build_digest(0.6), 0.6)
+        summary = leader.build_group_summary(0.7)
+        self.assertEqual(summary.recent_crashes, (crash(1),))
+
+    def test_entry_is_not_ready_before_it_knows_the_crashes(self):
+        entry = builders.build_deployment()
+        table = builders.routes.RouteTable(builders.build_configuration())
+        entry.apply_configuration(table, 0.0)
+        entry.has_servers = True
+        self.assertFalse(entry.is_ready)
+        entry.has_crashes = True
+        self.assertTrue(entry.is_ready)
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -23,8 +23,8 @@
 REMOVAL_GRACE_S = 2.2
 # Age of the latest read by any entry after which the store counts as unavailable.
 STORE_TIMEOUT_S = 1.5
-# Time for which digests include a crash.
-CRASH_REPORT_S = 2.0
+# Interval between two searches for crashes that no longer count.
+CRASH_EXPIRY_INTERVAL_S = 60.0
 # Time for which an entry reads the store itself after it failed to fetch facts from a
 # peer.
 DIRECT_READ_S = 2.0
@@ -66,11 +66,13 @@
         self._rng = rng
         self.table = None
         self.has_servers = False
+        self.has_crashes = False
         self.topics = {}
         self.roster = members.Roster(member)
         self.allowances = allowances.Allowances(policy.tolerance)
         self.crashes = crashes.CrashRegister()
         self._attribution = attribution.Attribution()
+        self._crashes_expired_s = None
         self.releases = releases.Releases(policy.canary_share, rng)
         self._dispatchers = {}
         self._budgets = {}
@@ -87,7 +89,7 @@
     @property
     def is_ready(self):
         """Whether the entry has the state that it needs to schedule requests."""
-        return self.table is not None and self.has_servers
+        return self.table is not None and self.has_servers and self.has_crashes
 
     def set_policy(self, policy):
         """Replaces the limits.
@@ -331,7 +333,7 @@
         :param now_s: current time in Unix seconds.
         """
         server_key = self._attribution.get_server_key(server.registration)
-        crash = crashes.Crash(ticket.fingerprint, server_key)
+        crash = crashes.Crash(ticket.fingerprint, server_key, now_s)
         if self._attribution.record_loss(crash, now_s):
             self.crashes.record(crash, now_s, crashes.Evidence.ENDED_BEFORE)
 
@@ -372,6 +374,8 @@
         :param now_s: current time in Unix seconds.
         """
         self._attribution.record_life(server.registration, now_s)
+        if is_success:
+            self.crashes.record_success(ticket.fingerprint, now_s)
 
     def _record_end(self, registration, now_s, evidence):
         server_key = self._attribution.get_server_key(registration)
@@ -396,6 +400,11 @@
     def _expire_crashes(self, now_s):
         for crash in self._attribution.drop_expired(now_s):
             self.crashes.record_unattributed(crash)
+        if self._crashes_expired_s is None:
+            self._crashes_expired_s = now_s
+        elif now_s - self._crashes_expired_s > CRASH_EXPIRY_INTERVAL_S:
+            self._crashes_expired_s = now_s
+            self.crashes.drop_expired(now_s, self.should_read_store(now_s))
 
     def build_digest(self, now_s):
         """Builds the digest of this entry.
@@ -444,7 +453,6 @@
         :return: ``members.Digest``.
         """
         loads = {}
-        recent_crashes = set()
         summaries = {
             name: peer.digest
             for name, peer in self.roster.group_summaries.items()
@@ -452,14 +460,12 @@
         }
         for digest in summaries.values():
             _add_loads(loads, digest.loads)
-            recent_crashes.update(digest.recent_crashes)
         count = self.roster.count_other_groups(now_s)
         built = self._build_digest(now_s, loads, self.allowances.remote_used)
         return msgspec.structs.replace(
             built,
             group=members.REMOTE_GROUPS,
             evidence=self.releases.merge_evidence(summaries, include_own=False),
-            recent_crashes=tuple(recent_crashes),
             reachable=count.reachable,
             members=count.members,
         )
@@ -475,11 +481,12 @@
             },
             loads=loads,
             used={name: round(value) for name, value in used.items()},
-            recent_crashes=self.crashes.list_recent(now_s, CRASH_REPORT_S),
+            recent_crashes=self.crashes.list_reported(now_s),
             is_stopping=self.is_stopping,
             read_age_ms=self.compute_read_age_ms(now_s),
             evidence=self.releases.list_evidence(),
             refused_servers=self._attribution.list_refused(now_s),
+            cleared_requests=self.crashes.list_cleared(now_s),
         )
 
     def _list_loads(self):
@@ -515,6 +522,8 @@
             counter = self.allowances.remote_used
         self.allowances.charge_peer_use(source, digest.run, digest.used, now_s, counter)
         self.releases.apply_evidence(source, digest.evidence)
+        for fingerprint in digest.cleared_requests:
+            self.crashes.clear(fingerprint, now_s)
         for crash in digest.recent_crashes:
             self.crashes.add(crash, now_s)
         self._apply_refused(source, digest.refused_servers, now_s)
--- a/packages/kernel/wasabiknot_kernel/events.py
+++ b/packages/kernel/wasabiknot_kernel/events.py
@@ -130,6 +130,9 @@
         logging.INFO,
         "{server} lost the response to {fingerprint}, no end of it was seen",
     )
+    CRASHES_WRITTEN = EventDefinition(
+        1307, logging.INFO, "wrote {count} crashes to the store, deleted {deleted}"
+    )
     PREEMPTED = EventDefinition(1401, logging.DEBUG, "preempted {victim} for {request}")
     REFUSED = EventDefinition(1402, logging.INFO, "refused {request}: {kind}")
     DISPATCHED = EventDefinition(1403, logging.INFO, "sending {request} to {server}")
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -63,7 +63,8 @@
     :param loads: requests in flight and their unprocessed prompt tokens, by backend
         server.
     :param used: tokens admitted since the start of the run, by customer.
-    :param recent_crashes: crashes that the sender has observed recently.
+    :param recent_crashes: crashes that the sender has learnt of recently, and those
+        that the store does not keep yet.
     :param is_stopping: whether the sender accepts no more requests.
     :param read_age_ms: age of the sender's last read of the store; -1 before the
         first.
@@ -75,6 +76,8 @@
     :param faulty_servers: backend servers that the sender considers faulty.
     :param refused_servers: ids and start times of the backend servers that have
         recently refused a connection of the sender.
+    :param cleared_requests: fingerprints of requests whose crashes no longer count, as
+        they were answered completely.
     """
 
     name: str
@@ -93,6 +96,7 @@
     waiting: dict[str, int] = {}
     faulty_servers: tuple[str, ...] = ()
     refused_servers: tuple[str, ...] = ()
+    cleared_requests: tuple[str, ...] = ()
 
 
 class Bundle(msgspec.Struct, frozen=True, array_like=True):
