--- a/packages/standins/wasabiknot_standins/processes.py
+++ b/packages/standins/wasabiknot_standins/processes.py
@@ -1,8 +1,8 @@
 """Starts and stops a deployment as separate processes on the loopback interface."""
 
+import itertools
 import os
 import pathlib
-import random
 import signal
 import socket
 import subprocess
@@ -17,8 +17,17 @@
 STOP_TIMEOUT_S = 75
 FIRST_PORT = 15_000
 LAST_PORT = 32_000
+# Deployments that start at the same time search from different ports.
+PORTS_PER_PROCESS = 250
 
-_used_ports = set()
+
+def _cycle_ports():
+    start = os.getpid() * PORTS_PER_PROCESS % (LAST_PORT - FIRST_PORT)
+    for number in itertools.count(start):
+        yield FIRST_PORT + number % (LAST_PORT - FIRST_PORT)
+
+
+_ports = _cycle_ports()
 
 
 class Ports(msgspec.Struct):
@@ -51,13 +60,8 @@
     :param count: number of ports.
     :return: list of ports, none of them returned before by this process.
     """
-    ports = []
-    while len(ports) < count:
-        port = random.randrange(FIRST_PORT, LAST_PORT)
-        if port not in _used_ports and _is_free(port):
-            _used_ports.add(port)
-            ports.append(port)
-    return ports
+    free_ports = (port for port in _ports if _is_free(port))
+    return list(itertools.islice(free_ports, count))
 
 
 def _is_free(port):
