Share the retry slack also across restarts and cuts

What callers and backend servers would see: more repeats in a window than the bound, when entries are killed within it or are cut off from each other for longer than 12 s.

Cause, of the same class as the lost crashes: what an entry has used of a shared allowance is known to that process alone. A budget started empty, and counted one entry until the first digests, so each start could use the whole slack at once; a peer that was silent for 12 s no longer counted, so both sides of a cut used all of it.

A budget now uses no slack in the first window after the start of its process, as its previous run may have used it; the share of its own requests is kept. The slack is divided by the largest number of members within five minutes.

--- a/packages/kernel/tests/test_budgets.py
+++ b/packages/kernel/tests/test_budgets.py
@@ -1,5 +1,7 @@
+import math
 import unittest
 
+import builders
 from hypothesis import given, settings, strategies
 
 from wasabiknot_kernel import budgets
@@ -42,3 +44,66 @@
         budget = budgets.RetryBudget(0.2, 10.0, 54.0)
         budget.set_bounds(0.0, 10.0, 0.0)
         self.assertFalse(budget.try_acquire(0.0))
+
+
+class RestartTests(unittest.TestCase):
+    def test_entries_that_are_cut_off_from_each_other_share_the_slack(self):
+        entries = [builders.build_deployment(name) for name in ("e1", "e2", "e3")]
+        builders.connect_entries(entries, 100.0)
+        granted = 0
+        for entry in entries:
+            for tenth in range(1_000, 1_400):
+                entry.tick(tenth / 10)
+            budget = entry.get_budget("pool")
+            entry.tick(140.0)
+            granted += sum(budget.try_acquire(140.0) for _ in range(100))
+        self.assertGreater(granted, 30)
+        self.assertLessEqual(granted, 54)
+
+    @settings(derandomize=True, deadline=None)
+    @given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.floats(0, 3.0),
+                strategies.sampled_from(["retry", "request", "restart", "restart all"]),
+                strategies.integers(1, 40),
+            ),
+            max_size=40,
+        )
+    )
+    def test_retries_stay_within_bound_when_entries_restart(self, events):
+        names = ["e1", "e2", "e3", "e4"]
+        entries = {}
+        now_s = 100.0
+        requests, retries = [], []
+
+        def start(name):
+            entries[name] = builders.build_deployment(name)
+            builders.connect_entries(list(entries.values()), now_s)
+
+        for name in names:
+            start(name)
+        for name in names:
+            start(name)
+        for gap_s, kind, count in events:
+            for _ in range(math.ceil(gap_s / 0.5)):
+                now_s += 0.5
+                for entry in entries.values():
+                    entry.tick(now_s)
+            name = names[count % len(names)]
+            if kind == "restart all":
+                for item in names:
+                    start(item)
+            elif kind == "restart":
+                start(name)
+            for entry in entries.values():
+                budget = entry.get_budget("pool")
+                for _ in range(count):
+                    if kind == "request":
+                        budget.record_request(now_s)
+                        requests.append(now_s)
+                    elif kind == "retry" and budget.try_acquire(now_s):
+                        retries.append(now_s)
+            recent_retries = sum(at_s > now_s - 10.0 for at_s in retries)
+            recent_requests = sum(at_s > now_s - 10.0 for at_s in requests)
+            self.assertLessEqual(recent_retries, 0.2 * recent_requests + 54.0)
--- a/packages/kernel/wasabiknot_kernel/budgets.py
+++ b/packages/kernel/wasabiknot_kernel/budgets.py
@@ -7,10 +7,41 @@
 SAFETY_FACTOR = 0.8
 
 
+# Time for which entries that have fallen silent keep their part of the slack. They may
+# be cut off from this entry alone and go on retrying.
+MEMBER_MEMORY_S = 300.0
+MEMBER_SAMPLE_S = 10.0
+
+
+class PeakCount:
+    """The largest number of entries that was counted lately."""
+
+    def __init__(self):
+        self._samples = collections.deque()
+
+    def record(self, count, now_s):
+        """Records the current number of entries.
+
+        :param count: number of entries.
+        :param now_s: current time in seconds.
+        :return: largest number within ``MEMBER_MEMORY_S``.
+        """
+        samples = self._samples
+        if not samples or now_s - samples[-1][0] >= MEMBER_SAMPLE_S:
+            samples.append((now_s, count))
+        elif count > samples[-1][1]:
+            samples[-1] = (samples[-1][0], count)
+        while now_s - samples[0][0] > MEMBER_MEMORY_S:
+            samples.popleft()
+        return max(peak for _, peak in samples)
+
+
 class RetryBudget:
     """Limits the retries to one service within a sliding window.
 
     Each entry may use the ratio of its own requests, plus an equal part of the slack.
+    It uses no slack during the first window after its start, as it does not know what
+    its previous run has used.
 
     :param ratio: retries allowed per request.
     :param window_s: length of the window in seconds.
@@ -24,6 +55,7 @@
         self._requests = collections.deque()
         self._retries = collections.deque()
         self.entry_count = 1
+        self.has_slack = True
 
     def set_bounds(self, ratio, window_s, slack):
         """Replaces the limits.
@@ -51,7 +83,8 @@
         :return: whether the request may be retried.
         """
         self._drop_expired(now_s)
-        allowed = self._ratio * len(self._requests) + self._slack / self.entry_count
+        slack = self._slack / self.entry_count if self.has_slack else 0.0
+        allowed = self._ratio * len(self._requests) + slack
         if len(self._retries) + 1 > SAFETY_FACTOR * allowed:
             return False
         self._retries.append(now_s)
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -84,6 +84,9 @@
         self._fetch_failure_s = None
         self._store_recovered_s = None
         self._sequence = 0
+        self._peak_members = budgets.PeakCount()
+        # Time of the first tick.
+        self._started_s = None
         self.is_stopping = False
 
     @property
@@ -170,6 +173,7 @@
                 self.policy.retry_window_s,
                 self.policy.retry_slack,
             )
+            self._budgets[service].has_slack = False
         return self._budgets[service]
 
     def apply_registration(self, registration, now_s):
@@ -632,6 +636,8 @@
 
         :param now_s: current time in seconds.
         """
+        if self._started_s is None:
+            self._started_s = now_s
         self._expire_crashes(now_s)
         count = self.roster.count(now_s)
         self.allowances.set_member_counts(count.reachable, count.members, now_s)
@@ -645,8 +651,11 @@
             )
         self._assign_servers()
         self._apply_group_digests(now_s)
+        peak = self._peak_members.record(count.members, now_s)
+        has_slack = now_s - self._started_s > self.policy.retry_window_s
         for budget in self._budgets.values():
-            budget.entry_count = count.members
+            budget.entry_count = peak
+            budget.has_slack = has_slack
         sources = set(_list_reachable_digests(self.roster.list_group_peers(), now_s))
         sources.update(
             name
