Start customers' buckets almost empty, as the previous run may have used them

What callers and backend servers would see: a customer that sends far beyond its limit gets more than the limit tolerates while entries are restarted in turn.

Each restart gave a second of the customer's rate once more; peers report only what they admit after their first digest.

Buckets now start with 0.1 s of the rate. Entries start before callers come, so that at a first start buckets are full in time. Customers that a later configuration adds still start with a full bucket.

--- a/packages/kernel/wasabiknot_kernel/allowances.py
+++ b/packages/kernel/wasabiknot_kernel/allowances.py
@@ -13,6 +13,9 @@
 # Lowest refill rate, as a fraction of the customer's rate, that is assumed when the
 # time until a retry is computed.
 MIN_RATE_FRACTION = 0.01
+# Content of the buckets at the start of the process, in seconds of the customer's rate.
+# The previous run may have used the rest, and peers don't report what was used before.
+INITIAL_LEVEL_S = 0.1
 
 
 class Tolerance(msgspec.Struct, frozen=True):
@@ -70,13 +73,15 @@
         :param customers: mapping of names to ``routes.Customer``.
         :param now_s: current time in seconds.
         """
+        is_start = not self._customers
         self._customers = customers
         for name, customer in customers.items():
             rate = customer.tokens_per_s
             burst = max(customer.burst_tokens, rate)
             bucket = self._buckets.get(name)
             if bucket is None:
-                self._buckets[name] = _Bucket(burst, now_s, rate, burst)
+                level = INITIAL_LEVEL_S * rate if is_start else burst
+                self._buckets[name] = _Bucket(level, now_s, rate, burst)
                 continue
             self._refill(bucket, now_s)
             bucket.rate = rate
