Order what the store says by era, then offset

What callers would see: after the store came back from an older copy, revoked keys were served on and new configurations passed over, as entries took a fact only at an offset higher than the one that they had, and offsets are given out again.

A position is now one number that orders eras before offsets, so facts, digests, copies from peers and requests for them compare as before. The header is decoded in the adapter. The first listing of an era deletes nothing and changes only what is newer by the configuration's version, or lies behind all that was known; what stays in force gets a position between the copy's end and the next record. An answer of an older era fails. A read that waits is given up when any answer shows the new era. Headers that are missing, no number or too high are logged once and passed over.

The state machine (three replicas, restorations, restarts, copies from peers in any order) fails with the first listing taken as it is, and without the check of versions.

--- a/packages/entry/tests/test_followers.py
+++ b/packages/entry/tests/test_followers.py
@@ -1,11 +1,12 @@
 import struct
 import unittest
+from unittest import mock
 
 import msgspec
 from twisted.internet import defer, task
 
 from wasabiknot_entry import calls, followers
-from wasabiknot_kernel import facts
+from wasabiknot_kernel import events, facts, positions
 
 
 class FakeStore:
@@ -15,10 +16,16 @@
         self.responses = []
         self.targets = []
         self.default = calls.Response(503, b"")
+        self.watchers = []
+
+    def watch_era(self, handle_era):
+        self.watchers.append(handle_era)
 
     def call(self, call, wait_s=0.0):
         self.targets.append(call.target)
         response = self.responses.pop(0) if self.responses else self.default
+        if isinstance(response, defer.Deferred):
+            return response
         if isinstance(response, Exception):
             return defer.fail(response)
         return defer.succeed(response)
@@ -35,17 +42,17 @@
         self.failures += 1
 
 
-def build_listing(entries, end):
+def build_listing(entries, end, era=0):
     page = {"entries": entries, "morePages": False, "end": end}
-    return calls.Response(200, msgspec.json.encode(page))
+    return calls.Response(200, msgspec.json.encode(page), era=era)
 
 
-def build_read(end, contents):
+def build_read(end, contents, era=0):
     body = b"".join(struct.pack(">I", len(item)) + item for item in contents)
-    return calls.Response(200, struct.pack(">QQ", end, 0) + body)
+    return calls.Response(200, struct.pack(">QQ", end, 0) + body, era=era)
 
 
-class FollowerTests(unittest.TestCase):
+class FollowerTestCase(unittest.TestCase):
     def setUp(self):
         self.clock = task.Clock()
         self.store = FakeStore()
@@ -70,6 +77,8 @@
             self.clock.advance(0.05)
             self.reader_role.update()
 
+
+class FollowerTests(FollowerTestCase):
     def test_reads_from_end_of_listing(self):
         self.store.responses = [
             build_listing([{"key": "a", "value": "MQ==", "offset": 4}], 5),
@@ -127,3 +136,96 @@
         self.advance(1.5)
         self.assertEqual(self.topic.position, 5)
         self.assertGreaterEqual(self.health.failures, 2)
+
+
+class RestorationTests(FollowerTestCase):
+    LISTING = {"key": "a", "value": "MQ==", "offset": 4}
+
+    def start_with_long_poll(self):
+        self.waiting = defer.Deferred(
+            lambda deferred: deferred.errback(calls.CallError("cancelled"))
+        )
+        self.store.responses = [build_listing([self.LISTING], 5, 1), self.waiting]
+        self.follower.start()
+        self.advance(0.6)
+        self.applied.clear()
+
+    def test_read_of_a_later_era_makes_the_topic_listed_anew(self):
+        self.store.responses = [
+            build_listing([self.LISTING], 5, 1),
+            build_read(6, [b"\x01z9"], era=2),
+            build_listing([{"key": "b", "value": "Mg==", "offset": 6}], 7, 2),
+        ]
+        self.follower.start()
+        self.advance(1.1)
+        self.assertEqual([fact.key for fact in self.applied], ["a", "b"])
+        self.assertEqual(self.topic.facts["a"].value, b"1")
+        self.assertEqual(self.topic.position, positions.create_position(2, 7))
+
+    def test_read_from_an_offset_that_the_copy_lacks_makes_it_listed_anew(self):
+        self.store.responses = [
+            build_listing([self.LISTING], 5, 1),
+            calls.Response(410, b"{}", era=2),
+            build_listing([], 2, 2),
+            build_read(3, [b"\x01c3"], era=2),
+        ]
+        self.follower.start()
+        self.advance(1.6)
+        self.assertEqual([fact.key for fact in self.applied], ["a", "c"])
+        self.assertIn("from=2", self.store.targets[3])
+
+    def test_long_poll_of_the_previous_era_is_given_up(self):
+        self.start_with_long_poll()
+        self.store.default = build_listing([], 0, 2)
+        for handle_era in self.store.watchers:
+            handle_era()
+        self.advance(0.1)
+        self.assertIn("/log-newest", self.store.targets[2])
+        self.assertEqual(self.health.failures, 0)
+
+
+class EraTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = task.Clock()
+        self.client = followers.StoreClient(self.clock, None, "10.0.0.1:80")
+        self.raised = []
+        self.client.watch_era(lambda: self.raised.append(self.client.era))
+
+    def receive(self, *values):
+        headers = tuple((b"store-era", value) for value in values)
+        response = defer.succeed(calls.Response(200, b"", headers))
+        results = []
+        with (
+            mock.patch.object(followers.calls, "call", return_value=response),
+            mock.patch.object(followers.journal, "write") as write,
+        ):
+            self.client.call(followers.stores.build_list_call("t")).addBoth(
+                results.append
+            )
+        logged = [item.args[0] for item in write.call_args_list]
+        return results[0], logged
+
+    def test_era_rises_with_the_header(self):
+        for value in (b"3", b"3", b"4"):
+            response, _ = self.receive(value)
+        self.assertEqual((response.era, self.raised), (4, [3, 4]))
+
+    def test_response_of_an_older_era_fails(self):
+        self.receive(b"3")
+        failure, logged = self.receive(b"2")
+        self.assertIsNotNone(failure.check(followers.StoreError))
+        self.assertEqual((self.client.era, logged), (3, [events.Event.ERA_BAD]))
+
+    def test_missing_and_malformed_headers_change_nothing_and_are_logged_once(self):
+        self.receive(b"3")
+        lines = []
+        for values in ((), (b"",), (b"x",), (b"-1",), (b"9" * 30,), ()):
+            response, logged = self.receive(*values)
+            lines.extend(logged)
+            self.assertEqual((response.status, response.era), (200, 3))
+        self.assertEqual(lines, [events.Event.ERA_BAD])
+        self.assertEqual(self.raised, [3])
+
+    def test_store_without_eras_is_era_zero(self):
+        response, logged = self.receive()
+        self.assertEqual((response.era, logged, self.raised), (0, [], []))
--- a/packages/entry/wasabiknot_entry/calls.py
+++ b/packages/entry/wasabiknot_entry/calls.py
@@ -12,10 +12,14 @@
 
     :param status: HTTP status code.
     :param body: the whole body.
+    :param headers: pairs of lower-case names and values.
+    :param era: era of the store's content that the response shows; 0 if unknown.
     """
 
     status: int
     body: bytes
+    headers: tuple[tuple[bytes, bytes], ...] = ()
+    era: int = 0
 
 
 class CallError(exceptions.WasabiknotError):
@@ -38,8 +42,9 @@
         self._request = request
         self._connection = None
         self._status = 0
+        self._headers = ()
         self._body = []
-        self.response = defer.Deferred()
+        self.response = defer.Deferred(self._cancel)
         self._timer = reactor.callLater(timeout_s, self._time_out)
         self._connecting = pool.acquire(address, connections.DEFAULT_IDLE_TIMEOUT_S)
         self._connecting.addCallbacks(self._send, self._handle_connect_failure)
@@ -62,9 +67,16 @@
         # Other pooled connections to the address may be unresponsive as well.
         self._pool.close_idle(self._address)
 
+    def _cancel(self, _):
+        self._fail("cancelled")
+        self._connecting.cancel()
+        if self._connection is not None:
+            self._connection.abort()
+
     def handle_head(self, head):
-        """Stores the status of the response."""
+        """Stores the status and the headers of the response."""
         self._status = head.status
+        self._headers = head.headers
 
     def handle_data(self, data):
         """Buffers a chunk of the body."""
@@ -74,7 +86,8 @@
         """Completes the call with the buffered response."""
         if not self.response.called:
             self._timer.cancel()
-            self.response.callback(Response(self._status, b"".join(self._body)))
+            body = b"".join(self._body)
+            self.response.callback(Response(self._status, body, self._headers))
 
     def handle_loss(self, reason):
         """Fails the call because the connection was lost."""
@@ -96,7 +109,7 @@
     :param address: host and port.
     :param request: ``connections.Request``.
     :param timeout_s: timeout of the whole call, in seconds.
-    :return: deferred ``Response``; fails with ``CallError``.
+    :return: deferred ``Response``; fails with ``CallError``, also when cancelled.
     """
     return _Call(reactor, pool, address, request, timeout_s).response
 
--- a/packages/entry/wasabiknot_entry/followers.py
+++ b/packages/entry/wasabiknot_entry/followers.py
@@ -4,7 +4,7 @@
 from twisted.internet import defer, task
 
 from wasabiknot_entry import calls, journal
-from wasabiknot_kernel import events, exceptions, facts
+from wasabiknot_kernel import events, exceptions, facts, positions
 from wasabiknot_platform import stores
 
 # Timeout of a call, on top of the long-poll wait that it requests.
@@ -32,6 +32,16 @@
         self._reactor = reactor
         self._pool = pool
         self._address = address
+        self._watchers = []
+        self._has_logged_bad_era = False
+        self.era = 0
+
+    def watch_era(self, handle_era):
+        """Calls a function whenever the era of the store rises.
+
+        :param handle_era: function without parameters.
+        """
+        self._watchers.append(handle_era)
 
     def call(self, call, wait_s=0.0):
         """Sends a call to the store.
@@ -39,8 +49,40 @@
         :param call: ``stores.Call``.
         :param wait_s: long-poll wait that the call requests, in seconds; added to the
             timeout.
-        :return: deferred ``calls.Response``; fails with ``calls.CallError``.
+        :return: deferred ``calls.Response``; fails with ``calls.CallError``, or with
+            ``StoreError`` if the response is of an older era than known.
         """
+        sent = self._send(call, wait_s)
+        sent.addCallback(self._check_era)
+        return sent
+
+    def _check_era(self, response):
+        try:
+            era = stores.decode_era(response.headers)
+            if era is not None and era > positions.MAX_ERA:
+                raise ValueError(f"era {era} is too high")
+        except ValueError as error:
+            era = None
+            self._log_bad_era(str(error))
+        if era is None:
+            if self.era:
+                self._log_bad_era("no era")
+            return msgspec.structs.replace(response, era=self.era)
+        if era < self.era:
+            self._log_bad_era(f"era {era} after {self.era}")
+            raise StoreError(f"response of era {era} after {self.era}")
+        if era > self.era:
+            self.era = era
+            for handle_era in self._watchers:
+                handle_era()
+        return msgspec.structs.replace(response, era=era)
+
+    def _log_bad_era(self, problem):
+        if not self._has_logged_bad_era:
+            self._has_logged_bad_era = True
+            journal.write(events.Event.ERA_BAD, problem=problem)
+
+    def _send(self, call, wait_s):
         request = calls.build_request(
             call.method, call.target, self._address, call.body
         )
@@ -53,6 +95,10 @@
         )
 
 
+class _ListingError(StoreError):
+    """A read was given up, as the topic has to be listed again."""
+
+
 class ReaderRole:
     """Blocks followers while another entry reads the store for the group.
 
@@ -122,6 +168,8 @@
         self._reader_role = reader_role
         self._compute_poll_interval_s = compute_poll_interval_s
         self._is_listed = False
+        self._pending = None
+        store.watch_era(self._handle_era)
 
     def start(self):
         """Starts following the topic."""
@@ -141,6 +189,8 @@
                 self._health.record_success()
                 retry_delay_s = MIN_RETRY_DELAY_S
                 yield self._sleep(self._compute_poll_interval_s())
+            except _ListingError:
+                continue
             except (
                 calls.CallError,
                 StoreError,
@@ -154,19 +204,47 @@
                 )
                 retry_delay_s = min(2 * retry_delay_s, max_delay_s)
 
+    def list_again(self):
+        """Lists the topic at the next opportunity instead of reading on."""
+        self._is_listed = False
+
+    def _handle_era(self):
+        # A read that waits for a record of the previous era would wait in vain.
+        if not self._is_listed:
+            return
+        self._is_listed = False
+        if self._pending is not None:
+            self._pending.cancel()
+
+    @defer.inlineCallbacks
+    def _call(self, call, wait_s):
+        self._pending = self._store.call(call, wait_s)
+        try:
+            response = yield self._pending
+        except calls.CallError:
+            if not self._is_listed:
+                raise _ListingError("the store was restored") from None
+            raise
+        finally:
+            self._pending = None
+        return response
+
     def _sleep(self, delay_s):
         return task.deferLater(self._reactor, delay_s)
 
     @defer.inlineCallbacks
     def _list(self):
         records = []
-        end = None
+        end = era = None
         after = None
         while True:
             call = stores.build_list_call(self._topic.name, after)
             response = yield self._store.call(call)
             if response.status != stores.OK:
                 raise StoreError(f"status {response.status}")
+            if era is not None and response.era != era:
+                raise StoreError("the store was restored during the listing")
+            era = response.era
             page = stores.decode_listing(response.body)
             records.extend(page.records)
             end = page.end if end is None else end
@@ -174,26 +252,37 @@
                 break
             after = page.records[-1].key
         self._is_listed = True
-        listed = [_build_fact(record) for record in records]
-        self._apply_facts(self._topic.apply_listing(listed, end), "store")
+        listed = [build_fact(record, era) for record in records]
+        position = positions.create_position(era, end)
+        changed = self._topic.apply_listing(listed, position)
+        self._apply_facts(changed, "store")
 
     @defer.inlineCallbacks
     def _read(self):
-        start = self._topic.position
+        start = positions.get_offset(self._topic.position)
         call = stores.build_read_call(self._topic.name, start, self._long_poll_ms)
-        response = yield self._store.call(call, self._long_poll_ms / 1_000)
-        if response.status == stores.GONE:
+        response = yield self._call(call, self._long_poll_ms / 1_000)
+        is_restored = response.era != positions.get_era(self._topic.position)
+        if response.status == stores.GONE or is_restored:
             self._is_listed = False
             return
         if response.status != stores.OK:
             raise StoreError(f"status {response.status}")
         page = stores.decode_records(response.body, start)
-        read = [_build_fact(record) for record in page.records]
-        self._apply_facts(self._topic.apply(read, page.end), "store")
+        read = [build_fact(record, response.era) for record in page.records]
+        end = positions.create_position(response.era, page.end)
+        self._apply_facts(self._topic.apply(read, end), "store")
+
 
+def build_fact(record, era):
+    """Builds the fact of a record.
 
-def _build_fact(record):
-    return facts.Fact(record.key, record.value, record.offset)
+    :param record: ``stores.Record``.
+    :param era: era of the response that it was read from.
+    :return: ``facts.Fact``.
+    """
+    position = positions.create_position(era, record.offset)
+    return facts.Fact(record.key, record.value, position)
 
 
 class StoreHealth:
--- a/packages/kernel/tests/test_facts.py
+++ b/packages/kernel/tests/test_facts.py
@@ -1,8 +1,8 @@
 import unittest
 
-from hypothesis import given, settings, strategies
+from hypothesis import given, settings, stateful, strategies
 
-from wasabiknot_kernel import facts
+from wasabiknot_kernel import facts, positions
 
 RECORDS = strategies.lists(
     strategies.tuples(
@@ -113,3 +113,230 @@
         topic.apply([facts.Fact("a", b"1", 0)], 1)
         self.assertEqual(topic.apply([facts.Fact("a", b"1", 3)], 4), [])
         self.assertEqual(topic.facts["a"].offset, 3)
+
+
+def create_fact(key, value, era, offset):
+    return facts.Fact(key, value, positions.create_position(era, offset))
+
+
+class RestorationTests(unittest.TestCase):
+    def setUp(self):
+        self.topic = facts.Topic("t")
+        self.topic.apply_listing(
+            [create_fact("a", b"1", 1, 3), create_fact("b", b"1", 1, 4)],
+            positions.create_position(1, 5),
+        )
+
+    def restore(self, *listed, end):
+        listed_facts = [create_fact(key, value, 2, at) for key, value, at in listed]
+        return self.topic.apply_listing(listed_facts, positions.create_position(2, end))
+
+    def read(self, key, value, offset):
+        fact = create_fact(key, value, 2, offset)
+        return self.topic.apply([fact], positions.create_position(2, offset + 1))
+
+    def get_values(self):
+        return {key: fact.value for key, fact in self.topic.facts.items()}
+
+    def test_older_value_and_missing_key_change_nothing(self):
+        self.assertEqual(self.restore(("a", b"0", 1), end=2), [])
+        self.assertEqual(self.get_values(), {"a": b"1", "b": b"1"})
+        restoration = self.topic.pop_restoration()
+        self.assertEqual((restoration.kept, restoration.missing), (2, ("b",)))
+        self.assertIsNone(self.topic.pop_restoration())
+
+    def test_record_at_an_offset_given_out_again_is_applied(self):
+        self.restore(("a", b"0", 1), end=2)
+        self.assertEqual([fact.key for fact in self.read("a", b"9", 2)], ["a"])
+        self.assertEqual(self.topic.facts["a"].value, b"9")
+
+    def test_what_nobody_writes_again_is_removed(self):
+        self.restore(end=2)
+        self.read("a", b"1", 2)
+        self.assertEqual([fact.key for fact in self.topic.remove_unconfirmed()], ["b"])
+        self.assertEqual(self.topic.remove_unconfirmed(), [])
+
+    def test_key_deleted_before_stays_deleted_until_it_is_written_again(self):
+        self.assertEqual(self.restore(("gone", b"1", 1), end=2), [])
+        self.assertEqual(self.topic.pop_restoration().outdated, ("gone",))
+        self.assertEqual(len(self.read("gone", b"1", 2)), 1)
+
+    def test_key_that_is_newer_than_all_that_was_known_is_applied(self):
+        changed = self.restore(("new", b"1", 7), end=8)
+        self.assertEqual([fact.key for fact in changed], ["new"])
+
+    def test_lower_version_never_replaces_a_higher_one(self):
+        self.topic.find_version = lambda key, value: int(value) if key == "a" else None
+        self.restore(("a", b"0", 9), end=10)
+        self.assertEqual(self.read("a", b"0", 10), [])
+        self.assertEqual(self.topic.facts["a"].value, b"1")
+        self.assertEqual(len(self.read("a", b"2", 11)), 1)
+
+    def test_higher_version_of_the_copy_is_applied_at_once(self):
+        self.topic.find_version = lambda key, value: int(value)
+        self.assertEqual(len(self.restore(("a", b"5", 1), end=2)), 1)
+
+    def test_answer_of_an_older_era_changes_nothing(self):
+        self.restore(("a", b"1", 1), end=2)
+        late = create_fact("a", b"7", 1, 9)
+        self.assertEqual(self.topic.apply([late], positions.create_position(1, 10)), [])
+        self.assertEqual(positions.get_era(self.topic.position), 2)
+
+    def test_peer_learns_of_the_restoration_and_of_what_was_kept(self):
+        restarted = facts.Topic("t")
+        restarted.apply_listing(
+            [create_fact("a", b"0", 2, 1)], positions.create_position(2, 2)
+        )
+        restarted.record_change(positions.create_position(2, 1))
+        self.restore(("a", b"0", 1), end=2)
+        update = self.topic.build_update_since(restarted.change_position)
+        restarted.apply_update(update)
+        self.assertEqual(restarted.facts["a"].value, b"1")
+        self.assertEqual(restarted.facts["b"].value, b"1")
+
+
+class RestoredStore(stateful.RuleBasedStateMachine):
+    """Replicas of a store that is put back to older copies.
+
+    The operator's key "config" holds a version, written again after each restoration;
+    the worker's keys are written again too, or their worker is gone.
+    """
+
+    REPLICAS = 3
+
+    def __init__(self):
+        super().__init__()
+        self.log = []
+        self.first_versions = []
+        self.era = 1
+        self.version = 0
+        self.workers = {}
+        self.replicas = [self.start() for _ in range(self.REPLICAS)]
+        self.highest = [0] * self.REPLICAS
+        # Workers that have left, and those of them that a replica no longer has.
+        self.left = set()
+        self.seen_left = [set() for _ in range(self.REPLICAS)]
+
+    def start(self):
+        topic = facts.Topic("t")
+        topic.find_version = lambda key, value: int(value) if key == "config" else None
+        self.list_keys(topic)
+        return topic
+
+    def append(self, key, value):
+        self.log.append((key, value))
+
+    def compute_newest(self):
+        newest = {}
+        for offset, (key, value) in enumerate(self.log):
+            newest[key] = create_fact(key, value, self.era, offset)
+        return {key: fact for key, fact in newest.items() if fact.value is not None}
+
+    def list_keys(self, topic):
+        end = positions.create_position(self.era, len(self.log))
+        topic.apply_listing(list(self.compute_newest().values()), end)
+        topic.record_change(end - 1)
+
+    def read(self, topic):
+        if topic.era != self.era:
+            self.list_keys(topic)
+            return
+        start = positions.get_offset(topic.position)
+        if positions.get_era(topic.position) != self.era or start > len(self.log):
+            self.list_keys(topic)
+            return
+        end = positions.create_position(self.era, len(self.log))
+        records = [
+            create_fact(key, value, self.era, start + number)
+            for number, (key, value) in enumerate(self.log[start:])
+        ]
+        topic.apply(records, end)
+        topic.record_change(end - 1)
+
+    @stateful.rule()
+    def configure(self):
+        self.version += 1
+        self.append("config", str(self.version).encode())
+
+    @stateful.rule(name=strategies.sampled_from("xyz"), state=strategies.binary())
+    def register(self, name, state):
+        self.workers[name] = state or b"ready"
+        self.left.discard(name)
+        self.append(name, self.workers[name])
+
+    @stateful.rule(name=strategies.sampled_from("xyz"))
+    def leave(self, name):
+        if self.workers.pop(name, None) is not None:
+            self.append(name, None)
+            self.left.add(name)
+
+    @stateful.rule(number=strategies.integers(0, REPLICAS - 1))
+    def read_store(self, number):
+        self.read(self.replicas[number])
+
+    @stateful.rule(
+        sender=strategies.integers(0, REPLICAS - 1),
+        receiver=strategies.integers(0, REPLICAS - 1),
+    )
+    def copy_from_peer(self, sender, receiver):
+        topic = self.replicas[receiver]
+        update = self.replicas[sender].build_update_since(topic.change_position)
+        if update.position > topic.change_position:
+            topic.apply_update(update)
+            topic.record_change(update.position - 1)
+
+    @stateful.rule(number=strategies.integers(0, REPLICAS - 1))
+    def restart(self, number):
+        self.replicas[number] = self.start()
+        self.highest[number] = 0
+        self.seen_left[number] = set()
+
+    @stateful.rule(lost=strategies.integers(1, 6))
+    def restore_copy(self, lost):
+        self.log = self.log[: max(0, len(self.log) - lost)]
+        self.era += 1
+
+    def write_again(self):
+        if self.version:
+            self.append("config", str(self.version).encode())
+        for name, state in self.workers.items():
+            self.append(name, state)
+        for name in set(self.compute_newest()) - {"config", *self.workers}:
+            self.append(name, None)
+
+    @stateful.rule()
+    def write_again_after_restoration(self):
+        self.write_again()
+
+    @stateful.invariant()
+    def no_replica_goes_back(self):
+        for number, topic in enumerate(self.replicas):
+            fact = topic.facts.get("config")
+            version = int(fact.value) if fact is not None and fact.value else 0
+            if fact is not None and fact.value:
+                assert version >= self.highest[number], (version, self.highest)
+                self.highest[number] = version
+            live = {key for key, fact in topic.facts.items() if fact.value is not None}
+            self.seen_left[number] &= self.left
+            assert not live & self.seen_left[number]
+            self.seen_left[number] |= self.left - live
+
+    def teardown(self):
+        for topic in self.replicas:
+            self.read(topic)
+        self.write_again()
+        for topic in self.replicas:
+            self.read(topic)
+            topic.remove_unconfirmed()
+            self.list_keys(topic)
+        expected = {key: fact.value for key, fact in self.compute_newest().items()}
+        for topic in self.replicas:
+            values = {key: fact.value for key, fact in topic.facts.items()}
+            live = {key: value for key, value in values.items() if value is not None}
+            assert live == expected, (live, expected)
+
+
+RestoredStoreTests = RestoredStore.TestCase
+RestoredStoreTests.settings = settings(
+    derandomize=True, max_examples=200, stateful_step_count=30, deadline=None
+)
--- a/packages/kernel/wasabiknot_kernel/facts.py
+++ b/packages/kernel/wasabiknot_kernel/facts.py
@@ -1,19 +1,22 @@
 """Facts: a local replica of records in the platform's store.
 
 An entry reads facts from the store, or from peers while the store rejects its reads.
-A fact replaces another of the same key only if its offset is higher, so facts can
-arrive in any order without reverting a change.
+A fact replaces another of the same key only if its position is higher, so facts can
+arrive in any order without reverting a change. After the store was restored from an
+older copy, what is in force stays in force until it is written again.
 """
 
 import msgspec
 
+from wasabiknot_kernel import positions
+
 
 class Fact(msgspec.Struct, frozen=True, array_like=True):
     """The newest record of a key.
 
     :param key: key of the record.
     :param value: content as bytes; ``None`` is a tombstone.
-    :param offset: offset of the record in the topic.
+    :param offset: ``positions.Position`` of the record in the topic.
     """
 
     key: str
@@ -36,6 +39,26 @@
     facts: tuple[Fact, ...]
 
 
+class Restoration(msgspec.Struct, frozen=True):
+    """What the first listing after a restoration of the store showed.
+
+    :param previous_era: era before it.
+    :param era: era of the listing.
+    :param listed: number of keys listed.
+    :param kept: number of keys whose value stays in force although the listing has
+        another one or none.
+    :param missing: those of them that the listing lacks.
+    :param outdated: listed keys that are ignored, as they were deleted before.
+    """
+
+    previous_era: int
+    era: int
+    listed: int
+    kept: int
+    missing: tuple[str, ...]
+    outdated: tuple[str, ...]
+
+
 class Topic:
     """The facts of one topic.
 
@@ -44,6 +67,13 @@
 
     def __init__(self, name):
         self.name = name
+        # Function of a key and a value; returns a version that must not decrease, or
+        # None if positions alone decide.
+        self.find_version = None
+        # Result of the newest listing that began an era, until it is taken.
+        self._restoration = None
+        # Keys that stay in force although the store has lost their records.
+        self._unconfirmed = set()
         self.position = 0
         # Position behind the newest record that affected scheduling.
         self.change_position = 0
@@ -65,9 +95,13 @@
             current = self.facts.get(fact.key)
             if current is not None and current.offset >= fact.offset:
                 continue
-            if current is None and fact.offset < self._listing_end:
+            if current is None and positions.is_before(fact.offset, self._listing_end):
                 # The update predates the listing, and the key has been deleted since.
                 continue
+            self._unconfirmed.discard(fact.key)
+            if current is not None and self._is_older(fact, current):
+                self.facts[fact.key] = Fact(fact.key, current.value, fact.offset)
+                continue
             self.facts[fact.key] = fact
             if current is None or current.value != fact.value:
                 changed.append(fact)
@@ -78,10 +112,107 @@
     def apply_listing(self, listed_facts, position):
         """Applies a listing of all keys and deletes the keys that it lacks.
 
+        The first listing of an era deletes nothing: its records are those of an older
+        copy, and what was lost may be written again.
+
         :param listed_facts: list of ``Fact``.
         :param position: end of the topic when the listing began.
         :return: list of the ``Fact`` items that changed a value.
         """
+        if self.is_loaded and positions.get_era(position) > self.era:
+            return self._restore(listed_facts, position)
+        return self._replace(listed_facts, position)
+
+    @property
+    def era(self):
+        """The highest era of what is known."""
+        return positions.get_era(self._known_end)
+
+    @property
+    def _known_end(self):
+        return max(self.position, self.change_position, self._listing_end)
+
+    def _find_version(self, fact):
+        if self.find_version is None or fact.value is None:
+            return None
+        return self.find_version(fact.key, fact.value)
+
+    def _is_older(self, fact, current):
+        version, known_version = self._find_version(fact), self._find_version(current)
+        return (
+            version is not None
+            and known_version is not None
+            and version < known_version
+        )
+
+    def _restore(self, listed_facts, position):
+        previous_era, known_end = self.era, self._known_end
+        unknown = {fact.key: fact for fact in listed_facts}
+        changed, kept, missing = [], 0, []
+        for key, current in self.facts.items():
+            found = unknown.pop(key, None)
+            if found is not None and self._is_in_force(found, current):
+                self.facts[key] = found
+                if found.value != current.value:
+                    changed.append(found)
+                continue
+            kept_position = positions.create_kept_position(position)
+            self.facts[key] = Fact(key, current.value, kept_position)
+            if current.value is not None:
+                kept += 1
+                if found is None:
+                    missing.append(key)
+        outdated = []
+        for key, found in unknown.items():
+            if positions.get_offset(found.offset) < positions.get_offset(known_end):
+                outdated.append(key)
+            else:
+                self.facts[key] = found
+                changed.append(found)
+        self._unconfirmed = set(missing)
+        self.position = self._listing_end = position
+        self.record_change(position - 1)
+        self._restoration = Restoration(
+            previous_era,
+            positions.get_era(position),
+            len(listed_facts),
+            kept,
+            tuple(missing),
+            tuple(outdated),
+        )
+        return changed
+
+    def _is_in_force(self, found, current):
+        if found.value == current.value:
+            return True
+        version = self._find_version(found)
+        known_version = self._find_version(current)
+        if version is not None and known_version is not None:
+            return version > known_version
+        # The copy has the records before its end at their former offsets.
+        return positions.get_offset(found.offset) > positions.get_offset(current.offset)
+
+    def pop_restoration(self):
+        """Returns the result of a listing that began an era, once.
+
+        :return: ``Restoration``, or ``None`` if there was none since the last call.
+        """
+        restoration, self._restoration = self._restoration, None
+        return restoration
+
+    def remove_unconfirmed(self):
+        """Removes what a restoration has lost and nobody has written again.
+
+        :return: list of the ``Fact`` items that changed a value.
+        """
+        removed_position = positions.create_removed_position(self.position)
+        removed = [Fact(key, None, removed_position) for key in self._unconfirmed]
+        self._unconfirmed.clear()
+        for fact in removed:
+            self.facts[fact.key] = fact
+        return removed
+
+    def _replace(self, listed_facts, position):
         listed_keys = {fact.key for fact in listed_facts}
         tombstones = [
             Fact(key, None, position - 1)
@@ -125,7 +256,7 @@
         if not update.is_full:
             return self.apply(update.facts, 0)
         listing_end, position = self._listing_end, self.position
-        changed = self.apply_listing(update.facts, update.position)
+        changed = self._replace(update.facts, update.position)
         # The position of an update is that of a change, not the end of the topic.
         self.position = position
         self._listing_end = max(listing_end, update.position)
