Write again what a restored store has lost of our own records

What operators would see: a release that had finished was canary again, or its status was gone; a harmful request was sent on; members were missing from the store for good.

Each entry writes its member record again within 2 s, spread; the leader the phases and the status of releases; the readers the crashes, and delete those that had been cleared. A phase never falls: an earlier one of the same order is not applied, and the known one is written over it. An order that is read again in another era with equal contents is the same order.

Also here: the server at an address is found by a map instead of a search through all.

--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -15,6 +15,7 @@
 
 from wasabiknot_entry import (
     addresses,
+    calls,
     connections,
     crash_writers,
     edge_settings,
@@ -61,6 +62,14 @@
 GRACE_MARGIN_S = 0.7
 DRAIN_CHECK_INTERVAL_S = 0.05
 FINAL_FLUSH_DELAY_S = 0.05
+# After a restoration of the store, each entry writes its member record again within
+# this time, so that a large system does not write all of them at once.
+MAX_REWRITE_DELAY_S = 2.0
+# Time after which a restored topic is listed once more. Lapsed registrations have been
+# removed then, and what was lost has been written again.
+RECONCILE_DELAY_S = 5.0
+SETTLE_RETRY_S = 0.5
+PUBLISH_RETRY_S = 0.5
 
 
 class DeploymentView:
@@ -139,6 +148,9 @@
             reactor, self._deployment, self._store
         )
         self._metrics = metrics
+        self._rng = rng
+        self._followers = {}
+        self._era = None
         self._is_stopping = False
         self.exit_code = 0
 
@@ -173,6 +185,8 @@
             gossip.create_factory(self._deployment, self._metrics.render),
         )
         reactor.listenUDP(port, self._gossip, interface=settings.host)
+        operator_topic = self._deployment.get_topic(stores.OPERATOR_TOPIC)
+        operator_topic.find_version = configurations.find_version
         self._follow(stores.OPERATOR_TOPIC, CONFIGURATION_LONG_POLL_MS, lambda: 0.0)
         self._follow(stores.SERVER_TOPIC, 0, self._compute_poll_interval_s)
         self._follow(stores.MEMBER_TOPIC, MEMBER_LONG_POLL_MS, lambda: 0.0)
@@ -215,6 +229,7 @@
             self._reader_role,
             compute_poll_interval_s,
         )
+        self._followers[topic] = follower
         follower.start()
 
     def _compute_poll_interval_s(self):
@@ -227,7 +242,13 @@
         )
         sent = self._store.call(call)
         sent.addCallback(self._check_published)
-        sent.addErrback(lambda _: reactor.callLater(0.5, self._publish_member))
+        sent.addErrback(self._retry_publish)
+
+    def _retry_publish(self, failure):
+        failure.trap(calls.CallError, followers.StoreError)
+        error = failure.getErrorMessage()
+        journal.write(events.Event.STORE_LOST, call="member", error=error)
+        reactor.callLater(PUBLISH_RETRY_S, self._publish_member)
 
     def _check_published(self, response):
         if response.status != stores.OK:
@@ -238,6 +259,16 @@
         self._reader_role.update()
         self._crash_writer.check()
         self._log_crashes()
+        self._check_era()
+
+    def _check_era(self):
+        previous, self._era = self._era, self._deployment.find_era()
+        if previous is None or self._era == previous:
+            return
+        journal.write(events.Event.STORE_RESTORED, previous=previous, era=self._era)
+        self._deployment.releases.record_restoration()
+        delay_s = self._rng.uniform(0, MAX_REWRITE_DELAY_S)
+        reactor.callLater(delay_s, self._publish_member)
 
     def _log_crashes(self):
         for observation in self._deployment.crashes.pop_observations():
@@ -320,6 +351,40 @@
                     offset=fact.offset,
                     error=str(error),
                 )
+        restoration = self._deployment.get_topic(topic).pop_restoration()
+        if restoration is not None:
+            self._handle_restoration(topic, restoration)
+
+    def _handle_restoration(self, topic, restoration):
+        journal.write(
+            events.Event.TOPIC_RESTORED,
+            topic=topic,
+            era=restoration.era,
+            listed=restoration.listed,
+            kept=restoration.kept,
+            missing=len(restoration.missing),
+            outdated=len(restoration.outdated),
+        )
+        if topic == stores.CRASH_TOPIC:
+            register = self._deployment.crashes
+            register.mark_lost(restoration.missing, reactor.seconds())
+            register.delete(restoration.outdated)
+        elif topic == stores.SERVER_TOPIC:
+            reactor.callLater(deployments.REMOVAL_GRACE_S, self._settle_servers)
+        reactor.callLater(RECONCILE_DELAY_S, self._followers[topic].list_again)
+
+    def _settle_servers(self):
+        if self._deployment.is_store_unavailable(reactor.seconds()):
+            reactor.callLater(SETTLE_RETRY_S, self._settle_servers)
+            return
+        topic = self._deployment.get_topic(stores.SERVER_TOPIC)
+        removed = topic.remove_unconfirmed()
+        if removed:
+            after_ms = round(deployments.REMOVAL_GRACE_S * 1_000)
+            journal.write(
+                events.Event.SERVERS_LOST, count=len(removed), after_ms=after_ms
+            )
+        self._apply_facts(stores.SERVER_TOPIC, removed, "restoration")
 
     def _apply_operator_fact(self, fact, source):
         if fact.value is None:
@@ -353,7 +418,10 @@
             return True
         release = msgspec.json.decode(fact.value, type=releases.Release)
         now_ms = time.time() * 1_000
-        self._deployment.releases.apply_record(release, reactor.seconds(), now_ms)
+        if not self._deployment.releases.apply_record(
+            release, reactor.seconds(), now_ms
+        ):
+            return True
         journal.write(
             events.Event.RELEASE_PHASE,
             service=release.service,
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -24,8 +24,7 @@
     connections.LossReason.RESET.value,
     connections.LossReason.CLOSED.value,
 )
-# Lowest status that is not a success.
-MULTIPLE = http.MULTIPLE_CHOICE
+SUCCESS_END = http.MULTIPLE_CHOICE
 # Timeout of a request whose caller sends no deadline.
 DEFAULT_TIMEOUT_MS = 30_000.0
 # Part of the caller's timeout that is reserved for returning the response.
@@ -374,7 +373,7 @@
                 self._check_server(server, now_s)
         else:
             is_success = (
-                result.outcome is Outcome.COMPLETE and result.head.status < MULTIPLE
+                result.outcome is Outcome.COMPLETE and result.head.status < SUCCESS_END
             )
             deployment.record_response(ticket, server, is_success, now_s)
         self._metrics.count_attempt(result.outcome)
--- a/packages/entry/wasabiknot_entry/release_writers.py
+++ b/packages/entry/wasabiknot_entry/release_writers.py
@@ -12,16 +12,20 @@
 from twisted.internet import defer, task
 
 from wasabiknot_entry import calls, followers, journal
-from wasabiknot_kernel import events, facts, registrations, releases
+from wasabiknot_kernel import events, registrations, releases
 from wasabiknot_platform import configurations, stores
 
 CHECK_INTERVAL_S = 0.2
 # Delay per group whose name sorts before this entry's group, so that normally only the
 # leader of the first group writes.
 GROUP_DELAY_S = 1.0
+# Results of a write, as they appear in logs.
+_WRITTEN = "written"
+_KNOWN = "known"
 
 _STATES = {
     releases.Phase.CANARY: registrations.ReleaseState.RUNNING,
+    releases.Phase.PROMOTED: registrations.ReleaseState.RUNNING,
     releases.Phase.FINISHED: registrations.ReleaseState.FINISHED,
     releases.Phase.ROLLED_BACK: registrations.ReleaseState.ROLLED_BACK,
 }
@@ -71,10 +75,17 @@
             )
             if due is None:
                 self._due_since_s.pop(order.service, None)
-            elif self._is_designated(order.service, now_s) and not self._is_writing:
-                self._is_writing = True
-                written = self._write(due)
-                written.addErrback(journal.log_failure, "write release")
+            else:
+                self._write_if_designated(due, now_s)
+        for release in tracked_releases.list_lost_records():
+            self._write_if_designated(release, now_s)
+
+    def _write_if_designated(self, release, now_s):
+        if self._is_writing or not self._is_designated(release.service, now_s):
+            return
+        self._is_writing = True
+        written = self._write(release)
+        written.addErrback(journal.log_failure, "write release")
 
     def _is_designated(self, service, now_s):
         roster = self._deployment.roster
@@ -88,9 +99,9 @@
     @defer.inlineCallbacks
     def _write(self, due):
         try:
-            result = yield self._write_state(due)
-            if result == "written":
-                result = yield self._write_record(due)
+            result = yield self._write_record(due)
+            if result in (_WRITTEN, _KNOWN):
+                self._deployment.releases.mark_stored(due.service)
             journal.write(
                 events.Event.RELEASE_WRITTEN,
                 service=due.service,
@@ -106,16 +117,14 @@
 
     @defer.inlineCallbacks
     def _write_state(self, due):
-        state = _STATES.get(due.phase)
-        if state is None:
-            return "written"
         key = f"{stores.STATUS_PREFIX}{due.service}"
         page = yield self._list(stores.STATUS_TOPIC)
+        state = _STATES[due.phase]
         status = registrations.ReleaseStatus(due.service, due.target, state)
         value = configurations.encode_status(status)
         if any(record.key == key and record.value == value for record in page.records):
             # An earlier write succeeded, but its response was lost.
-            return "written"
+            return _WRITTEN
         call = stores.build_append_call(stores.STATUS_TOPIC, key, value, page.end)
         response = yield self._store.call(call)
         return _describe_result(response)
@@ -125,7 +134,10 @@
         page = yield self._list(stores.RELEASE_TOPIC)
         for record in page.records:
             if record.key == due.service and self._is_superseded(record, due):
-                return "known"
+                return _KNOWN
+        result = yield self._write_state(due)
+        if result != _WRITTEN:
+            return result
         call = stores.build_append_call(
             stores.RELEASE_TOPIC, due.service, msgspec.json.encode(due), page.end
         )
@@ -134,11 +146,13 @@
 
     def _is_superseded(self, record, due):
         stored = msgspec.json.decode(record.value, type=releases.Release)
-        is_ended = stored.phase in (releases.Phase.FINISHED, releases.Phase.ROLLED_BACK)
-        if stored.order != due.order or not (is_ended or stored.phase is due.phase):
+        if not stored.has_same_order(due):
             return stored.order > due.order
+        if due.is_beyond(stored):
+            return False
         topic = self._deployment.get_topic(stores.RELEASE_TOPIC)
-        changed = topic.apply([facts.Fact(record.key, record.value, record.offset)], 0)
+        fact = followers.build_fact(record, self._store.era)
+        changed = topic.apply([fact], 0)
         self._apply_facts(stores.RELEASE_TOPIC, changed, "store")
         return True
 
@@ -152,5 +166,5 @@
 
 def _describe_result(response):
     if response.status == stores.OK:
-        return "written"
+        return _WRITTEN
     return f"status {response.status}"
--- a/packages/kernel/tests/test_crashes.py
+++ b/packages/kernel/tests/test_crashes.py
@@ -92,6 +92,17 @@
         self.assertEqual(self.register.list_deletions(), [crash(1).key])
         self.assertEqual(self.register.count("f"), 0)
 
+    def test_crash_that_the_store_has_lost_is_stored_again(self):
+        self.register.add_stored(crash(1), 0.0)
+        self.assertEqual(self.register.list_due(9.0, True), [])
+        self.register.mark_lost([crash(1).key, crash(2).key], 9.0)
+        self.assertEqual(self.register.list_reported(9.1), (crash(1),))
+        self.assertEqual(self.register.list_due(9.6, False), [crash(1)])
+
+    def test_crash_that_was_cleared_before_is_deleted_from_the_copy(self):
+        self.register.delete([crash(1).key])
+        self.assertEqual(self.register.list_deletions(), [crash(1).key])
+
     def test_number_of_requests_is_bounded(self):
         for number in range(crashes.MAX_REQUESTS + 5):
             item = crashes.Crash(f"f{number}", "w/1", 0.0)
--- a/packages/kernel/tests/test_releases.py
+++ b/packages/kernel/tests/test_releases.py
@@ -4,7 +4,7 @@
 import builders
 from hypothesis import given, settings, strategies
 
-from wasabiknot_kernel import outcomes, registrations, releases, servers
+from wasabiknot_kernel import outcomes, positions, registrations, releases, servers
 
 Outcome = outcomes.Outcome
 ORDER = registrations.ReleaseOrder("pool", "v2", 16.0, 5)
@@ -294,3 +294,61 @@
         record = releases.Release("pool", "v2", 5, releases.Phase.PROMOTED, 1_000)
         tracker.apply_record(record, 0.5, 14_000)
         self.assertIs(self.write_due(tracker, 1.5), releases.Phase.FINISHED)
+
+
+class RestorationTests(unittest.TestCase):
+    """The store is put back to an older copy, which begins era 2."""
+
+    def setUp(self):
+        self.tracker = build_releases()
+        self.order = ORDER
+
+    def apply(self, phase, order=None, duration_s=16.0):
+        release = releases.Release(
+            "pool", "v2", order or ORDER.offset, phase, 0, "", duration_s
+        )
+        return self.tracker.apply_record(release, 1.0, 1_000)
+
+    def test_phase_does_not_fall(self):
+        self.apply(releases.Phase.FINISHED)
+        later = positions.create_position(2, 1)
+        self.assertFalse(self.apply(releases.Phase.CANARY, later))
+        self.assertIs(self.tracker.find_phase("pool"), releases.Phase.FINISHED)
+        (lost,) = self.tracker.list_lost_records()
+        self.assertIs(lost.phase, releases.Phase.FINISHED)
+        self.apply(releases.Phase.FINISHED, later)
+        self.assertEqual(self.tracker.list_lost_records(), [])
+
+    def test_order_read_again_keeps_its_phase(self):
+        restarted = releases.Releases(0.1, random.Random(1))
+        order = registrations.ReleaseOrder(
+            "pool", "v2", 16.0, positions.create_position(2, 3)
+        )
+        restarted.apply_order(order, 0.0)
+        record = releases.Release(
+            "pool", "v2", 5, releases.Phase.ROLLED_BACK, 0, "", 16.0
+        )
+        restarted.apply_record(record, 1.0, 1_000)
+        self.assertIs(restarted.find_phase("pool"), releases.Phase.ROLLED_BACK)
+        self.assertEqual(restarted.list_active(), [])
+
+    def test_other_order_of_a_later_era_begins_anew(self):
+        self.apply(releases.Phase.ROLLED_BACK)
+        order = registrations.ReleaseOrder(
+            "pool", "v2", 30.0, positions.create_position(2, 3)
+        )
+        self.tracker.apply_order(order, 2.0)
+        self.assertIs(self.tracker.find_phase("pool"), releases.Phase.CANARY)
+
+    def test_second_order_of_an_era_begins_anew(self):
+        self.apply(releases.Phase.ROLLED_BACK)
+        order = registrations.ReleaseOrder("pool", "v2", 16.0, 9)
+        self.tracker.apply_order(order, 2.0)
+        self.assertIs(self.tracker.find_phase("pool"), releases.Phase.CANARY)
+
+    def test_records_of_unknown_orders_are_not_written_again(self):
+        tracker = releases.Releases(0.1, random.Random(1))
+        record = releases.Release("pool", "v2", 5, releases.Phase.FINISHED, 0)
+        tracker.apply_record(record, 1.0, 1_000)
+        tracker.record_restoration()
+        self.assertEqual(tracker.list_lost_records(), [])
--- a/packages/kernel/wasabiknot_kernel/crashes.py
+++ b/packages/kernel/wasabiknot_kernel/crashes.py
@@ -312,6 +312,28 @@
                 # A complete response arrived while the crash was being stored.
                 self._deletions[crash.key] = None
 
+    def mark_lost(self, keys, now_s):
+        """Marks records that the store has lost, so that they are written again.
+
+        :param keys: iterable of keys.
+        :param now_s: current time in Unix seconds.
+        """
+        for key in keys:
+            fingerprint, _, server = key.partition("/")
+            known = self._requests.get(fingerprint, {}).get(server)
+            if known is not None:
+                known.is_stored = False
+                known.is_own = True
+                known.known_s = now_s
+                self._reported[key] = known
+
+    def delete(self, keys):
+        """Marks records that the store should no longer keep.
+
+        :param keys: iterable of keys.
+        """
+        self._deletions.update(dict.fromkeys(keys))
+
     def list_deletions(self):
         """Lists the records that the store should no longer keep.
 
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -77,6 +77,7 @@
         self._dispatchers = {}
         self._budgets = {}
         self._services_by_server = {}
+        self._ids_by_address = {}
         self._peer_loads = {}
         self._pending_removals = {}
         self.last_read_s = None
@@ -116,6 +117,15 @@
             self.topics[name] = facts.Topic(name)
         return self.topics[name]
 
+    def find_era(self):
+        """Finds the highest era of the store that is known here.
+
+        :return: number of the era, 0 if the store states none; ``None`` before the
+            first topic is loaded.
+        """
+        eras = [topic.era for topic in self.topics.values() if topic.is_loaded]
+        return max(eras, default=None)
+
     def apply_configuration(self, table, now_s):
         """Puts a configuration in force, unless the current one is as new.
 
@@ -232,6 +242,9 @@
             if not server.is_leaving:
                 self._record_end(server.registration, now_s, crashes.Evidence.REMOVED)
             self._attribution.forget(server.registration)
+            address = server.registration.address
+            if self._ids_by_address.get(address) == server_id:
+                del self._ids_by_address[address]
         service = self._services_by_server.pop(server_id, None)
         if service is not None:
             self.get_dispatcher(service).remove(server_id)
@@ -387,14 +400,11 @@
             self.crashes.record(crash, now_s, evidence)
 
     def _record_replaced(self, registration, now_s):
-        for dispatcher in self._dispatchers.values():
-            for server in list(dispatcher.servers.values()):
-                previous = server.registration
-                if (
-                    previous.address == registration.address
-                    and previous.server_id != registration.server_id
-                ):
-                    self._record_end(previous, now_s, crashes.Evidence.REPLACED)
+        previous_id = self._ids_by_address.get(registration.address)
+        self._ids_by_address[registration.address] = registration.server_id
+        previous = self.find_server(previous_id)
+        if previous is not None and previous_id != registration.server_id:
+            self._record_end(previous.registration, now_s, crashes.Evidence.REPLACED)
 
     def _apply_refused(self, source, refused_servers, now_s):
         for server_key in self._attribution.apply_report(source, refused_servers):
--- a/packages/kernel/wasabiknot_kernel/events.py
+++ b/packages/kernel/wasabiknot_kernel/events.py
@@ -79,6 +79,25 @@
         logging.WARNING,
         "cannot copy records from {peer}, reading the store: {error}",
     )
+    ERA_BAD = EventDefinition(
+        1116, logging.WARNING, "ignoring the era that the store states: {problem}"
+    )
+    STORE_RESTORED = EventDefinition(
+        1117,
+        logging.WARNING,
+        "store restored from a copy, era {previous} to {era}: writing again",
+    )
+    TOPIC_RESTORED = EventDefinition(
+        1118,
+        logging.WARNING,
+        "{topic} listed in era {era}: {listed} keys, {kept} kept in force,"
+        " {missing} missing, {outdated} outdated",
+    )
+    SERVERS_LOST = EventDefinition(
+        1119,
+        logging.WARNING,
+        "{count} servers not registered again {after_ms} ms after the restoration",
+    )
     MEMBER_FOUND = EventDefinition(
         1113, logging.INFO, "peer {peer} joined at {address}, incarnation {run}"
     )
--- a/packages/kernel/wasabiknot_kernel/registrations.py
+++ b/packages/kernel/wasabiknot_kernel/registrations.py
@@ -48,7 +48,7 @@
     :param service: name of the service.
     :param target: version that is to receive all traffic.
     :param duration_s: time in seconds within which to complete the release.
-    :param offset: offset of the order in the store, which identifies it.
+    :param offset: ``positions.Position`` of the order in the store.
     """
 
     service: routes.ServiceName
--- a/packages/kernel/wasabiknot_kernel/releases.py
+++ b/packages/kernel/wasabiknot_kernel/releases.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from wasabiknot_kernel import outcomes, registrations
+from wasabiknot_kernel import outcomes, positions, registrations
 
 Outcome = outcomes.Outcome
 
@@ -69,10 +69,11 @@
 
     :param service: service name.
     :param target: version that the order names.
-    :param order: offset of the order in the store.
+    :param order: position of the order in the store.
     :param phase: current phase.
     :param started_ms: Unix time at which the order was first read, in milliseconds.
     :param reason: why the release was rolled back; empty otherwise.
+    :param duration_s: time in seconds that the order allows.
     """
 
     service: str
@@ -81,6 +82,50 @@
     phase: Phase
     started_ms: int
     reason: str = ""
+    duration_s: float = 0.0
+
+    def belongs_to(self, order):
+        """Tells whether this is the record of an order.
+
+        :param order: ``registrations.ReleaseOrder``.
+        :return: whether both name the same order.
+        """
+        contents = (order.target, order.duration_s)
+        return self._names_order(order.offset, contents)
+
+    def has_same_order(self, other):
+        """Tells whether another record is one of the same order.
+
+        :param other: ``Release``.
+        :return: whether both name the same order.
+        """
+        contents = (other.target, other.duration_s)
+        return self._names_order(other.order, contents)
+
+    def _names_order(self, position, contents):
+        if self.order == position:
+            return True
+        # After the store was restored, an order is read again at another position.
+        if positions.get_era(self.order) == positions.get_era(position):
+            return False
+        return (self.target, self.duration_s) == contents
+
+    def is_beyond(self, other):
+        """Tells whether another record of the same order is of an earlier phase.
+
+        :param other: ``Release``.
+        :return: whether this one must not be replaced by it.
+        """
+        is_later = _PHASE_RANKS[self.phase] > _PHASE_RANKS[other.phase]
+        return is_later and self.has_same_order(other)
+
+
+_PHASE_RANKS = {
+    Phase.CANARY: 0,
+    Phase.PROMOTED: 1,
+    Phase.FINISHED: 2,
+    Phase.ROLLED_BACK: 2,
+}
 
 
 class ResponseStats(msgspec.Struct, array_like=True):
@@ -169,6 +214,8 @@
         self._peer_evidence = {}
         self._block_reasons = {}
         self._first_seen_s = {}
+        # Services whose record the store may have lost.
+        self._lost_records = set()
 
     def apply_order(self, order, now_s):
         """Applies an order; older orders of the same service are ignored.
@@ -192,13 +239,42 @@
         :param release: ``Release``.
         :param now_s: current time in seconds.
         :param now_ms: current Unix time in milliseconds.
+        :return: whether it was applied; not if it has an earlier phase than known.
         """
+        known = self._records.get(release.service)
+        if known is not None and known.is_beyond(release):
+            self._lost_records.add(release.service)
+            return False
         self._records[release.service] = release
+        self._lost_records.discard(release.service)
         tracked = self._orders.get(release.service)
-        if tracked is not None and tracked.order.offset == release.order:
+        if tracked is not None and release.belongs_to(tracked.order):
             age_s = max(0.0, (now_ms - release.started_ms) / 1_000)
             if age_s < 2 * tracked.order.duration_s:
                 tracked.started_s = min(tracked.started_s, now_s - age_s)
+        return True
+
+    def record_restoration(self):
+        """Records that the store was restored and may have lost any record."""
+        self._lost_records.update(self._records)
+
+    def list_lost_records(self):
+        """Lists the records that the store may have lost.
+
+        :return: list of ``Release``.
+        """
+        return [
+            self._records[service]
+            for service in sorted(self._lost_records)
+            if service in self._orders
+        ]
+
+    def mark_stored(self, service):
+        """Records that the store keeps the record of a service, or a later one.
+
+        :param service: service name.
+        """
+        self._lost_records.discard(service)
 
     def record_version(self, service, version, now_s):
         """Records when a version of a service was first registered.
@@ -219,7 +295,7 @@
         if tracked is None:
             return None
         record = self._records.get(service)
-        if record is None or record.order != tracked.order.offset:
+        if record is None or not record.belongs_to(tracked.order):
             return Phase.CANARY
         return record.phase
 
@@ -426,7 +502,7 @@
         tracked = self._orders[service]
         phase = self.find_phase(service)
         record = self._records.get(service)
-        has_record = record is not None and record.order == tracked.order.offset
+        has_record = record is not None and record.belongs_to(tracked.order)
         age_s = now_s - tracked.started_s
         started_ms = record.started_ms if has_record else round(now_ms - age_s * 1_000)
         base = Release(
@@ -435,6 +511,7 @@
             order=tracked.order.offset,
             phase=Phase.CANARY,
             started_ms=started_ms,
+            duration_s=tracked.order.duration_s,
         )
         if phase in (Phase.FINISHED, Phase.ROLLED_BACK):
             return None
