Draw restorations of the store in the soak; describe them

The stand-in store keeps copies, is put back to one up to 4 s old, at once or after a moment away, after up to three configurations in a row, and states its era. Each configuration has a key that the next one revokes; the soak checks that a rejected key is never accepted again by the same process, and none later than 6 s after its revocation.

--- a/packages/standins/wasabiknot_standins/keyedlogs.py
+++ b/packages/standins/wasabiknot_standins/keyedlogs.py
@@ -44,9 +44,23 @@
             wake()
 
 
+class Copy(msgspec.Struct, frozen=True):
+    """A copy of one topic.
+
+    :param first_offset: offset of the first record.
+    :param records: contents of the records.
+    :param newest_records: newest value and its offset of each key.
+    """
+
+    first_offset: int
+    records: tuple[bytes, ...]
+    newest_records: dict[str, tuple[bytes, int]]
+
+
 class Store(resource.Resource):
     """HTTP resource that appends, reads and lists records.
 
+    ``era`` rises with each restoration of an older copy.
     ``fault`` is ``None``, ``"busy"`` (responds with 503), ``"silent"`` (never responds)
     or ``"lost"`` (appends records without responding).
     """
@@ -57,6 +71,7 @@
         super().__init__()
         self.topics = {}
         self.fault = None
+        self.era = 1
 
     def get_topic(self, name):
         """Returns a topic and creates it if it does not exist.
@@ -88,8 +103,38 @@
         topic.first_offset = topic.end_offset
         topic.records = []
 
+    def copy(self):
+        """Copies all topics.
+
+        :return: mapping of names to ``Copy``.
+        """
+        return {
+            name: Copy(
+                topic.first_offset, tuple(topic.records), dict(topic.newest_records)
+            )
+            for name, topic in self.topics.items()
+        }
+
+    def restore(self, copies):
+        """Puts all topics back to an older copy and begins a new era.
+
+        Reads that wait are answered at once.
+
+        :param copies: mapping of names to ``Copy``.
+        """
+        self.era += 1
+        for name, topic in self.topics.items():
+            copy = copies.get(name, Copy(0, (), {}))
+            topic.first_offset = copy.first_offset
+            topic.records = list(copy.records)
+            topic.newest_records = dict(copy.newest_records)
+            waiting_reads, topic.waiting_reads = topic.waiting_reads, []
+            for wake in waiting_reads:
+                wake()
+
     def render(self, request):
         """Handles a request, subject to the current fault."""
+        request.setHeader(b"store-era", str(self.era).encode())
         if self.fault == "silent":
             return server.NOT_DONE_YET
         if self.fault == "busy":
@@ -114,7 +159,7 @@
     def _read(self, request, topic):
         start = int(_get_argument(request, b"from"))
         wait_ms = int(_get_argument(request, b"waitMs") or 0)
-        if start < topic.first_offset:
+        if not topic.first_offset <= start <= topic.end_offset:
             request.setResponseCode(410)
             return msgspec.json.encode({"first": topic.first_offset})
         if start >= topic.end_offset and wait_ms:
@@ -129,7 +174,11 @@
             if done or self.fault == "silent":
                 return
             done.append(True)
-            request.write(_encode_page(topic, start))
+            request.setHeader(b"store-era", str(self.era).encode())
+            if start > topic.end_offset:
+                request.setResponseCode(410)
+            else:
+                request.write(_encode_page(topic, start))
             request.finish()
 
         topic.waiting_reads.append(respond)
--- a/packages/standins/wasabiknot_standins/soaks.py
+++ b/packages/standins/wasabiknot_standins/soaks.py
@@ -19,13 +19,24 @@
 START_TIMEOUT_S = 20.0
 SHUTDOWN_GRACE_S = 4.0
 HEARTBEAT_INTERVAL_S = 0.5
+# Interval and number of the copies to which the store is put back.
+COPY_INTERVAL_S = 1.0
+MAX_COPIES = 4
 MAX_STORE_FAULT_S = 2.0
 # A fault accounts for an incomplete response if it occurred while the request was in
 # flight or up to this long before it was sent.
 FAULT_WINDOW_S = 3.0
 CALL_TIMEOUT_S = 5.0
+UNAUTHORIZED = 401
 HOST = "soak.example"
 API_KEY = "soak-key"
+# Time within which a revocation is in force everywhere. The bound of the settings is
+# 2 s; the rest is for overlapping faults.
+MAX_REVOCATION_S = 6.0
+# Fraction of the requests that are sent with a revoked key.
+REVOKED_SHARE = 0.15
+# Number of newest revoked keys that are used.
+RECENT_KEYS = 5
 ROUTES = (
     ("cash", "/cash/", "non_idempotent", "desk", False, 1),
     ("lookup", "/lookup/", "idempotent", "desk", False, 2),
@@ -47,6 +58,8 @@
     :param body: body bytes received so far.
     :param is_complete: whether the end of the response was received.
     :param ended_s: time in seconds at which the request ended.
+    :param revoked_key: key that was revoked before the request; empty for a valid one.
+    :param process_id: id of the process that the request was sent to.
     """
 
     request_id: str
@@ -58,6 +71,8 @@
     body: bytes = b""
     is_complete: bool = False
     ended_s: float = 0.0
+    revoked_key: str = ""
+    process_id: int = 0
 
 
 class _ResponseHandler:
@@ -205,6 +220,11 @@
         self._workers = []
         self._fault_times_s = []
         self._configuration_version = 0
+        self._configuration = b""
+        # Each configuration has a key of its own, which the next one revokes.
+        self._temporary_key = ""
+        self._revoked_s = {}
+        self._copies = collections.deque(maxlen=MAX_COPIES)
         self._entry_count = entry_count
         self._directory = directory
         self.violations = []
@@ -246,6 +266,8 @@
         self._publish()
         heartbeats = task.LoopingCall(self._send_heartbeats)
         heartbeats.start(HEARTBEAT_INTERVAL_S, now=False)
+        copies = task.LoopingCall(self._copy_store)
+        copies.start(COPY_INTERVAL_S)
 
     def _add_worker(self, service, is_engine):
         worker = platformworkers.Worker(self._store, self._recorder, service, is_engine)
@@ -266,7 +288,10 @@
                 worker.send_heartbeat()
 
     def _publish(self):
+        if self._temporary_key:
+            self._revoked_s[self._temporary_key] = reactor.seconds()
         self._configuration_version += self._rng.randint(1, 3)
+        self._temporary_key = f"key-{self._configuration_version}"
         routes = [
             {
                 "name": name,
@@ -298,11 +323,19 @@
             ],
             "limits": {},
             "tenants": [
-                {"name": "graz", "apiKeys": [API_KEY], "ratePerS": 0, "plainTokens": 10}
+                {
+                    "name": "graz",
+                    "apiKeys": [API_KEY, self._temporary_key],
+                    "ratePerS": 0,
+                    "plainTokens": 10,
+                }
             ],
         }
-        data = msgspec.json.encode(configuration)
-        self._store.put("keyed.op", "config", data)
+        self._configuration = msgspec.json.encode(configuration)
+        self._write_configuration()
+
+    def _write_configuration(self):
+        self._store.put("keyed.op", "config", self._configuration)
 
     @defer.inlineCallbacks
     def _wait_until_ready(self):
@@ -341,7 +374,13 @@
         response = Response(
             f"q{self._request_count:06}", name, entry.number, reactor.seconds()
         )
-        request = build_request(f"{prefix}x", response.request_id, b"ok")
+        response.process_id = entry.process.pid
+        if self._revoked_s and self._rng.random() < REVOKED_SHARE:
+            response.revoked_key = self._rng.choice(
+                list(self._revoked_s)[-RECENT_KEYS:]
+            )
+        key = response.revoked_key or API_KEY
+        request = build_request(f"{prefix}x", response.request_id, b"ok", key)
         yield self._send_request(entry.caller_address, request, response)
         self._responses.append(response)
         self._in_flight -= 1
@@ -375,6 +414,7 @@
             self._replace_worker,
             self._start_store_fault,
             self._truncate_topics,
+            self._restore_store,
             self._publish,
         )
         action = self._rng.choice(actions)
@@ -481,10 +521,32 @@
         for topic in list(self._store.topics):
             self._store.truncate(topic)
 
+    def _copy_store(self):
+        self._copies.append(self._store.copy())
+
+    def _restore_store(self):
+        # Puts the store back by up to four seconds, at once or after a moment away. The
+        # operator has just written, and writes on afterwards.
+        copies = self._rng.choice(self._copies)
+        for _ in range(self._rng.randint(0, 3)):
+            self._publish()
+        away_s = self._rng.choice([0.0, 0.5])
+        if away_s:
+            self._store.fault = "busy"
+        reactor.callLater(away_s, self._finish_restoration, copies)
+
+    def _finish_restoration(self, copies):
+        self._store.fault = None
+        self._store.restore(copies)
+        delay_s = self._rng.uniform(0.1, 1.0)
+        reactor.callLater(delay_s, self._write_configuration)
+        reactor.callLater(delay_s + 0.1, self._publish)
+
     def _check_results(self):
         self.violations.extend(self._recorder.violations)
         for response in self._responses:
             self._check_response(response)
+        self._check_revoked_keys()
         for request_id, runs in self._recorder.runs.items():
             self._check_runs(request_id, runs)
         for entry in self._entries:
@@ -494,8 +556,29 @@
             response.status == 200 and response.is_complete
             for response in self._responses
         )
-        if served < 0.3 * len(self._responses):
-            self.violations.append(f"{served} of {len(self._responses)} succeeded")
+        valid = sum(not response.revoked_key for response in self._responses)
+        if served < 0.3 * valid:
+            self.violations.append(f"{served} of {valid} succeeded")
+
+    def _check_revoked_keys(self):
+        # The time that an entry takes to learn of a revocation depends on the faults,
+        # but once it has rejected a key, it never accepts it again.
+        rejected_s = {}
+        for response in sorted(self._responses, key=lambda item: item.ended_s):
+            if not response.revoked_key:
+                continue
+            key = (response.process_id, response.revoked_key)
+            if response.status == UNAUTHORIZED:
+                rejected_s.setdefault(key, response.ended_s)
+            has_run = response.request_id in self._recorder.runs
+            due_s = self._revoked_s[response.revoked_key] + MAX_REVOCATION_S
+            due_s = min(due_s, rejected_s.get(key, due_s))
+            if has_run and response.sent_s > due_s:
+                late_s = response.sent_s - due_s
+                self.violations.append(
+                    f"{response.request_id}: entry {response.entry} accepted"
+                    f" {response.revoked_key} {late_s:.1f} s too late"
+                )
 
     def _check_runs(self, request_id, runs):
         responses = [item for item in self._responses if item.request_id == request_id]
@@ -535,7 +618,9 @@
             expected = _build_expected_body(response).split(b"\n\n")[: len(events)]
             if events != expected:
                 self.violations.append(f"{response.request_id}: unexpected events")
-        if response.status in (401, 403, 404):
+        if response.status == UNAUTHORIZED and response.revoked_key:
+            return
+        if response.status in (UNAUTHORIZED, 403, 404):
             self.violations.append(
                 f"{response.request_id}: rejected with {response.status}"
             )
@@ -555,12 +640,13 @@
     return task.deferLater(reactor, delay_s)
 
 
-def build_request(path, request_id, body):
+def build_request(path, request_id, body, key=API_KEY):
     """Builds a request of a caller.
 
     :param path: path of the request.
     :param request_id: id of the request.
     :param body: body bytes.
+    :param key: API key of the caller.
     :return: ``connections.Request``.
     """
     headers = (
@@ -568,7 +654,7 @@
         (b"x-wasabiknot-attempt-id", request_id.encode()),
         (b"x-wasabiknot-deadline-ms", b"4000"),
         (b"x-wasabiknot-token-count", b"200,40"),
-        (b"x-api-key", API_KEY.encode()),
+        (b"x-api-key", key.encode()),
         (b"content-length", str(len(body)).encode()),
     )
     return connections.Request(b"POST", path.encode(), headers, body)
