Start no entry after a soak has ended

A restart that waited for the end of its process started the entry after the last SIGKILL (its log: WK1001, then WK1110 refused). The soak now marks its end before it kills, waits for the processes, and a restart looks at the mark.

--- a/packages/standins/tests/test_soaks.py
+++ b/packages/standins/tests/test_soaks.py
@@ -1,6 +1,11 @@
+import pathlib
 import subprocess
 import sys
+import tempfile
 import unittest
+from unittest import mock
+
+from wasabiknot_standins import soaks
 
 # Starting and stopping the processes adds several seconds to the duration.
 DURATION_S = 6
@@ -23,3 +28,19 @@
                     timeout=TIMEOUT_S,
                 )
                 self.assertEqual(result.returncode, 0, result.stdout + result.stderr)
+
+
+class RestartTests(unittest.TestCase):
+    def restart(self, is_over):
+        soak = soaks.Soak(1, 1.0, 0, pathlib.Path(tempfile.gettempdir()))
+        soak._is_over = is_over
+        entry = mock.Mock(is_paused=False)
+        entry.process.poll.return_value = 0
+        soak._restart(entry)
+        return entry.start.called
+
+    def test_entry_that_has_stopped_is_started_again(self):
+        self.assertTrue(self.restart(is_over=False))
+
+    def test_no_entry_outlives_the_soak(self):
+        self.assertFalse(self.restart(is_over=True))
--- a/packages/standins/wasabiknot_standins/soaks.py
+++ b/packages/standins/wasabiknot_standins/soaks.py
@@ -219,6 +219,7 @@
         self._proxies = []
         self._workers = []
         self._fault_times_s = []
+        self._is_over = False
         self._configuration_version = 0
         self._configuration = b""
         # Each configuration has a key of its own, which the next one revokes.
@@ -248,9 +249,12 @@
             yield self._wait_until_ready()
             yield self._generate_load()
         finally:
+            # A restart that still waits for its process must not start another one.
+            self._is_over = True
             for entry in self._entries:
                 entry.send_signal(signal.SIGCONT)
                 entry.send_signal(signal.SIGKILL)
+                entry.process.wait()
         self._check_results()
         return self.violations
 
@@ -452,7 +456,7 @@
             self._fault_times_s.append(reactor.seconds())
             process.kill()
             process.wait()
-        if entry.process is process:
+        if entry.process is process and not self._is_over:
             entry.start()
 
     def _pause_entry(self):
