--- a/packages/entry/wasabiknot_entry/crash_writers.py
+++ b/packages/entry/wasabiknot_entry/crash_writers.py
@@ -1,10 +1,10 @@
-"""Writes the crashes that requests have caused to the store."""
+"""Writes the crashes that requests have caused to the store and to the log."""
 
 import msgspec
 from twisted.internet import defer
 
 from wasabiknot_entry import calls, followers, journal
-from wasabiknot_kernel import events
+from wasabiknot_kernel import crashes, events
 from wasabiknot_platform import stores
 
 RETRY_DELAY_S = 1.0
@@ -64,3 +64,22 @@
         journal.write(
             events.Event.CRASHES_WRITTEN, count=len(due), deleted=len(deletions)
         )
+
+
+def log_observations(register):
+    """Logs the crashes and the unattributed losses since the last call.
+
+    :param register: ``crashes.CrashRegister``.
+    """
+    for observation in register.pop_observations():
+        is_crash = observation.evidence is not crashes.Evidence.NONE
+        event = (
+            events.Event.CRASH_RECORDED if is_crash else events.Event.LOSS_UNATTRIBUTED
+        )
+        journal.write(
+            event,
+            fingerprint=observation.crash.fingerprint,
+            server=observation.crash.server,
+            evidence=observation.evidence.value,
+            count=observation.count,
+        )
--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -26,6 +26,7 @@
     pages,
     release_writers,
     request_metrics,
+    restorations,
 )
 from wasabiknot_kernel import (
     allowances,
@@ -50,7 +51,9 @@
 MAX_EFFECTIVE_LINK_MBPS = 50.0
 # Long-poll waits: without a new record, a read of the store returns after this time.
 CONFIGURATION_LONG_POLL_MS = 1_500
-MEMBER_LONG_POLL_MS = 5_000
+RELEASE_LONG_POLL_MS = 5_000
+# Digests tell of crashes sooner, and are sent to the known address of a restarted peer.
+RARE_LONG_POLL_MS = 10_000
 # Number of polls of the registrations within ``bounds.leaving_ms``, after which a
 # leaving backend server must get no more requests.
 POLLS_PER_LEAVING_BOUND = 4
@@ -62,13 +65,6 @@
 GRACE_MARGIN_S = 0.7
 DRAIN_CHECK_INTERVAL_S = 0.05
 FINAL_FLUSH_DELAY_S = 0.05
-# After a restoration of the store, each entry writes its member record again within
-# this time, so that a large system does not write all of them at once.
-MAX_REWRITE_DELAY_S = 2.0
-# Time after which a restored topic is listed once more. Lapsed registrations have been
-# removed then, and what was lost has been written again.
-RECONCILE_DELAY_S = 5.0
-SETTLE_RETRY_S = 0.5
 PUBLISH_RETRY_S = 0.5
 
 
@@ -87,10 +83,7 @@
         self.get_budget = deployment.get_budget
         self.allowances = deployment.allowances
         self.crashes = deployment.crashes
-        self.record_loss = deployment.record_loss
-        self.record_response = deployment.record_response
-        self.record_failed_connection = deployment.record_failed_connection
-        self.should_check = deployment.should_check
+        self.crash_monitor = deployment.crash_monitor
         self.record_evidence = deployment.record_evidence
 
     @property
@@ -148,9 +141,9 @@
             reactor, self._deployment, self._store
         )
         self._metrics = metrics
-        self._rng = rng
-        self._followers = {}
-        self._era = None
+        self._restorations = restorations.RestorationHandler(
+            reactor, rng, self._deployment, self._apply_facts, self._publish_member
+        )
         self._is_stopping = False
         self.exit_code = 0
 
@@ -189,9 +182,9 @@
         operator_topic.find_version = configurations.find_version
         self._follow(stores.OPERATOR_TOPIC, CONFIGURATION_LONG_POLL_MS, lambda: 0.0)
         self._follow(stores.SERVER_TOPIC, 0, self._compute_poll_interval_s)
-        self._follow(stores.MEMBER_TOPIC, MEMBER_LONG_POLL_MS, lambda: 0.0)
-        self._follow(stores.RELEASE_TOPIC, MEMBER_LONG_POLL_MS, lambda: 0.0)
-        self._follow(stores.CRASH_TOPIC, MEMBER_LONG_POLL_MS, lambda: 0.0)
+        self._follow(stores.MEMBER_TOPIC, RARE_LONG_POLL_MS, lambda: 0.0)
+        self._follow(stores.RELEASE_TOPIC, RELEASE_LONG_POLL_MS, lambda: 0.0)
+        self._follow(stores.CRASH_TOPIC, RARE_LONG_POLL_MS, lambda: 0.0)
         self._publish_member()
         self._start_loop(
             self._gateway.pool.close_expired, IDLE_SWEEP_INTERVAL_S, "sweep"
@@ -229,7 +222,7 @@
             self._reader_role,
             compute_poll_interval_s,
         )
-        self._followers[topic] = follower
+        self._restorations.add_follower(topic, follower)
         follower.start()
 
     def _compute_poll_interval_s(self):
@@ -258,30 +251,8 @@
         self._deployment.tick(reactor.seconds())
         self._reader_role.update()
         self._crash_writer.check()
-        self._log_crashes()
-        self._check_era()
-
-    def _check_era(self):
-        previous, self._era = self._era, self._deployment.find_era()
-        if previous is None or self._era == previous:
-            return
-        journal.write(events.Event.STORE_RESTORED, previous=previous, era=self._era)
-        self._deployment.releases.record_restoration()
-        delay_s = self._rng.uniform(0, MAX_REWRITE_DELAY_S)
-        reactor.callLater(delay_s, self._publish_member)
-
-    def _log_crashes(self):
-        for observation in self._deployment.crashes.pop_observations():
-            fields = {
-                "fingerprint": observation.crash.fingerprint,
-                "server": observation.crash.server,
-                "evidence": observation.evidence.value,
-                "count": observation.count,
-            }
-            if observation.evidence is crashes.Evidence.NONE:
-                journal.write(events.Event.LOSS_UNATTRIBUTED, **fields)
-            else:
-                journal.write(events.Event.CRASH_RECORDED, **fields)
+        crash_writers.log_observations(self._deployment.crashes)
+        self._restorations.check_era()
 
     def _read_settings_mtime_ns(self):
         try:
@@ -351,40 +322,7 @@
                     offset=fact.offset,
                     error=str(error),
                 )
-        restoration = self._deployment.get_topic(topic).pop_restoration()
-        if restoration is not None:
-            self._handle_restoration(topic, restoration)
-
-    def _handle_restoration(self, topic, restoration):
-        journal.write(
-            events.Event.TOPIC_RESTORED,
-            topic=topic,
-            era=restoration.era,
-            listed=restoration.listed,
-            kept=restoration.kept,
-            missing=len(restoration.missing),
-            outdated=len(restoration.outdated),
-        )
-        if topic == stores.CRASH_TOPIC:
-            register = self._deployment.crashes
-            register.mark_lost(restoration.missing, reactor.seconds())
-            register.delete(restoration.outdated)
-        elif topic == stores.SERVER_TOPIC:
-            reactor.callLater(deployments.REMOVAL_GRACE_S, self._settle_servers)
-        reactor.callLater(RECONCILE_DELAY_S, self._followers[topic].list_again)
-
-    def _settle_servers(self):
-        if self._deployment.is_store_unavailable(reactor.seconds()):
-            reactor.callLater(SETTLE_RETRY_S, self._settle_servers)
-            return
-        topic = self._deployment.get_topic(stores.SERVER_TOPIC)
-        removed = topic.remove_unconfirmed()
-        if removed:
-            after_ms = round(deployments.REMOVAL_GRACE_S * 1_000)
-            journal.write(
-                events.Event.SERVERS_LOST, count=len(removed), after_ms=after_ms
-            )
-        self._apply_facts(stores.SERVER_TOPIC, removed, "restoration")
+        self._restorations.check_topic(topic)
 
     def _apply_operator_fact(self, fact, source):
         if fact.value is None:
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -364,18 +364,18 @@
         :param result: ``send_attempts.Result``.
         :param now_s: current reactor time in seconds.
         """
-        deployment = self._deployment
+        monitor = self._deployment.crash_monitor
         if result.outcome is Outcome.UNREACHABLE:
-            deployment.record_failed_connection(server, result.is_refused, now_s)
+            monitor.record_failed_connection(server, result.is_refused, now_s)
         elif result.outcome in LOST_OUTCOMES:
-            deployment.record_loss(ticket, server, now_s)
+            monitor.record_loss(ticket, server, now_s)
             if result.detail in CONNECTION_LOSSES:
                 self._check_server(server, now_s)
         else:
             is_success = (
                 result.outcome is Outcome.COMPLETE and result.head.status < SUCCESS_END
             )
-            deployment.record_response(ticket, server, is_success, now_s)
+            monitor.record_response(ticket, server, is_success, now_s)
         self._metrics.count_attempt(result.outcome)
 
     def record_cancel(self, ticket, server, now_s):
@@ -385,7 +385,7 @@
         :param server: ``servers.Server``.
         :param now_s: current reactor time in seconds.
         """
-        self._deployment.record_loss(ticket, server, now_s)
+        self._deployment.crash_monitor.record_loss(ticket, server, now_s)
 
     def record_event(self, ticket, server, now_s):
         """Records an event of a streamed response.
@@ -394,11 +394,11 @@
         :param server: ``servers.Server``.
         :param now_s: current reactor time in seconds.
         """
-        self._deployment.record_response(ticket, server, False, now_s)
+        self._deployment.crash_monitor.record_response(ticket, server, False, now_s)
 
     def _check_server(self, server, now_s):
         # Shows at once whether the server has ended, also without other requests to it.
-        if not self._deployment.should_check(server, now_s):
+        if not self._deployment.crash_monitor.should_check(server, now_s):
             return
         connecting = self.pool.connect(server.registration.address)
         connecting.addCallbacks(
@@ -410,7 +410,9 @@
     def _handle_failed_check(self, failure, server):
         is_refused = failure.check(error.ConnectionRefusedError) is not None
         now_s = self.reactor.seconds()
-        self._deployment.record_failed_connection(server, is_refused, now_s)
+        self._deployment.crash_monitor.record_failed_connection(
+            server, is_refused, now_s
+        )
 
     def stop(self, accept_s):
         """Closes connections after their responses and later rejects new requests.
--- a/packages/kernel/tests/test_crashes.py
+++ b/packages/kernel/tests/test_crashes.py
@@ -124,7 +124,7 @@
 
     def lose(self, fingerprint="f", now_s=0.0):
         ticket = builders.build_ticket(fingerprint)
-        self.entry.record_loss(ticket, self.server, now_s)
+        self.entry.crash_monitor.record_loss(ticket, self.server, now_s)
 
     def count(self, fingerprint="f"):
         return self.entry.crashes.count(fingerprint)
@@ -147,7 +147,7 @@
 
     def test_lost_response_before_a_refused_connection_is_a_crash(self):
         self.lose()
-        self.entry.record_failed_connection(self.server, True, 0.5)
+        self.entry.crash_monitor.record_failed_connection(self.server, True, 0.5)
         self.assertEqual(self.count(), 1)
 
     def test_lost_response_three_heartbeats_before_the_removal_is_a_crash(self):
@@ -158,21 +158,21 @@
         self.assertEqual(self.count(), 1)
 
     def test_response_lost_after_a_refused_connection_is_a_crash(self):
-        self.entry.record_failed_connection(self.server, True, 0.0)
+        self.entry.crash_monitor.record_failed_connection(self.server, True, 0.0)
         self.lose(now_s=0.8)
         self.assertEqual(self.count(), 1)
 
     def test_connection_refused_at_a_peer_shows_a_crash(self):
         peer = self.connect_peer()
         self.lose()
-        peer.record_failed_connection(peer.find_server("w1"), True, 0.3)
+        peer.crash_monitor.record_failed_connection(peer.find_server("w1"), True, 0.3)
         self.entry.apply_digest(peer.build_digest(0.4), 0.4)
         self.assertEqual(self.count(), 1)
 
     def test_peer_that_cannot_reach_a_server_shows_no_crash(self):
         peer = self.connect_peer()
         self.lose()
-        peer.record_failed_connection(peer.find_server("w1"), False, 0.3)
+        peer.crash_monitor.record_failed_connection(peer.find_server("w1"), False, 0.3)
         self.entry.apply_digest(peer.build_digest(0.4), 0.4)
         self.assertEqual(self.count(), 0)
 
@@ -184,16 +184,20 @@
     def test_server_that_responds_after_the_loss_has_not_crashed(self):
         self.lose()
         other = builders.build_ticket("other")
-        self.entry.record_response(other, self.server, False, 1.0)
-        self.entry.record_failed_connection(self.server, True, 2.0)
+        self.entry.crash_monitor.record_response(other, self.server, False, 1.0)
+        self.entry.crash_monitor.record_failed_connection(self.server, True, 2.0)
         self.assertEqual(self.count(), 0)
 
     def test_crash_before_the_new_registration_is_read_counts_again(self):
         for start_s in (0.0, 3.0, 6.0):
             self.lose(now_s=start_s)
-            self.entry.record_failed_connection(self.server, True, start_s + 0.1)
+            self.entry.crash_monitor.record_failed_connection(
+                self.server, True, start_s + 0.1
+            )
             other = builders.build_ticket("other")
-            self.entry.record_response(other, self.server, True, start_s + 2.0)
+            self.entry.crash_monitor.record_response(
+                other, self.server, True, start_s + 2.0
+            )
         self.assertTrue(self.entry.crashes.is_refused("f", 9.0))
 
     def test_end_of_a_leaving_server_is_not_a_crash(self):
@@ -206,7 +210,7 @@
 
     def test_observations_state_the_evidence(self):
         self.lose()
-        self.entry.record_failed_connection(self.server, True, 0.5)
+        self.entry.crash_monitor.record_failed_connection(self.server, True, 0.5)
         self.lose("g", 20.0)
         self.entry.tick(31.0)
         observed = [
@@ -217,9 +221,9 @@
         self.assertEqual(self.entry.crashes.pop_observations(), [])
 
     def test_server_is_checked_once_per_interval(self):
-        self.assertTrue(self.entry.should_check(self.server, 0.0))
-        self.assertFalse(self.entry.should_check(self.server, 0.4))
-        self.assertTrue(self.entry.should_check(self.server, 0.6))
+        self.assertTrue(self.entry.crash_monitor.should_check(self.server, 0.0))
+        self.assertFalse(self.entry.crash_monitor.should_check(self.server, 0.4))
+        self.assertTrue(self.entry.crash_monitor.should_check(self.server, 0.6))
 
 
 class ExchangeTests(unittest.TestCase):
--- a/packages/kernel/tests/test_harmful_load.py
+++ b/packages/kernel/tests/test_harmful_load.py
@@ -145,9 +145,9 @@
                 remaining.append(item)
                 continue
             ticket = builders.build_ticket(fingerprint)
-            entry.record_loss(ticket, server, self.now_s)
-            if entry.should_check(server, self.now_s):
-                entry.record_failed_connection(server, True, self.now_s)
+            entry.crash_monitor.record_loss(ticket, server, self.now_s)
+            if entry.crash_monitor.should_check(server, self.now_s):
+                entry.crash_monitor.record_failed_connection(server, True, self.now_s)
         self.in_flight = remaining
 
     def end_requests(self):
@@ -156,7 +156,7 @@
             if self.now_s >= ends_s:
                 self.in_flight.remove(item)
                 ticket = builders.build_ticket(fingerprint)
-                entry.record_response(ticket, server, True, self.now_s)
+                entry.crash_monitor.record_response(ticket, server, True, self.now_s)
 
     def exchange(self, number, entry):
         entry.tick(self.now_s)
--- /dev/null
+++ b/packages/kernel/wasabiknot_kernel/crash_monitors.py
@@ -0,0 +1,158 @@
+"""Tells from lost responses and ended backend servers which requests crash servers."""
+
+from wasabiknot_kernel import attribution, crashes
+
+# Interval between two searches for crashes that no longer count.
+EXPIRY_INTERVAL_S = 60.0
+
+
+class CrashMonitor:
+    """Records the crashes that this entry and its peers observe.
+
+    :param register: ``crashes.CrashRegister``.
+    """
+
+    def __init__(self, register):
+        self._register = register
+        self._attribution = attribution.Attribution()
+        self._ids_by_address = {}
+        self._expired_s = None
+
+    def record_loss(self, ticket, server, now_s):
+        """Records that a request was sent and got no complete response.
+
+        :param ticket: ``arrivals.Ticket``.
+        :param server: ``servers.Server``.
+        :param now_s: current time in Unix seconds.
+        """
+        server_key = self._attribution.get_server_key(server.registration)
+        crash = crashes.Crash(ticket.fingerprint, server_key, now_s)
+        if self._attribution.record_loss(crash, now_s):
+            self._register.record(crash, now_s, crashes.Evidence.ENDED_BEFORE)
+
+    def should_check(self, server, now_s):
+        """Tells whether to check that a backend server still accepts connections.
+
+        :param server: ``servers.Server`` that has lost a connection.
+        :param now_s: current time in Unix seconds.
+        :return: ``True`` if there was no such check shortly before.
+        """
+        server_key = self._attribution.get_server_key(server.registration)
+        return self._attribution.should_check(server_key, now_s)
+
+    def record_failed_connection(self, server, is_refused, now_s):
+        """Records that a connection to a backend server could not be opened.
+
+        Requests whose responses it lost shortly before count as having crashed it.
+
+        :param server: ``servers.Server``.
+        :param is_refused: whether it refused the connection. Otherwise it may be
+            unreachable for this entry alone, so peers are not told.
+        :param now_s: current time in Unix seconds.
+        """
+        evidence = crashes.Evidence.UNREACHABLE
+        if is_refused:
+            server_key = self._attribution.get_server_key(server.registration)
+            self._attribution.record_refusal(server_key, now_s)
+            evidence = crashes.Evidence.REFUSED
+        self._record_end(server.registration, now_s, evidence)
+
+    def record_response(self, ticket, server, is_success, now_s):
+        """Records bytes of a response.
+
+        :param ticket: ``arrivals.Ticket``.
+        :param server: ``servers.Server``.
+        :param is_success: whether the response is complete and a success.
+        :param now_s: current time in Unix seconds.
+        """
+        self._attribution.record_life(server.registration, now_s)
+        if is_success:
+            self._register.record_success(ticket.fingerprint, now_s)
+
+    def record_restart(self, server, now_s):
+        """Records that a backend server is registered with another start time.
+
+        :param server: ``servers.Server`` with its previous registration.
+        :param now_s: current time in Unix seconds.
+        """
+        self._record_end(server.registration, now_s, crashes.Evidence.RESTARTED)
+
+    def record_start(self, registration, previous, now_s):
+        """Records the first registration of a start of a backend server.
+
+        :param registration: ``registrations.Registration``.
+        :param previous: ``servers.Server`` that had its address, or ``None``.
+        :param now_s: current time in Unix seconds.
+        """
+        self._ids_by_address[registration.address] = registration.server_id
+        if previous is not None:
+            self._record_end(previous.registration, now_s, crashes.Evidence.REPLACED)
+
+    def find_previous_id(self, registration):
+        """Finds the backend server that was registered at the same address before.
+
+        :param registration: ``registrations.Registration``.
+        :return: id of another backend server, or ``None``.
+        """
+        server_id = self._ids_by_address.get(registration.address)
+        return None if server_id == registration.server_id else server_id
+
+    def record_removal(self, server, now_s):
+        """Records that a backend server is no longer registered.
+
+        :param server: ``servers.Server``.
+        :param now_s: current time in Unix seconds.
+        """
+        registration = server.registration
+        # One that has announced its end may break off what it still runs.
+        if not server.is_leaving:
+            self._record_end(registration, now_s, crashes.Evidence.REMOVED)
+        self._attribution.forget(registration)
+        if self._ids_by_address.get(registration.address) == registration.server_id:
+            del self._ids_by_address[registration.address]
+
+    def _record_end(self, registration, now_s, evidence):
+        server_key = self._attribution.get_server_key(registration)
+        self._record_crashes(server_key, now_s, evidence)
+
+    def _record_crashes(self, server_key, now_s, evidence):
+        for crash in self._attribution.record_end(server_key, now_s):
+            self._register.record(crash, now_s, evidence)
+
+    def apply_digest(self, source, digest, now_s):
+        """Applies what a peer or group reports.
+
+        :param source: name of the peer or group.
+        :param digest: ``members.Digest``.
+        :param now_s: current time in Unix seconds.
+        """
+        for fingerprint in digest.cleared_requests:
+            self._register.clear(fingerprint, now_s)
+        for crash in digest.recent_crashes:
+            self._register.add(crash, now_s)
+        refused = self._attribution.apply_report(source, digest.refused_servers)
+        for server_key in refused:
+            self._record_crashes(server_key, now_s, crashes.Evidence.PEER_REFUSED)
+
+    def list_refused(self, now_s):
+        """Lists the backend servers that have recently refused a connection.
+
+        :param now_s: current time in Unix seconds.
+        :return: tuple of ids with start times.
+        """
+        return self._attribution.list_refused(now_s)
+
+    def tick(self, now_s, is_reader):
+        """Drops what is too old to matter.
+
+        :param now_s: current time in Unix seconds.
+        :param is_reader: whether this entry also deletes crashes that no longer count
+            from the store.
+        """
+        for crash in self._attribution.drop_expired(now_s):
+            self._register.record_unattributed(crash)
+        if self._expired_s is None:
+            self._expired_s = now_s
+        elif now_s - self._expired_s > EXPIRY_INTERVAL_S:
+            self._expired_s = now_s
+            self._register.drop_expired(now_s, is_reader)
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -4,9 +4,9 @@
 
 from wasabiknot_kernel import (
     allowances,
-    attribution,
     budgets,
     choosers,
+    crash_monitors,
     crashes,
     dispatch,
     facts,
@@ -23,8 +23,6 @@
 REMOVAL_GRACE_S = 2.2
 # Age of the latest read by any entry after which the store counts as unavailable.
 STORE_TIMEOUT_S = 1.5
-# Interval between two searches for crashes that no longer count.
-CRASH_EXPIRY_INTERVAL_S = 60.0
 # Time for which an entry reads the store itself after it failed to fetch facts from a
 # peer.
 DIRECT_READ_S = 2.0
@@ -71,13 +69,11 @@
         self.roster = members.Roster(member)
         self.allowances = allowances.Allowances(policy.tolerance)
         self.crashes = crashes.CrashRegister()
-        self._attribution = attribution.Attribution()
-        self._crashes_expired_s = None
+        self.crash_monitor = crash_monitors.CrashMonitor(self.crashes)
         self.releases = releases.Releases(policy.canary_share, rng)
         self._dispatchers = {}
         self._budgets = {}
         self._services_by_server = {}
-        self._ids_by_address = {}
         self._peer_loads = {}
         self._pending_removals = {}
         self.last_read_s = None
@@ -204,13 +200,13 @@
             known_server
             and known_server.registration.started_ms != registration.started_ms
         ):
-            self._record_end(
-                known_server.registration, now_s, crashes.Evidence.RESTARTED
-            )
+            self.crash_monitor.record_restart(known_server, now_s)
         dispatcher.register(registration)
         server = dispatcher.servers[server_id]
         if server is not known_server:
-            self._record_replaced(registration, now_s)
+            previous_id = self.crash_monitor.find_previous_id(registration)
+            previous_server = self.find_server(previous_id)
+            self.crash_monitor.record_start(registration, previous_server, now_s)
             server.warm_until_s = now_s + registration.warmup_ms / 1_000
             self._apply_known_loads(server_id)
         self.releases.record_version(registration.service, registration.version, now_s)
@@ -238,13 +234,7 @@
     def _remove(self, server_id, now_s):
         server = self.find_server(server_id)
         if server is not None:
-            # One that has announced its end may break off what it still runs.
-            if not server.is_leaving:
-                self._record_end(server.registration, now_s, crashes.Evidence.REMOVED)
-            self._attribution.forget(server.registration)
-            address = server.registration.address
-            if self._ids_by_address.get(address) == server_id:
-                del self._ids_by_address[address]
+            self.crash_monitor.record_removal(server, now_s)
         service = self._services_by_server.pop(server_id, None)
         if service is not None:
             self.get_dispatcher(service).remove(server_id)
@@ -342,84 +332,6 @@
             if server.registration.version != order.target
         )
 
-    def record_loss(self, ticket, server, now_s):
-        """Records that a request was sent and got no complete response.
-
-        :param ticket: ``arrivals.Ticket``.
-        :param server: ``servers.Server``.
-        :param now_s: current time in Unix seconds.
-        """
-        server_key = self._attribution.get_server_key(server.registration)
-        crash = crashes.Crash(ticket.fingerprint, server_key, now_s)
-        if self._attribution.record_loss(crash, now_s):
-            self.crashes.record(crash, now_s, crashes.Evidence.ENDED_BEFORE)
-
-    def should_check(self, server, now_s):
-        """Tells whether to check that a backend server still accepts connections.
-
-        :param server: ``servers.Server`` that has reset a connection.
-        :param now_s: current time in Unix seconds.
-        :return: ``True`` if there was no such check shortly before.
-        """
-        server_key = self._attribution.get_server_key(server.registration)
-        return self._attribution.should_check(server_key, now_s)
-
-    def record_failed_connection(self, server, is_refused, now_s):
-        """Records that a connection to a backend server could not be opened.
-
-        Requests whose responses it lost shortly before count as having crashed it.
-
-        :param server: ``servers.Server``.
-        :param is_refused: whether it refused the connection. Otherwise it may be
-            unreachable for this entry alone, so peers are not told.
-        :param now_s: current time in Unix seconds.
-        """
-        if is_refused:
-            server_key = self._attribution.get_server_key(server.registration)
-            self._attribution.record_refusal(server_key, now_s)
-            evidence = crashes.Evidence.REFUSED
-        else:
-            evidence = crashes.Evidence.UNREACHABLE
-        self._record_end(server.registration, now_s, evidence)
-
-    def record_response(self, ticket, server, is_success, now_s):
-        """Records bytes of a response.
-
-        :param ticket: ``arrivals.Ticket``.
-        :param server: ``servers.Server``.
-        :param is_success: whether the response is complete and a success.
-        :param now_s: current time in Unix seconds.
-        """
-        self._attribution.record_life(server.registration, now_s)
-        if is_success:
-            self.crashes.record_success(ticket.fingerprint, now_s)
-
-    def _record_end(self, registration, now_s, evidence):
-        server_key = self._attribution.get_server_key(registration)
-        for crash in self._attribution.record_end(server_key, now_s):
-            self.crashes.record(crash, now_s, evidence)
-
-    def _record_replaced(self, registration, now_s):
-        previous_id = self._ids_by_address.get(registration.address)
-        self._ids_by_address[registration.address] = registration.server_id
-        previous = self.find_server(previous_id)
-        if previous is not None and previous_id != registration.server_id:
-            self._record_end(previous.registration, now_s, crashes.Evidence.REPLACED)
-
-    def _apply_refused(self, source, refused_servers, now_s):
-        for server_key in self._attribution.apply_report(source, refused_servers):
-            for crash in self._attribution.record_end(server_key, now_s):
-                self.crashes.record(crash, now_s, crashes.Evidence.PEER_REFUSED)
-
-    def _expire_crashes(self, now_s):
-        for crash in self._attribution.drop_expired(now_s):
-            self.crashes.record_unattributed(crash)
-        if self._crashes_expired_s is None:
-            self._crashes_expired_s = now_s
-        elif now_s - self._crashes_expired_s > CRASH_EXPIRY_INTERVAL_S:
-            self._crashes_expired_s = now_s
-            self.crashes.drop_expired(now_s, self.should_read_store(now_s))
-
     def build_digest(self, now_s):
         """Builds the digest of this entry.
 
@@ -499,7 +411,7 @@
             is_stopping=self.is_stopping,
             read_age_ms=self.compute_read_age_ms(now_s),
             evidence=self.releases.list_evidence(),
-            refused_servers=self._attribution.list_refused(now_s),
+            refused_servers=self.crash_monitor.list_refused(now_s),
             cleared_requests=self.crashes.list_cleared(now_s),
         )
 
@@ -536,11 +448,7 @@
             counter = self.allowances.remote_used
         self.allowances.charge_peer_use(source, digest.run, digest.used, now_s, counter)
         self.releases.apply_evidence(source, digest.evidence)
-        for fingerprint in digest.cleared_requests:
-            self.crashes.clear(fingerprint, now_s)
-        for crash in digest.recent_crashes:
-            self.crashes.add(crash, now_s)
-        self._apply_refused(source, digest.refused_servers, now_s)
+        self.crash_monitor.apply_digest(source, digest, now_s)
         return peer
 
     def _apply_known_loads(self, server_id):
@@ -648,7 +556,7 @@
         """
         if self._started_s is None:
             self._started_s = now_s
-        self._expire_crashes(now_s)
+        self.crash_monitor.tick(now_s, self.should_read_store(now_s))
         count = self.roster.count(now_s)
         self.allowances.set_member_counts(count.reachable, count.members, now_s)
         self.allowances.set_reporting_delay(
