--- a/packages/standins/wasabiknot_standins/platformworkers.py
+++ b/packages/standins/wasabiknot_standins/platformworkers.py
@@ -15,6 +15,8 @@
 # Body of a request that ends each backend server that runs it.
 HARMFUL_BODY = b"harmful"
 CRASH_DELAY_S = 0.05
+# Sent after a complete response by the fault "extra".
+EXTRA_BYTES = b"HTTP/1.1 200 OK\r\n\r\n"
 # Time after a crash until the registration lapses.
 LAPSE_S = 1.5
 
@@ -227,10 +229,10 @@
         elif self.fault == "errors":
             _finish_response(request, 500)
         else:
-            body = build_body(request_id)
-            _finish_response(request, 200, body)
-            if self.fault == "extra" and request.channel is not None:
-                request.channel.transport.write(b"HTTP/1.1 200 OK\r\n\r\n")
+            channel = request.channel
+            _finish_response(request, 200, build_body(request_id))
+            if self.fault == "extra" and channel is not None:
+                channel.transport.write(EXTRA_BYTES)
 
     def _start_stream(self, request, request_id, disconnects):
         if disconnects or self.fault == "lose":
