Draw a harmful request in the soak

A caller that sends one body that ends each backend server, every 0.4 s until the end, is one of the actions; three late sends are allowed, as on the rig, which shares the caller.

--- a/packages/standins/wasabiknot_standins/harmful.py
+++ b/packages/standins/wasabiknot_standins/harmful.py
@@ -1,7 +1,7 @@
 """Counts the backend servers that one harmful request reaches after three crashes.
 
-Callers send the same harmful body every ``SEND_INTERVAL_S`` beside ordinary requests,
-while entries are restarted or paused.
+A caller sends the same harmful body beside ordinary requests, while entries are
+restarted or paused.
 """
 
 import enum
@@ -13,14 +13,8 @@
 
 from twisted.internet import defer, reactor
 
-from wasabiknot_standins import platformworkers, soaks
+from wasabiknot_standins import harmfulcallers, platformworkers, soaks
 
-SEND_INTERVAL_S = 0.4
-CRASHES_BEFORE_REFUSAL = 3
-# Time for which the entries may still send the request after its third crash.
-SETTLING_S = 3.0
-# Sends that may follow even later.
-MAX_LATE_SENDS = 3
 RESTART_PAUSE_S = 6.0
 PAUSE_S = 4.0
 # Plain backend servers beside those of every soak.
@@ -55,9 +49,7 @@
         super().__init__(seed, duration_s, entry_count, directory)
         self._disturbance = disturbance
         self._load_per_s = load_per_s
-        self._harmful_count = 0
-        self.run_times_s = []
-        self.late_sends = []
+        self.caller = harmfulcallers.HarmfulCaller(self._send_harmful, self._recorder)
 
     def _start_platform(self):
         super()._start_platform()
@@ -72,81 +64,46 @@
 
     @defer.inlineCallbacks
     def _generate_load(self):
-        start_s = reactor.seconds()
-        end_s = start_s + self._duration_s
-        next_harmful_s = start_s + 0.5
-        self._disturb_after_third_crash().addErrback(self._record_internal_error)
+        end_s = reactor.seconds() + self._duration_s
+        self.caller.run(end_s).addErrback(self._record_internal_error)
+        self._disturb().addErrback(self._record_internal_error)
         while reactor.seconds() < end_s:
-            if reactor.seconds() >= next_harmful_s:
-                next_harmful_s += SEND_INTERVAL_S
-                self._send_harmful().addErrback(self._record_internal_error)
             self._send_random_request().addErrback(self._record_internal_error)
             yield soaks._sleep(self._rng.expovariate(self._load_per_s))
 
     @defer.inlineCallbacks
-    def _send_harmful(self):
-        self._harmful_count += 1
-        entry = self._rng.choice(self._entries)
-        request_id = f"harmful-{self._harmful_count}"
-        response = soaks.Response(request_id, "cash", entry.number, reactor.seconds())
-        body = platformworkers.HARMFUL_BODY
-        request = soaks.build_request("/cash/harmful", request_id, body)
-        yield self._send_request(entry.caller_address, request, response)
-
-    def _list_harmful_runs(self):
-        return sorted(
-            run.at_s
-            for request_id, runs in self._recorder.runs.items()
-            if request_id.startswith("harmful-")
-            for run in runs
-        )
-
-    @defer.inlineCallbacks
-    def _disturb_after_third_crash(self):
+    def _disturb(self):
         if self._disturbance is Disturbance.STORE_AWAY:
             self._store.fault = "busy"
-        while len(self._list_harmful_runs()) < CRASHES_BEFORE_REFUSAL:
+        elif self._disturbance is Disturbance.PAUSE_ONE:
+            self._pause(self._entries[0])
+        while not self.caller.has_been_refused():
             yield soaks._sleep(0.05)
-            if self._disturbance is Disturbance.PAUSE_ONE:
-                self._pause(self._entries[0])
-                self._disturbance = Disturbance.NONE
         yield soaks._sleep(1.0)
-        if self._disturbance is Disturbance.RESTART_ONE:
-            yield self._restart_all(self._entries[:1])
+        if self._disturbance in (Disturbance.RESTART_ONE, Disturbance.STORE_AWAY):
+            self._restart_all(self._entries[:1])
         elif self._disturbance is Disturbance.RESTART_ALL:
-            yield self._restart_all(self._entries)
+            self._restart_all(self._entries)
         elif self._disturbance is Disturbance.RESTART_ALL_TWICE:
-            yield self._restart_all(self._entries)
+            self._restart_all(self._entries)
             yield soaks._sleep(RESTART_PAUSE_S)
-            yield self._restart_all(self._entries)
-        elif self._disturbance is Disturbance.STORE_AWAY:
-            yield self._restart_all(self._entries[:1])
+            self._restart_all(self._entries)
 
     def _pause(self, entry):
         entry.send_signal(signal.SIGSTOP)
         reactor.callLater(PAUSE_S, entry.send_signal, signal.SIGCONT)
 
-    @defer.inlineCallbacks
     def _restart_all(self, entries):
         for entry in entries:
             entry.send_signal(signal.SIGKILL)
         for entry in entries:
             entry.process.wait()
             entry.start()
-        yield soaks._sleep(0)
 
     def _check_results(self):
-        self.run_times_s = self._list_harmful_runs()
-        if len(self.run_times_s) < CRASHES_BEFORE_REFUSAL:
-            self.violations.append(f"only {len(self.run_times_s)} runs")
-            return
-        settled_s = self.run_times_s[CRASHES_BEFORE_REFUSAL - 1] + SETTLING_S
-        self.late_sends = [at_s for at_s in self.run_times_s if at_s > settled_s]
-        if len(self.late_sends) > MAX_LATE_SENDS:
-            self.violations.append(
-                f"{len(self.late_sends)} sends long after the third crash, "
-                f"{len(self.run_times_s)} in all"
-            )
+        if not self.caller.has_been_refused():
+            self.violations.append(f"only {len(self.caller.list_runs())} runs")
+        self._check_harmful(self.caller)
 
 
 def play(disturbance, seed, duration_s=25.0, entry_count=3, load_per_s=40.0):
@@ -162,9 +119,11 @@
     directory = pathlib.Path(tempfile.mkdtemp(prefix="wasabiknot-harmful-"))
     run = HarmfulRun(seed, duration_s, entry_count, directory, disturbance, load_per_s)
     violations = soaks.play(run)
-    times_s = [round(at_s - run.run_times_s[0], 1) for at_s in run.run_times_s]
+    runs = run.caller.list_runs()
+    times_s = [round(at_s - runs[0], 1) for at_s in runs]
     print(f"{disturbance.value} seed {seed}: runs at {times_s}")
-    print(f"{len(run.late_sends)} late sends, {violations or 'bound kept'}")
+    late_sends = run.caller.list_late_sends()
+    print(f"{len(late_sends)} late sends, {violations or 'bound kept'}")
     print(f"logs in {directory}")
     return violations
 
--- a/packages/standins/wasabiknot_standins/soaks.py
+++ b/packages/standins/wasabiknot_standins/soaks.py
@@ -14,7 +14,13 @@
 from twisted.web import server
 
 from wasabiknot_entry import connections
-from wasabiknot_standins import keyedlogs, platformworkers, processes, proxies
+from wasabiknot_standins import (
+    harmfulcallers,
+    keyedlogs,
+    platformworkers,
+    processes,
+    proxies,
+)
 
 START_TIMEOUT_S = 20.0
 SHUTDOWN_GRACE_S = 4.0
@@ -219,6 +225,7 @@
         self._proxies = []
         self._workers = []
         self._fault_times_s = []
+        self._harmful_caller = None
         self._is_over = False
         self._configuration_version = 0
         self._configuration = b""
@@ -419,6 +426,7 @@
             self._start_store_fault,
             self._truncate_topics,
             self._restore_store,
+            self._start_harmful_caller,
             self._publish,
         )
         action = self._rng.choice(actions)
@@ -546,8 +554,39 @@
         reactor.callLater(delay_s, self._write_configuration)
         reactor.callLater(delay_s + 0.1, self._publish)
 
+    def _start_harmful_caller(self):
+        if self._harmful_caller is not None:
+            return
+        self._harmful_caller = harmfulcallers.HarmfulCaller(
+            self._send_harmful, self._recorder
+        )
+        running = self._harmful_caller.run(reactor.seconds() + self._duration_s)
+        running.addErrback(self._record_internal_error)
+
+    @defer.inlineCallbacks
+    def _send_harmful(self, request_id):
+        if self._is_over:
+            return
+        # Each run of the request crashes a backend server.
+        self._fault_times_s.append(reactor.seconds())
+        entry = self._choose_entry()
+        response = Response(request_id, "cash", entry.number, reactor.seconds())
+        body = platformworkers.HARMFUL_BODY
+        request = build_request("/cash/harmful", request_id, body)
+        yield self._send_request(entry.caller_address, request, response)
+
+    def _check_harmful(self, caller):
+        late_sends = caller.list_late_sends()
+        if len(late_sends) > harmfulcallers.MAX_LATE_SENDS:
+            self.violations.append(
+                f"harmful request: {len(late_sends)} sends long after the third crash,"
+                f" {len(caller.list_runs())} in all"
+            )
+
     def _check_results(self):
         self.violations.extend(self._recorder.violations)
+        if self._harmful_caller is not None:
+            self._check_harmful(self._harmful_caller)
         for response in self._responses:
             self._check_response(response)
         self._check_revoked_keys()
