--- a/packages/entry/tests/test_connections.py
+++ b/packages/entry/tests/test_connections.py
@@ -1,7 +1,6 @@
 import unittest
 
-from twisted.internet import error, task
-from twisted.internet.testing import StringTransport
+from twisted.internet import error, task, testing
 from twisted.python import failure
 
 from wasabiknot_entry import connections
@@ -27,7 +26,7 @@
         self.received.append(reason)
 
 
-class FakeTransport(StringTransport):
+class FakeTransport(testing.StringTransport):
     def setTcpNoDelay(self, value):  # noqa: N802
         pass
 
--- a/packages/entry/tests/test_edge.py
+++ b/packages/entry/tests/test_edge.py
@@ -9,7 +9,7 @@
 import unittest
 
 import msgspec
-from test_edge_settings import SETTINGS_TEXT
+import test_edge_settings
 
 from wasabiknot_entry import edge
 
@@ -31,7 +31,9 @@
 
     def __init__(self, folder, ports):
         caller, ready, peer = ports
-        text = SETTINGS_TEXT.replace("10.0.0.1:8221", f"127.0.0.1:{caller}")
+        text = test_edge_settings.SETTINGS_TEXT.replace(
+            "10.0.0.1:8221", f"127.0.0.1:{caller}"
+        )
         text = text.replace("10.0.0.1:8224", f"127.0.0.1:{ready}")
         text = text.replace("10.0.0.1", "127.0.0.1").replace("10.9.0.1", "127.0.0.1")
         text = text.replace("[7600, 7615]", f"[{peer}, {peer}]")
--- a/packages/entry/tests/test_pages.py
+++ b/packages/entry/tests/test_pages.py
@@ -1,7 +1,6 @@
 import unittest
 
-from twisted.internet import address
-from twisted.internet.testing import StringTransport
+from twisted.internet import address, testing
 
 from wasabiknot_entry import pages
 
@@ -9,7 +8,7 @@
 def get(find_handler, *paths):
     factory = pages.create_factory(find_handler)
     channel = factory.buildProtocol(address.IPv4Address("TCP", "127.0.0.1", 1))
-    transport = StringTransport()
+    transport = testing.StringTransport()
     channel.makeConnection(transport)
     for path in paths:
         channel.dataReceived(b"GET " + path + b" HTTP/1.1\r\nHost: e1\r\n\r\n")
