Log each request that is served although it crashed backend servers

Nothing in a log told why a request with three crashes was sent on: its crashes were dropped without a line, at the entry that got a complete response and at its peers. WK1308 states the fingerprint, the number of crashes and what cleared it. No decision changes.

--- a/packages/entry/wasabiknot_entry/crash_writers.py
+++ b/packages/entry/wasabiknot_entry/crash_writers.py
@@ -67,7 +67,7 @@
 
 
 def log_observations(register):
-    """Logs the crashes and the unattributed losses since the last call.
+    """Logs the crashes, unattributed losses and clearances since the last call.
 
     :param register: ``crashes.CrashRegister``.
     """
@@ -83,3 +83,10 @@
             evidence=observation.evidence.value,
             count=observation.count,
         )
+    for clearance in register.pop_clearances():
+        journal.write(
+            events.Event.REQUEST_CLEARED,
+            fingerprint=clearance.fingerprint,
+            count=clearance.count,
+            reason=clearance.reason.value,
+        )
--- a/packages/kernel/tests/test_crashes.py
+++ b/packages/kernel/tests/test_crashes.py
@@ -67,6 +67,13 @@
         self.assertEqual((self.register.count("f"), peer.count("f")), (0, 0))
         self.assertEqual(peer.list_deletions(), [])
 
+    def test_clearance_is_logged_with_the_crashes_that_were_known(self):
+        self.record(2)
+        self.register.record_success("f", 1.0)
+        clearance = self.register.pop_clearances()[0]
+        self.assertEqual((clearance.fingerprint, clearance.count), ("f", 2))
+        self.assertEqual(self.register.pop_clearances(), [])
+
     def test_crash_stored_while_the_request_completes_is_deleted(self):
         self.record(2)
         self.register.record_success("f", 0.2)
--- a/packages/kernel/wasabiknot_kernel/crashes.py
+++ b/packages/kernel/wasabiknot_kernel/crashes.py
@@ -63,6 +63,26 @@
     NONE = "none"
 
 
+class ClearanceReason(enum.Enum):
+    """Why a request with crashes is served. The values appear in logs."""
+
+    RESPONSE = "complete-response"
+    PEER = "peer"
+
+
+class Clearance(msgspec.Struct, frozen=True):
+    """A request that is served although backend servers crashed while they ran it.
+
+    :param fingerprint: hash of path, caller and body of the request.
+    :param count: crashes that were known.
+    :param reason: ``ClearanceReason``.
+    """
+
+    fingerprint: str
+    count: int
+    reason: ClearanceReason
+
+
 class Observation(msgspec.Struct, frozen=True):
     """A crash that was recorded, or a lost response that was not attributed to one.
 
@@ -98,6 +118,7 @@
         self._reported = {}
         self._cleared_s = {}
         self._observations = collections.deque(maxlen=MAX_OBSERVATIONS)
+        self._clearances = collections.deque(maxlen=MAX_OBSERVATIONS)
 
     def record(self, crash, now_s, evidence):
         """Records a crash that this entry has observed.
@@ -167,6 +188,19 @@
         self._observations.clear()
         return observations
 
+    def pop_clearances(self):
+        """Returns the clearances since the last call, for the log.
+
+        :return: list of ``Clearance``.
+        """
+        clearances = list(self._clearances)
+        self._clearances.clear()
+        return clearances
+
+    def _record_clearance(self, fingerprint, reason):
+        count = self.count(fingerprint)
+        self._clearances.append(Clearance(fingerprint, count, reason))
+
     def record_success(self, fingerprint, now_s):
         """Records a complete response, which shows that the request is harmless.
 
@@ -178,6 +212,7 @@
         if len(self._successes) > MAX_SUCCESSES:
             self._successes.popitem(last=False)
         if fingerprint in self._requests:
+            self._record_clearance(fingerprint, ClearanceReason.RESPONSE)
             self._cleared_s[fingerprint] = now_s
             self._forget(fingerprint)
 
@@ -191,6 +226,7 @@
         """
         if fingerprint not in self._requests:
             return
+        self._record_clearance(fingerprint, ClearanceReason.PEER)
         self._cleared_s[fingerprint] = now_s
         for known in self._requests.pop(fingerprint).values():
             self._reported.pop(known.crash.key, None)
--- a/packages/kernel/wasabiknot_kernel/events.py
+++ b/packages/kernel/wasabiknot_kernel/events.py
@@ -152,6 +152,11 @@
     CRASHES_WRITTEN = EventDefinition(
         1307, logging.INFO, "wrote {count} crashes to the store, deleted {deleted}"
     )
+    REQUEST_CLEARED = EventDefinition(
+        1308,
+        logging.WARNING,
+        "request {fingerprint} with {count} crashes is served: {reason}",
+    )
     PREEMPTED = EventDefinition(1401, logging.DEBUG, "preempted {victim} for {request}")
     REFUSED = EventDefinition(1402, logging.INFO, "refused {request}: {kind}")
     DISPATCHED = EventDefinition(1403, logging.INFO, "sending {request} to {server}")
