--- a/packages/entry/tests/test_gateways.py
+++ b/packages/entry/tests/test_gateways.py
@@ -4,7 +4,7 @@
 
 from twisted.internet import task
 
-from wasabiknot_entry import gateways
+from wasabiknot_entry import gateways, send_attempts
 from wasabiknot_kernel import (
     allowances,
     arrivals,
@@ -12,10 +12,13 @@
     deployments,
     exceptions,
     members,
+    outcomes,
     registrations,
     routes,
 )
+from wasabiknot_platform import headers as platform_headers
 
+Outcome = outcomes.Outcome
 Kind = exceptions.ErrorKind
 POLICY = deployments.Policy(
     0.2, 10.0, 50.0, allowances.Tolerance(8.0, 0.1, 140_000), 0.1
@@ -120,6 +123,17 @@
             self.deployment.crashes.add(crash, 0.0)
         self.assertEqual(self.admit().kind, Kind.QUARANTINED)
 
+    def test_misdirected_response_shows_that_the_server_has_ended(self):
+        self.configure()
+        lost, other = self.admit(), self.admit(request_id="q2")
+        server = self.deployment.find_server("w1")
+        losing = send_attempts.Result(Outcome.RESPONSE_LOST, detail="silent")
+        self.gateway.record_result(lost, server, losing, 0.1)
+        head = platform_headers.decode_response(421, ())
+        misdirected = send_attempts.Result(Outcome.REJECTED, head)
+        self.gateway.record_result(other, server, misdirected, 1.1)
+        self.assertEqual(self.deployment.crashes.count(lost.fingerprint), 1)
+
     def test_stopping_gateway_rejects_requests_after_delay(self):
         # A request admitted 3 s after SIGTERM was cut off when the grace period of the
         # shutdown ended.
--- a/packages/kernel/tests/test_crashes.py
+++ b/packages/kernel/tests/test_crashes.py
@@ -121,6 +121,31 @@
             len(self.register.list_reported(0.0)), crashes.MAX_REPORTED
         )
 
+    def test_harmless_losses_do_not_crowd_out_a_harmful_request(self):
+        self.record(2)
+        for number in range(300):
+            item = crashes.Crash(f"g{number}", "w9/1", 0.0)
+            self.register.record(item, 0.0, Evidence.REFUSED)
+        reported = self.register.list_reported(1.0)
+        self.assertEqual([item.fingerprint for item in reported].count("f"), 2)
+        due = self.register.list_due(1.0, False)
+        self.assertEqual([item.fingerprint for item in due].count("f"), 2)
+
+    def test_refused_request_is_not_evicted_by_single_losses(self):
+        self.record(3)
+        for number in range(crashes.MAX_REQUESTS + 5):
+            item = crashes.Crash(f"g{number}", "w9/1", 0.0)
+            self.register.add_stored(item, 0.0)
+        self.assertTrue(self.register.is_refused("f", 1.0))
+
+    def test_request_resent_beside_a_harmful_one_is_served(self):
+        for number in range(6):
+            self.register.record(crash(number), 0.0, Evidence.REFUSED)
+        for number in range(3):
+            self.register.record(crash(number, "g"), 0.0, Evidence.REFUSED)
+        self.assertTrue(self.register.is_refused("f", 1.0))
+        self.assertFalse(self.register.is_refused("g", 1.0))
+
 
 class AttributionTests(unittest.TestCase):
     def setUp(self):
--- a/packages/kernel/tests/test_harmful_load.py
+++ b/packages/kernel/tests/test_harmful_load.py
@@ -1,10 +1,11 @@
 """Plays a harmful request on the decisions of several entries, without a network."""
 
+import enum
 import random
 import unittest
 
 import builders
-from hypothesis import given, settings, strategies
+from hypothesis import Phase, given, settings, strategies
 
 from wasabiknot_kernel import crashes
 
@@ -21,12 +22,26 @@
 DIGEST_LOSS = 0.1
 SETTLING_S = 3.0
 MAX_LATE_SENDS = 3
+# For Harm.LATER: time for which the request is harmless. For Harm.MIXED: one in this
+# many sends is harmless.
+HARMLESS_START_S = 3.0
+HARMLESS_SHARE = 4
+
+
+class Harm(enum.Enum):
+    """Which sends of the harmful request end the backend server that runs them."""
+
+    ALWAYS = "always"
+    LATER = "later"
+    MIXED = "mixed"
 
 
 class World:
     """Entries, a store and backend servers in virtual time."""
 
-    def __init__(self, seed, disturbances):
+    def __init__(self, seed, disturbances, harm=Harm.ALWAYS):
+        self.harm = harm
+        self.harmful_count = 0
         self.rng = random.Random(seed)
         self.disturbances = sorted(disturbances)
         self.now_s = 1_000.0
@@ -132,10 +147,18 @@
         server = entry.find_server(server_id)
         ends_s = self.now_s + HARMLESS_DURATION_S
         self.in_flight.append((ends_s, entry, server, fingerprint))
-        if fingerprint == "harmful":
+        if fingerprint == "harmful" and self.is_harmful_now():
             self.harmful_runs.append(self.now_s)
             self.crash(server_id)
 
+    def is_harmful_now(self):
+        self.harmful_count += 1
+        if self.harm is Harm.LATER:
+            return self.now_s - self.start_s > HARMLESS_START_S
+        if self.harm is Harm.MIXED:
+            return self.harmful_count % HARMLESS_SHARE != 1
+        return True
+
     def crash(self, server_id):
         self.dead_until_s[server_id] = self.now_s + SERVER_RESTART_S
         remaining = []
@@ -201,6 +224,13 @@
                 return
 
 
+# Without shrinking, as an example takes up to a second.
+SETTINGS = settings(
+    derandomize=True,
+    max_examples=60,
+    deadline=None,
+    phases=(Phase.explicit, Phase.generate),
+)
 DISTURBANCES = strategies.lists(
     strategies.tuples(
         strategies.floats(0, 25),
@@ -212,10 +242,7 @@
 
 
 class HarmfulLoadTests(unittest.TestCase):
-    @settings(derandomize=True, max_examples=60, deadline=None)
-    @given(strategies.integers(0, 1_000), DISTURBANCES)
-    def test_sends_after_the_third_crash_stay_within_bound(self, seed, disturbances):
-        world = World(seed, disturbances)
+    def check_late_sends(self, world):
         world.play()
         if len(world.harmful_runs) >= crashes.MAX_CRASHES:
             settled_s = world.harmful_runs[crashes.MAX_CRASHES - 1] + SETTLING_S
@@ -223,6 +250,21 @@
             self.assertLessEqual(len(late), MAX_LATE_SENDS)
         self.assertEqual(world.refused_harmless, [])
 
+    @SETTINGS
+    @given(strategies.integers(0, 1_000), DISTURBANCES)
+    def test_sends_after_the_third_crash_stay_within_bound(self, seed, disturbances):
+        self.check_late_sends(World(seed, disturbances))
+
+    @SETTINGS
+    @given(strategies.integers(0, 1_000), DISTURBANCES)
+    def test_success_before_the_first_crash_does_not_absolve(self, seed, disturbances):
+        self.check_late_sends(World(seed, disturbances, Harm.LATER))
+
+    @SETTINGS
+    @given(strategies.integers(0, 1_000), DISTURBANCES)
+    def test_harmless_sends_of_the_same_request_do_not_absolve(self, seed, mishaps):
+        self.check_late_sends(World(seed, mishaps, Harm.MIXED))
+
     def test_harmful_request_is_refused_and_harmless_ones_are_not(self):
         world = World(1, [])
         world.play()
--- a/packages/standins/tests/test_harmful.py
+++ b/packages/standins/tests/test_harmful.py
@@ -3,14 +3,17 @@
 import unittest
 
 DURATION_S = 16
+ENTRIES = 3
+LOAD_PER_S = 40
 TIMEOUT_S = 90
 
 
 class HarmfulRequestTests(unittest.TestCase):
-    def play(self, disturbance, seed):
-        arguments = ["-m", "wasabiknot_standins.harmful", disturbance, str(seed)]
+    def play(self, disturbance, seed, harm="always"):
+        module = ["-m", "wasabiknot_standins.harmful"]
+        arguments = [disturbance, seed, DURATION_S, ENTRIES, LOAD_PER_S, harm]
         result = subprocess.run(
-            [sys.executable, *arguments, str(DURATION_S)],
+            [sys.executable, *module, *map(str, arguments)],
             capture_output=True,
             text=True,
             timeout=TIMEOUT_S,
@@ -19,3 +22,12 @@
 
     def test_request_stays_refused_after_all_entries_restart(self):
         self.play("restart-all-twice", 1)
+
+    def test_request_that_was_answered_before_it_became_harmful_is_refused(self):
+        self.play("none", 2, "later")
+
+    def test_harmless_sends_do_not_absolve_the_harmful_ones_of_a_request(self):
+        self.play("none", 3, "mixed")
+
+    def test_misdirected_response_does_not_hide_crashes_of_reborn_servers(self):
+        self.play("reborn-at-once", 4)
--- a/packages/standins/wasabiknot_standins/harmful.py
+++ b/packages/standins/wasabiknot_standins/harmful.py
@@ -17,6 +17,9 @@
 
 RESTART_PAUSE_S = 6.0
 PAUSE_S = 4.0
+# Delays of a start under a new id, and of its registration.
+REBIRTH_DELAY_S = 0.0
+REGISTRATION_DELAY_S = 1.0
 # Plain backend servers beside those of every soak.
 MORE_SERVERS = 3
 
@@ -30,6 +33,7 @@
     RESTART_ALL_TWICE = "restart-all-twice"
     PAUSE_ONE = "pause-one"
     STORE_AWAY = "store-away"
+    REBORN_AT_ONCE = "reborn-at-once"
 
 
 class HarmfulRun(soaks.Soak):
@@ -41,15 +45,18 @@
     :param directory: directory for settings and log files.
     :param disturbance: ``Disturbance``.
     :param load_per_s: ordinary requests a second.
+    :param harm: ``harmfulcallers.Harm``.
     """
 
     def __init__(
-        self, seed, duration_s, entry_count, directory, disturbance, load_per_s
+        self, seed, duration_s, entry_count, directory, disturbance, load_per_s, harm
     ):
         super().__init__(seed, duration_s, entry_count, directory)
         self._disturbance = disturbance
         self._load_per_s = load_per_s
-        self.caller = harmfulcallers.HarmfulCaller(self._send_harmful, self._recorder)
+        self.caller = harmfulcallers.HarmfulCaller(
+            self._send_harmful, self._recorder, harm
+        )
 
     def _start_platform(self):
         super()._start_platform()
@@ -60,6 +67,9 @@
         # Without a proxy, so that connections are refused while the worker is down.
         worker = platformworkers.Worker(self._store, self._recorder, service, is_engine)
         worker.start()
+        if self._disturbance is Disturbance.REBORN_AT_ONCE:
+            worker.restart_delay_s = REBIRTH_DELAY_S
+            worker.registration_delay_s = REGISTRATION_DELAY_S
         self._workers.append(worker)
 
     @defer.inlineCallbacks
@@ -106,7 +116,14 @@
         self._check_harmful(self.caller)
 
 
-def play(disturbance, seed, duration_s=25.0, entry_count=3, load_per_s=40.0):
+def play(
+    disturbance,
+    seed,
+    duration_s=25.0,
+    entry_count=3,
+    load_per_s=40.0,
+    harm=harmfulcallers.Harm.ALWAYS,
+):
     """Plays one run and prints what was seen.
 
     :param disturbance: ``Disturbance``.
@@ -114,10 +131,13 @@
     :param duration_s: time in seconds during which requests are sent.
     :param entry_count: number of entries.
     :param load_per_s: ordinary requests a second.
+    :param harm: ``harmfulcallers.Harm``.
     :return: list of violations.
     """
     directory = pathlib.Path(tempfile.mkdtemp(prefix="wasabiknot-harmful-"))
-    run = HarmfulRun(seed, duration_s, entry_count, directory, disturbance, load_per_s)
+    run = HarmfulRun(
+        seed, duration_s, entry_count, directory, disturbance, load_per_s, harm
+    )
     violations = soaks.play(run)
     runs = run.caller.list_runs()
     times_s = [round(at_s - runs[0], 1) for at_s in runs]
@@ -132,16 +152,17 @@
     """Plays one run from the command line.
 
     The arguments are the disturbance, the seed, the duration in seconds, the number of
-    entries and the ordinary requests a second.
+    entries, the ordinary requests a second and the harm.
 
     :return: exit code; 1 if the harmful request was sent too often.
     """
     disturbance = Disturbance(sys.argv[1]) if len(sys.argv) > 1 else Disturbance.NONE
     seed = int(sys.argv[2]) if len(sys.argv) > 2 else random.randrange(1_000_000)
-    numbers = [float(text) for text in sys.argv[3:]]
+    numbers = [float(text) for text in sys.argv[3:6]]
     if len(numbers) > 1:
         numbers[1] = int(numbers[1])
-    return 1 if play(disturbance, seed, *numbers) else 0
+    harm = harmfulcallers.Harm(sys.argv[6] if len(sys.argv) > 6 else "always")
+    return 1 if play(disturbance, seed, *numbers, harm=harm) else 0
 
 
 if __name__ == "__main__":
--- a/packages/standins/wasabiknot_standins/harmfulcallers.py
+++ b/packages/standins/wasabiknot_standins/harmfulcallers.py
@@ -1,7 +1,11 @@
-"""Caller that resends a request which ends each backend server that runs it."""
+"""Caller that resends a request which ends the backend servers that run it."""
+
+import enum
 
 from twisted.internet import defer, reactor, task
 
+from wasabiknot_standins import platformworkers
+
 SEND_INTERVAL_S = 0.4
 CRASHES_BEFORE_REFUSAL = 3
 # Time for which the entries may still send the request after its third crash.
@@ -9,6 +13,16 @@
 # Sends that may follow even later.
 MAX_LATE_SENDS = 3
 PREFIX = "harmful-"
+HARMLESS_S = 3.0
+HARMLESS_SHARE = 4
+
+
+class Harm(enum.Enum):
+    """Which sends of the request end the backend server that runs them."""
+
+    ALWAYS = "always"
+    LATER = "later"
+    MIXED = "mixed"
 
 
 class HarmfulCaller:
@@ -16,11 +30,14 @@
 
     :param send: function of a request id that sends the request; returns a deferred.
     :param recorder: ``platformworkers.RunRecorder``.
+    :param harm: ``Harm``.
     """
 
-    def __init__(self, send, recorder):
+    def __init__(self, send, recorder, harm=Harm.ALWAYS):
         self._send = send
         self._recorder = recorder
+        self._harm = harm
+        self._started_s = None
         self._count = 0
 
     @defer.inlineCallbacks
@@ -29,11 +46,20 @@
 
         :param end_s: time in seconds of the last send.
         """
+        self._started_s = reactor.seconds()
         while reactor.seconds() < end_s:
             self._count += 1
-            self._send(f"{PREFIX}{self._count}")
+            prefix = PREFIX if self._is_harmful() else platformworkers.HARMLESS_PREFIX
+            self._send(f"{prefix}{self._count}")
             yield task.deferLater(reactor, SEND_INTERVAL_S)
 
+    def _is_harmful(self):
+        if self._harm is Harm.LATER:
+            return reactor.seconds() - self._started_s > HARMLESS_S
+        if self._harm is Harm.MIXED:
+            return self._count % HARMLESS_SHARE != 1
+        return True
+
     def list_runs(self):
         """Lists the times at which backend servers began to run the request.
 
--- a/packages/standins/wasabiknot_standins/platformworkers.py
+++ b/packages/standins/wasabiknot_standins/platformworkers.py
@@ -12,8 +12,10 @@
 FIRST_EVENT_DELAY_S = 0.03
 EVENT_INTERVAL_S = 0.02
 PLAIN_DELAY_S = 0.02
-# Body of a request that ends each backend server that runs it.
+# Body of a request that ends each backend server that runs it, unless its id begins
+# with the prefix.
 HARMFUL_BODY = b"harmful"
+HARMLESS_PREFIX = "harmless-"
 CRASH_DELAY_S = 0.05
 # Sent after a complete response by the fault "extra".
 EXTRA_BYTES = b"HTTP/1.1 200 OK\r\n\r\n"
@@ -102,6 +104,8 @@
         self._channels = set()
         # Seconds after which the server starts again after a harmful request.
         self.restart_delay_s = 2.0
+        # Seconds after a start until the server registers.
+        self.registration_delay_s = 0.0
 
     def start(self):
         """Starts listening and registers under a new id, unless already listening."""
@@ -135,7 +139,10 @@
         self.listener = reactor.listenTCP(self._port, factory, interface="127.0.0.1")
         self._port = self.listener.getHost().port
         self.address = self.address or f"127.0.0.1:{self._port}"
-        self.send_heartbeat()
+        if self.registration_delay_s:
+            reactor.callLater(self.registration_delay_s, self.send_heartbeat)
+        else:
+            self.send_heartbeat()
 
     def send_heartbeat(self):
         """Writes the registration record with the next sequence number."""
@@ -194,7 +201,8 @@
         self._recorder.runs[request_id].append(run)
         self.running += 1
         request.setHeader("x-wasabiknot-server-stamp", self.server_id)
-        if request.content.read() == HARMFUL_BODY:
+        is_harmless = request_id.startswith(HARMLESS_PREFIX)
+        if request.content.read() == HARMFUL_BODY and not is_harmless:
             reactor.callLater(CRASH_DELAY_S, self._crash_and_restart, self.server_id)
             return
         disconnects = []
