Take a misdirected response as the end of the server that was meant

What callers saw: a request went on to end backend servers that had started again under new ids, since the crashes before were not counted. Cause: any response, also a 421, went through record_response, and record_life dropped the lost responses of the server that the entry had meant. A 421 comes from the server that has taken over its address. Why it works: the adapter states is_misdirected, and the monitor records the end with evidence 'replaced' and tells the peers, as for a refused connection. Servers that had announced that they leave are left out, as for removals.

--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -371,6 +371,8 @@
             monitor.record_loss(ticket, server, now_s)
             if result.detail in CONNECTION_LOSSES:
                 self._check_server(server, now_s)
+        elif result.head.is_misdirected:
+            monitor.record_replacement(server, now_s)
         else:
             is_success = (
                 result.outcome is Outcome.COMPLETE and result.head.status < SUCCESS_END
--- a/packages/kernel/wasabiknot_kernel/crash_monitors.py
+++ b/packages/kernel/wasabiknot_kernel/crash_monitors.py
@@ -97,6 +97,18 @@
         server_id = self._ids_by_address.get(registration.address)
         return None if server_id == registration.server_id else server_id
 
+    def record_replacement(self, server, now_s):
+        """Records that another backend server answers at the address of this one.
+
+        :param server: ``servers.Server`` that has ended.
+        :param now_s: current time in Unix seconds.
+        """
+        if server.is_leaving:
+            return
+        server_key = self._attribution.get_server_key(server.registration)
+        self._attribution.record_refusal(server_key, now_s)
+        self._record_end(server.registration, now_s, crashes.Evidence.REPLACED)
+
     def record_removal(self, server, now_s):
         """Records that a backend server is no longer registered.
 
