Rank crashes by the crashes of their request, not by age alone

What callers saw: as below; a busy server that ends makes a crash record of each request in flight on it, and the one that matters could be pressed out. Cause: digests carried the newest 32 crashes, writes the oldest 64, and the oldest request was forgotten beyond 2,048, whether refused or lost once. Why it works: requests with the most crashes come first in digests and writes and are evicted last.

--- a/packages/kernel/wasabiknot_kernel/crashes.py
+++ b/packages/kernel/wasabiknot_kernel/crashes.py
@@ -159,7 +159,8 @@
         servers[crash.server] = known
         self._reported[crash.key] = known
         if len(self._requests) > MAX_REQUESTS:
-            self._forget(next(iter(self._requests)))
+            # The oldest of those with the fewest crashes.
+            self._forget(min(self._requests, key=self.count))
         self._observe(crash, evidence)
 
     def _forget(self, fingerprint):
@@ -289,13 +290,17 @@
         """Lists the crashes that digests include: recent ones and those not stored.
 
         :param now_s: current time in Unix seconds.
-        :return: tuple of ``Crash``, the newest ``MAX_REPORTED`` of them.
+        :return: tuple of at most ``MAX_REPORTED`` ``Crash`` items: those of the
+            requests with the most crashes, then the newest.
         """
         for key, known in list(self._reported.items()):
             if known.is_stored and now_s - known.known_s > REPORT_S:
                 del self._reported[key]
-        newest = list(self._reported.values())[-MAX_REPORTED:]
-        return tuple(known.crash for known in newest)
+        crashes = [known.crash for known in reversed(self._reported.values())]
+        return tuple(self._rank(crashes)[:MAX_REPORTED])
+
+    def _rank(self, crashes):
+        return sorted(crashes, key=lambda crash: -self.count(crash.fingerprint))
 
     def list_due(self, now_s, is_reader):
         """Lists the crashes that this entry should store.
@@ -303,14 +308,15 @@
         :param now_s: current time in Unix seconds.
         :param is_reader: whether this entry reads the store for its group, and stores
             what an observer has not.
-        :return: list of at most ``MAX_BATCH`` ``Crash`` items.
+        :return: list of at most ``MAX_BATCH`` ``Crash`` items, those of the requests
+            with the most crashes first.
         """
         due = [
             known.crash
             for known in self._reported.values()
             if not known.is_stored and self._is_due(known, now_s, is_reader)
         ]
-        return due[:MAX_BATCH]
+        return self._rank(due)[:MAX_BATCH]
 
     def _is_due(self, known, now_s, is_reader):
         age_s = now_s - known.known_s
