Weigh complete responses against crashes instead of letting one absolve

Cause: a complete response forgot all crashes of a request, here, at peers and in the store, and for 60 s no new ones were counted. A request that was harmless once, or shares path, customer and body with one that is, could end any number of servers. One good sign wiped what several bad ones had shown. Why it works: nothing is forgotten before its hour. Complete responses count from the first crash on, over all entries, and must outweigh the crashes: 64 for three, four times as many for each further one, so that any fixed share of harm is refused after a few. Crashes that a worse request explains don't count, so a stream that was resumed beside a harmful one is served. A refused request that has succeeded since its first crash is tried at one entry, 3 s apart, until two more crashes; any loss of a trial counts as one. A single crash of a request that completed is kept in memory only, so the store gets no more writes than before. WK1308 says why such a request is sent.

--- a/packages/entry/wasabiknot_entry/crash_writers.py
+++ b/packages/entry/wasabiknot_entry/crash_writers.py
@@ -88,5 +88,6 @@
             events.Event.REQUEST_CLEARED,
             fingerprint=clearance.fingerprint,
             count=clearance.count,
+            responses=clearance.responses,
             reason=clearance.reason.value,
         )
--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -85,6 +85,7 @@
         self.crashes = deployment.crashes
         self.crash_monitor = deployment.crash_monitor
         self.record_evidence = deployment.record_evidence
+        self.try_start_trial = deployment.try_start_trial
 
     @property
     def table(self):
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -193,7 +193,8 @@
                 Kind.BODY_TOO_LARGE, 413, None, "body too large"
             )
         ticket = self._create_ticket(arrival, route, customer, request, body, now_s)
-        if deployment.crashes.is_refused(ticket.fingerprint, now_s):
+        is_refused = deployment.crashes.is_refused(ticket.fingerprint, now_s)
+        if is_refused and not deployment.try_start_trial(ticket, now_s):
             refusal = dispatch.create_harmful_refusal(ticket)
             return error_responses.ErrorResponse(
                 refusal.kind,
--- a/packages/kernel/wasabiknot_kernel/arrivals.py
+++ b/packages/kernel/wasabiknot_kernel/arrivals.py
@@ -81,6 +81,7 @@
     :param charge: tokens charged to the customer.
     :param is_canary: whether the request goes to the new version of a release;
         ``None`` before this is drawn.
+    :param is_trial: whether it is sent once although its fingerprint is refused.
     """
 
     arrival: Arrival
@@ -97,6 +98,7 @@
     may_have_run: bool = False
     charge: float = 0.0
     is_canary: bool | None = None
+    is_trial: bool = False
 
     @property
     def request_id(self):
--- a/packages/kernel/wasabiknot_kernel/crash_monitors.py
+++ b/packages/kernel/wasabiknot_kernel/crash_monitors.py
@@ -27,7 +27,10 @@
         """
         server_key = self._attribution.get_server_key(server.registration)
         crash = crashes.Crash(ticket.fingerprint, server_key, now_s)
-        if self._attribution.record_loss(crash, now_s):
+        if ticket.is_trial:
+            # Without waiting for evidence: the next trial must not repeat a crash.
+            self._register.record(crash, now_s, crashes.Evidence.TRIAL)
+        elif self._attribution.record_loss(crash, now_s):
             self._register.record(crash, now_s, crashes.Evidence.ENDED_BEFORE)
 
     def should_check(self, server, now_s):
@@ -67,7 +70,7 @@
         """
         self._attribution.record_life(server.registration, now_s)
         if is_success:
-            self._register.record_success(ticket.fingerprint, now_s)
+            self._register.record_response(ticket.fingerprint, ticket.is_trial)
 
     def record_restart(self, server, now_s):
         """Records that a backend server is registered with another start time.
@@ -138,10 +141,9 @@
         :param digest: ``members.Digest``.
         :param now_s: current time in Unix seconds.
         """
-        for fingerprint in digest.cleared_requests:
-            self._register.clear(fingerprint, now_s)
         for crash in digest.recent_crashes:
             self._register.add(crash, now_s)
+        self._register.apply_responses(source, digest.responses)
         refused = self._attribution.apply_report(source, digest.refused_servers)
         for server_key in refused:
             self._record_crashes(server_key, now_s, crashes.Evidence.PEER_REFUSED)
--- a/packages/kernel/wasabiknot_kernel/crashes.py
+++ b/packages/kernel/wasabiknot_kernel/crashes.py
@@ -9,23 +9,20 @@
 
 import msgspec
 
-# Number of crashes after which a request is refused. A harmless request can be in
-# flight during two crashes that another request causes; three are very unlikely.
-MAX_CRASHES = 3
+from wasabiknot_kernel import suspects
+
 # Time for which a crash counts.
 RETENTION_S = 3_600.0
 MAX_REQUESTS = 2_048
 MAX_OBSERVATIONS = 256
-# Time for which a complete response shows that a request is harmless.
-SUCCESS_RETENTION_S = 60.0
-MAX_SUCCESSES = 2_048
 # Time for which digests include a crash, even if it is already stored.
 REPORT_S = 2.0
 MAX_REPORTED = 32
 # Time after which another entry stores a crash that its observer has not stored.
 TAKEOVER_S = 3.0
 # Delay before the first crash of a request is stored. Most requests that were in flight
-# beside a harmful one complete at another backend server within it.
+# beside a harmful one complete at another backend server within it, and a single crash
+# of such a request is not stored.
 STORE_DELAY_S = 0.5
 MAX_BATCH = 64
 
@@ -60,26 +57,30 @@
     ENDED_BEFORE = "ended-before"
     PEER = "peer"
     STORE = "store"
+    TRIAL = "trial"
     NONE = "none"
 
 
 class ClearanceReason(enum.Enum):
     """Why a request with crashes is served. The values appear in logs."""
 
-    RESPONSE = "complete-response"
-    PEER = "peer"
+    OUTWEIGHED = "outweighed"
+    EXPLAINED = "explained"
+    TRIAL = "trial"
 
 
 class Clearance(msgspec.Struct, frozen=True):
     """A request that is served although backend servers crashed while they ran it.
 
     :param fingerprint: hash of path, caller and body of the request.
-    :param count: crashes that were known.
+    :param count: crashes that are known.
+    :param responses: complete responses since the first of them.
     :param reason: ``ClearanceReason``.
     """
 
     fingerprint: str
     count: int
+    responses: int
     reason: ClearanceReason
 
 
@@ -96,27 +97,18 @@
     count: int
 
 
-class _Known(msgspec.Struct):
-    crash: Crash
-    known_s: float
-    is_own: bool
-    is_stored: bool = False
-
-
 class CrashRegister:
     """Counts the backend servers that each request has crashed.
 
-    Protects against a caller that resends a harmful request after each crash. A
-    complete response clears a request: it was in flight while another one crashed the
-    backend server.
+    Protects against a caller that resends a harmful request after each crash.
     """
 
     def __init__(self):
         self._requests = collections.OrderedDict()
-        self._successes = collections.OrderedDict()
+        # Those of them with more than one crash.
+        self._repeated = {}
         self._deletions = {}
         self._reported = {}
-        self._cleared_s = {}
         self._observations = collections.deque(maxlen=MAX_OBSERVATIONS)
         self._clearances = collections.deque(maxlen=MAX_OBSERVATIONS)
 
@@ -149,26 +141,31 @@
         self.mark_stored([crash])
 
     def _add(self, crash, now_s, evidence, is_own):
-        if self._has_succeeded(crash.fingerprint, now_s):
-            return
-        servers = self._requests.setdefault(crash.fingerprint, {})
+        suspect = self._requests.setdefault(crash.fingerprint, suspects.Suspect())
         self._requests.move_to_end(crash.fingerprint)
-        if crash.server in servers:
+        if crash.server in suspect.crashes:
             return
-        known = _Known(crash, now_s, is_own)
-        servers[crash.server] = known
-        self._reported[crash.key] = known
+        suspect.crashes[crash.server] = suspects.KnownCrash(crash, now_s, is_own)
+        if len(suspect.crashes) > 1:
+            self._repeated[crash.fingerprint] = suspect
+        for known in suspect.crashes.values():
+            if not known.is_stored:
+                self._reported[known.crash.key] = known
         if len(self._requests) > MAX_REQUESTS:
             # The oldest of those with the fewest crashes.
             self._forget(min(self._requests, key=self.count))
         self._observe(crash, evidence)
 
     def _forget(self, fingerprint):
-        for known in self._requests.pop(fingerprint, {}).values():
+        for known in self._pop(fingerprint).crashes.values():
             self._reported.pop(known.crash.key, None)
             if known.is_stored:
                 self._deletions[known.crash.key] = None
 
+    def _pop(self, fingerprint):
+        self._repeated.pop(fingerprint, None)
+        return self._requests.pop(fingerprint)
+
     def record_unattributed(self, crash):
         """Records a lost response for which no end of the backend server was seen.
 
@@ -189,67 +186,41 @@
         self._observations.clear()
         return observations
 
-    def pop_clearances(self):
-        """Returns the clearances since the last call, for the log.
-
-        :return: list of ``Clearance``.
-        """
-        clearances = list(self._clearances)
-        self._clearances.clear()
-        return clearances
-
-    def _record_clearance(self, fingerprint, reason):
-        count = self.count(fingerprint)
-        self._clearances.append(Clearance(fingerprint, count, reason))
-
-    def record_success(self, fingerprint, now_s):
-        """Records a complete response, which shows that the request is harmless.
+    def record_response(self, fingerprint, is_trial=False):
+        """Records a complete response, which speaks for a request with crashes.
 
         :param fingerprint: hash of path, caller and body.
-        :param now_s: current time in Unix seconds.
+        :param is_trial: whether the request was sent as a trial.
         """
-        self._successes[fingerprint] = now_s
-        self._successes.move_to_end(fingerprint)
-        if len(self._successes) > MAX_SUCCESSES:
-            self._successes.popitem(last=False)
-        if fingerprint in self._requests:
-            self._record_clearance(fingerprint, ClearanceReason.RESPONSE)
-            self._cleared_s[fingerprint] = now_s
-            self._forget(fingerprint)
-
-    def clear(self, fingerprint, now_s):
-        """Clears a request that was answered completely through a peer.
+        suspect = self._requests.get(fingerprint)
+        if suspect is not None:
+            suspect.responses += suspect.trial_weight if is_trial else 1
 
-        The peer deletes its crashes from the store.
+    def apply_responses(self, source, responses):
+        """Applies the numbers of complete responses that a peer reports.
 
-        :param fingerprint: hash of path, caller and body.
-        :param now_s: current time in Unix seconds.
+        :param source: name of the peer or group.
+        :param responses: mapping of fingerprints to numbers.
         """
-        if fingerprint not in self._requests:
-            return
-        self._record_clearance(fingerprint, ClearanceReason.PEER)
-        self._cleared_s[fingerprint] = now_s
-        for known in self._requests.pop(fingerprint).values():
-            self._reported.pop(known.crash.key, None)
+        for fingerprint, count in responses.items():
+            suspect = self._requests.get(fingerprint)
+            if suspect is not None:
+                suspect.peer_responses[source] = count
 
-    def list_cleared(self, now_s):
-        """Lists the requests whose crashes were cleared recently.
+    def list_responses(self):
+        """Lists the complete responses through this entry to requests with crashes.
 
-        :param now_s: current time in Unix seconds.
-        :return: tuple of fingerprints.
+        :return: mapping of at most ``MAX_REPORTED`` fingerprints to numbers.
         """
-        self._cleared_s = {
-            fingerprint: at_s
-            for fingerprint, at_s in self._cleared_s.items()
-            if now_s - at_s <= REPORT_S
+        counts = {
+            fingerprint: suspect.responses
+            for fingerprint, suspect in self._repeated.items()
+            if suspect.responses
+        }
+        ranked = sorted(counts, key=lambda fingerprint: -self.count(fingerprint))
+        return {
+            fingerprint: counts[fingerprint] for fingerprint in ranked[:MAX_REPORTED]
         }
-        return tuple(self._cleared_s)
-
-    def _has_succeeded(self, fingerprint, now_s):
-        succeeded_s = self._successes.get(fingerprint)
-        if succeeded_s is not None and now_s - succeeded_s < SUCCESS_RETENTION_S:
-            return True
-        return fingerprint in self._cleared_s
 
     def remove_stored(self, key):
         """Removes a crash that the store no longer keeps.
@@ -259,24 +230,80 @@
         self._deletions.pop(key, None)
         self._reported.pop(key, None)
         fingerprint, _, server = key.partition("/")
-        servers = self._requests.get(fingerprint, {})
-        servers.pop(server, None)
-        if not servers:
-            self._requests.pop(fingerprint, None)
+        suspect = self._requests.get(fingerprint)
+        if suspect is not None:
+            suspect.crashes.pop(server, None)
+            if not suspect.crashes:
+                self._pop(fingerprint)
 
     def is_refused(self, fingerprint, now_s):
         """Tells whether a request must not be sent to another backend server.
 
         :param fingerprint: hash of path, caller and body.
         :param now_s: current time in Unix seconds.
-        :return: ``True`` after ``MAX_CRASHES`` crashes within ``RETENTION_S``.
+        :return: ``True`` after ``suspects.MAX_CRASHES`` crashes within
+            ``RETENTION_S`` that are neither outweighed nor explained.
         """
-        servers = self._requests.get(fingerprint)
-        if not servers or len(servers) < MAX_CRASHES:
+        suspect = self._requests.get(fingerprint)
+        if suspect is None or len(suspect.crashes) < suspects.MAX_CRASHES:
             return False
         oldest_s = now_s - RETENTION_S
-        recent = sum(known.crash.at_s > oldest_s for known in servers.values())
-        return recent >= MAX_CRASHES
+        recent = sum(item.crash.at_s > oldest_s for item in suspect.crashes.values())
+        if recent < suspects.MAX_CRASHES:
+            return False
+        reason = self._find_clearance_reason(suspect)
+        if reason is not None:
+            self._record_clearance(fingerprint, suspect, reason)
+        return reason is None
+
+    def _find_clearance_reason(self, suspect):
+        if suspect.is_outweighed:
+            return ClearanceReason.OUTWEIGHED
+        unexplained = suspects.count_unexplained(suspect, self._repeated.values())
+        if unexplained < suspects.MAX_CRASHES:
+            return ClearanceReason.EXPLAINED
+        return None
+
+    def is_suspected(self, fingerprint):
+        """Tells whether failures of a request may be its own fault.
+
+        :param fingerprint: hash of path, caller and body.
+        :return: ``True`` after a crash that complete responses do not outweigh.
+        """
+        suspect = self._requests.get(fingerprint)
+        return suspect is not None and not suspect.is_outweighed
+
+    def try_start_trial(self, fingerprint, now_s):
+        """Starts a trial of a refused request, if one is due.
+
+        :param fingerprint: hash of path, caller and body.
+        :param now_s: current time in Unix seconds.
+        :return: whether the request may be sent once.
+        """
+        suspect = self._requests.get(fingerprint)
+        if suspect is None or not suspect.is_due_for_trial(now_s):
+            return False
+        suspect.trial_s = now_s
+        self._record_clearance(fingerprint, suspect, ClearanceReason.TRIAL)
+        return True
+
+    def pop_clearances(self):
+        """Returns the clearances since the last call, for the log.
+
+        :return: list of ``Clearance``.
+        """
+        clearances = list(self._clearances)
+        self._clearances.clear()
+        return clearances
+
+    def _record_clearance(self, fingerprint, suspect, reason):
+        clearance = Clearance(
+            fingerprint, len(suspect.crashes), suspect.response_count, reason
+        )
+        is_repeated = suspect.logged == (clearance.count, reason)
+        suspect.logged = (clearance.count, reason)
+        if not is_repeated or reason is ClearanceReason.TRIAL:
+            self._clearances.append(clearance)
 
     def count(self, fingerprint):
         """Counts the crashes of a request.
@@ -284,7 +311,8 @@
         :param fingerprint: hash of path, caller and body.
         :return: number of distinct backend servers that crashed.
         """
-        return len(self._requests.get(fingerprint, ()))
+        suspect = self._requests.get(fingerprint)
+        return len(suspect.crashes) if suspect is not None else 0
 
     def list_reported(self, now_s):
         """Lists the crashes that digests include: recent ones and those not stored.
@@ -294,13 +322,17 @@
             requests with the most crashes, then the newest.
         """
         for key, known in list(self._reported.items()):
-            if known.is_stored and now_s - known.known_s > REPORT_S:
+            is_kept = known.is_stored or not self._needs_storing(known)
+            if is_kept and now_s - known.known_s > REPORT_S:
                 del self._reported[key]
         crashes = [known.crash for known in reversed(self._reported.values())]
         return tuple(self._rank(crashes)[:MAX_REPORTED])
 
     def _rank(self, crashes):
-        return sorted(crashes, key=lambda crash: -self.count(crash.fingerprint))
+        repeated = [item for item in crashes if item.fingerprint in self._repeated]
+        repeated.sort(key=lambda item: -self.count(item.fingerprint))
+        single = [item for item in crashes if item.fingerprint not in self._repeated]
+        return repeated + single
 
     def list_due(self, now_s, is_reader):
         """Lists the crashes that this entry should store.
@@ -319,27 +351,33 @@
         return self._rank(due)[:MAX_BATCH]
 
     def _is_due(self, known, now_s, is_reader):
+        if not self._needs_storing(known):
+            return False
         age_s = now_s - known.known_s
         if not known.is_own:
             return is_reader and age_s > TAKEOVER_S
         return age_s > STORE_DELAY_S or self.count(known.crash.fingerprint) > 1
 
+    def _needs_storing(self, known):
+        suspect = self._requests[known.crash.fingerprint]
+        return len(suspect.crashes) > 1 or not suspect.response_count
+
     def drop_expired(self, now_s, is_reader):
         """Drops the crashes that no longer count.
 
         :param now_s: current time in Unix seconds.
         :param is_reader: whether this entry also deletes them from the store.
         """
-        for fingerprint, servers in list(self._requests.items()):
-            for server, known in list(servers.items()):
+        for fingerprint, suspect in list(self._requests.items()):
+            for server, known in list(suspect.crashes.items()):
                 if now_s - known.crash.at_s < RETENTION_S:
                     continue
-                del servers[server]
+                del suspect.crashes[server]
                 self._reported.pop(known.crash.key, None)
                 if known.is_stored and is_reader:
                     self._deletions[known.crash.key] = None
-            if not servers:
-                del self._requests[fingerprint]
+            if not suspect.crashes:
+                self._pop(fingerprint)
 
     def mark_stored(self, stored):
         """Marks crashes that the store has acknowledged.
@@ -347,12 +385,13 @@
         :param stored: iterable of ``Crash``.
         """
         for crash in stored:
-            servers = self._requests.get(crash.fingerprint, {})
-            if crash.server in servers:
-                servers[crash.server].is_stored = True
-            elif crash.fingerprint in self._successes:
-                # A complete response arrived while the crash was being stored.
-                self._deletions[crash.key] = None
+            known = self._find_known(crash.fingerprint, crash.server)
+            if known is not None:
+                known.is_stored = True
+
+    def _find_known(self, fingerprint, server):
+        suspect = self._requests.get(fingerprint)
+        return suspect.crashes.get(server) if suspect is not None else None
 
     def mark_lost(self, keys, now_s):
         """Marks records that the store has lost, so that they are written again.
@@ -362,7 +401,7 @@
         """
         for key in keys:
             fingerprint, _, server = key.partition("/")
-            known = self._requests.get(fingerprint, {}).get(server)
+            known = self._find_known(fingerprint, server)
             if known is not None:
                 known.is_stored = False
                 known.is_own = True
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -1,5 +1,7 @@
 """The scheduling state of one entry: configuration, backend servers and peers."""
 
+import collections
+
 import msgspec
 
 from wasabiknot_kernel import (
@@ -298,7 +300,7 @@
     def record_evidence(self, ticket, server, outcome, elapsed_s, event_count, now_s):
         """Records the outcome of an attempt as evidence about a release.
 
-        Requests that have crashed a backend server are not counted.
+        Requests that are suspected to crash backend servers are not counted.
 
         :param ticket: ``arrivals.Ticket``.
         :param server: ``servers.Server``.
@@ -307,7 +309,7 @@
         :param event_count: number of events received.
         :param now_s: current time in seconds.
         """
-        if self.crashes.count(ticket.fingerprint):
+        if self.crashes.is_suspected(ticket.fingerprint):
             return
         duration_ratio = None
         # Latency during warm-up says nothing about the speed of the version.
@@ -320,6 +322,29 @@
             )
         self.releases.record_outcome(ticket, server, outcome, duration_ratio)
 
+    def try_start_trial(self, ticket, now_s):
+        """Starts a trial of a refused request, if this entry may and it is due.
+
+        :param ticket: ``arrivals.Ticket``.
+        :param now_s: current time in seconds.
+        :return: whether the request may be sent once.
+        """
+        if not self._is_trial_entry(ticket.fingerprint, now_s):
+            return False
+        ticket.is_trial = self.crashes.try_start_trial(ticket.fingerprint, now_s)
+        return ticket.is_trial
+
+    def _is_trial_entry(self, fingerprint, now_s):
+        # One entry for each request, so that trials don't happen at the same time.
+        groups = [self.roster.group, *self.roster.list_other_groups()]
+        group_names = tuple(sorted(group.name for group in groups))
+        winner = group_servers.find_winner(fingerprint, 0, group_names)
+        if winner != self.roster.group.name:
+            return False
+        digests = _list_reachable_digests(self.roster.list_group_peers(), now_s)
+        names = tuple(sorted([self.member.name, *digests]))
+        return group_servers.find_winner(fingerprint, 1, names) == self.member.name
+
     def count_running_on_old_versions(self, order):
         """Counts the requests on backend servers of other versions than the target.
 
@@ -338,7 +363,12 @@
         :param now_s: current time in seconds.
         :return: ``members.Digest``.
         """
-        built = self._build_digest(now_s, self._list_loads(), self.allowances.used)
+        built = self._build_digest(
+            now_s,
+            self._list_loads(),
+            self.allowances.used,
+            self.crashes.list_responses(),
+        )
         waiting = {}
         faulty_servers = []
         for name, dispatcher in self._dispatchers.items():
@@ -360,10 +390,12 @@
         """
         digests = _list_reachable_digests(self.roster.list_group_peers(), now_s)
         loads = self._list_loads()
+        responses = collections.Counter(self.crashes.list_responses())
         for digest in digests.values():
             _add_loads(loads, digest.loads)
+            responses.update(digest.responses)
         count = self.roster.count_group(now_s)
-        built = self._build_digest(now_s, loads, self.allowances.group_used)
+        built = self._build_digest(now_s, loads, self.allowances.group_used, responses)
         return msgspec.structs.replace(
             built,
             group=self.roster.group.name,
@@ -384,10 +416,12 @@
             for name, peer in self.roster.group_summaries.items()
             if not peer.is_unreachable(now_s)
         }
+        responses = collections.Counter()
         for digest in summaries.values():
             _add_loads(loads, digest.loads)
+            responses.update(digest.responses)
         count = self.roster.count_other_groups(now_s)
-        built = self._build_digest(now_s, loads, self.allowances.remote_used)
+        built = self._build_digest(now_s, loads, self.allowances.remote_used, responses)
         return msgspec.structs.replace(
             built,
             group=members.REMOTE_GROUPS,
@@ -396,7 +430,7 @@
             members=count.members,
         )
 
-    def _build_digest(self, now_s, loads, used):
+    def _build_digest(self, now_s, loads, used, responses):
         self._sequence += 1
         return members.Digest(
             name=self.member.name,
@@ -412,7 +446,7 @@
             read_age_ms=self.compute_read_age_ms(now_s),
             evidence=self.releases.list_evidence(),
             refused_servers=self.crash_monitor.list_refused(now_s),
-            cleared_requests=self.crashes.list_cleared(now_s),
+            responses=dict(responses),
         )
 
     def _list_loads(self):
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -267,6 +267,8 @@
         return self._waiting.pop(id(ticket), None) is not None
 
     def _is_harmful(self, ticket, now_s):
+        if ticket.is_trial and not ticket.sends:
+            return False
         return self.is_refused is not None and self.is_refused(
             ticket.fingerprint, now_s
         )
--- a/packages/kernel/wasabiknot_kernel/events.py
+++ b/packages/kernel/wasabiknot_kernel/events.py
@@ -155,7 +155,8 @@
     REQUEST_CLEARED = EventDefinition(
         1308,
         logging.WARNING,
-        "request {fingerprint} with {count} crashes is served: {reason}",
+        "request {fingerprint} is served, {count} crashes, {responses} complete"
+        " responses: {reason}",
     )
     PREEMPTED = EventDefinition(1401, logging.DEBUG, "preempted {victim} for {request}")
     REFUSED = EventDefinition(1402, logging.INFO, "refused {request}: {kind}")
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -76,8 +76,9 @@
     :param faulty_servers: backend servers that the sender considers faulty.
     :param refused_servers: ids and start times of the backend servers that have
         recently refused a connection of the sender.
-    :param cleared_requests: fingerprints of requests whose crashes no longer count, as
-        they were answered completely.
+    :param cleared_requests: unused; earlier versions list fingerprints here.
+    :param responses: complete responses to requests with several crashes, by
+        fingerprint.
     """
 
     name: str
@@ -97,6 +98,7 @@
     faulty_servers: tuple[str, ...] = ()
     refused_servers: tuple[str, ...] = ()
     cleared_requests: tuple[str, ...] = ()
+    responses: dict[str, int] = {}
 
 
 class Bundle(msgspec.Struct, frozen=True, array_like=True):
--- /dev/null
+++ b/packages/kernel/wasabiknot_kernel/suspects.py
@@ -0,0 +1,114 @@
+"""Judges whether a request has ended the backend servers that crashed while running it.
+
+A harmless request is in flight during a crash now and then. What speaks for it are
+complete responses since its first crash, or another request that was in flight during
+the same crashes and has done worse. Earlier responses say nothing: a request can become
+harmful, and two callers of a customer can send the same content to different effect.
+"""
+
+import msgspec
+
+# Number of crashes after which a request is refused. A harmless request can be in
+# flight during two crashes that another request causes; three are very unlikely.
+MAX_CRASHES = 3
+# Each crash takes this many times as many complete responses to outweigh, so a request
+# that crashes any fixed share of its backend servers is refused after a few crashes.
+RESPONSES_PER_CRASH = 4
+# A refused request that has succeeded since its first crash is tried again now and
+# then, until it has crashed this many more backend servers.
+MAX_TRIAL_CRASHES = 2
+# Interval between two trials, and between a crash and the next trial.
+TRIAL_INTERVAL_S = 3.0
+# Successful trials after which the request is served again.
+TRIALS_TO_CLEAR = 3
+
+
+class KnownCrash(msgspec.Struct):
+    """A crash and where it is known.
+
+    :param crash: ``crashes.Crash``.
+    :param known_s: time at which this entry learnt of it, in Unix seconds.
+    :param is_own: whether this entry has observed it.
+    :param is_stored: whether the store keeps it.
+    """
+
+    crash: object
+    known_s: float
+    is_own: bool
+    is_stored: bool = False
+
+
+class Suspect(msgspec.Struct):
+    """A request during which backend servers have crashed.
+
+    :param crashes: ``KnownCrash`` by id and start time of the backend server.
+    :param responses: complete responses through this entry since the first crash.
+    :param peer_responses: the same through peers, by name of the peer or group.
+    :param trial_s: time of the latest trial of this entry, in Unix seconds.
+    :param logged: number of crashes and reason of the latest logged clearance.
+    """
+
+    crashes: dict[str, KnownCrash] = {}
+    responses: int = 0
+    peer_responses: dict[str, int] = {}
+    trial_s: float | None = None
+    logged: tuple | None = None
+
+    @property
+    def response_count(self):
+        """Complete responses through all entries since the first crash."""
+        return self.responses + sum(self.peer_responses.values())
+
+    @property
+    def is_outweighed(self):
+        """Whether the complete responses outweigh the crashes."""
+        return self.response_count >= RESPONSES_PER_CRASH ** len(self.crashes)
+
+    @property
+    def is_convicted(self):
+        """Whether there are enough crashes to refuse the request."""
+        return len(self.crashes) >= MAX_CRASHES and not self.is_outweighed
+
+    @property
+    def trial_weight(self):
+        """Number of complete responses that one successful trial counts as."""
+        return -(-(RESPONSES_PER_CRASH ** len(self.crashes)) // TRIALS_TO_CLEAR)
+
+    def explains(self, other):
+        """Tells whether the crashes of another request are rather those of this one.
+
+        :param other: ``Suspect``.
+        :return: ``True`` if this one has more crashes and no more responses, or as
+            many crashes and fewer responses.
+        """
+        if not self.is_convicted or self.response_count > other.response_count:
+            return False
+        if len(self.crashes) == len(other.crashes):
+            return self.response_count < other.response_count
+        return len(self.crashes) > len(other.crashes)
+
+    def is_due_for_trial(self, now_s):
+        """Tells whether a refused request may be sent once, as a trial.
+
+        :param now_s: current time in Unix seconds.
+        """
+        if not self.response_count:
+            return False
+        if len(self.crashes) >= MAX_CRASHES + MAX_TRIAL_CRASHES:
+            return False
+        latest_s = max(known.known_s for known in self.crashes.values())
+        return now_s - max(latest_s, self.trial_s or 0.0) >= TRIAL_INTERVAL_S
+
+
+def count_unexplained(suspect, others):
+    """Counts the crashes of a request that no other request explains.
+
+    :param suspect: ``Suspect``.
+    :param others: iterable of all ``Suspect`` items.
+    :return: number of crashes.
+    """
+    explaining = [item for item in others if item.explains(suspect)]
+    return sum(
+        not any(server in item.crashes for item in explaining)
+        for server in suspect.crashes
+    )
