Keep a release's evidence when another service is ordered

Cause: each new order cleared the evidence of all services. Evidence: test_releases.OrderTests.test_order_for_another_service_keeps_the_evidence failed before: blocked with 60 failures of 60, not any more after the order. Why it works: only the evidence of the ordered service is dropped.

--- a/packages/kernel/tests/test_releases.py
+++ b/packages/kernel/tests/test_releases.py
@@ -31,6 +31,30 @@
     return server.registration.version == "v2"
 
 
+class OrderTests(unittest.TestCase):
+    def test_order_for_another_service_keeps_the_evidence(self):
+        tracker = build_releases()
+        bad = next(server for server in build_servers() if is_new(server))
+        evidence = {
+            "pool/5/new/r/draft": releases.ResponseStats(failures=60),
+            "pool/5/old/r/draft": releases.ResponseStats(successes=600),
+        }
+        tracker.apply_evidence("e2", evidence)
+        tracker.record_outcome(builders.build_ticket(), bad, Outcome.FAILED, None)
+        self.assertTrue(tracker.analyze("pool").is_bad)
+        other = registrations.ReleaseOrder("desk", "v2", 16.0, 6)
+        self.assertTrue(tracker.apply_order(other, 1.0))
+        self.assertTrue(tracker.analyze("pool").is_bad)
+        self.assertEqual(len(tracker.list_evidence()), 2)
+
+    def test_next_order_for_a_service_drops_the_evidence(self):
+        tracker = build_releases()
+        new = next(server for server in build_servers() if is_new(server))
+        tracker.record_outcome(builders.build_ticket(), new, Outcome.FAILED, None)
+        tracker.apply_order(registrations.ReleaseOrder("pool", "v3", 16.0, 9), 1.0)
+        self.assertEqual(tracker.list_evidence(), {})
+
+
 class SimulatedRollout:
     """Sends requests to the backend servers of a release.
 
--- a/packages/kernel/wasabiknot_kernel/releases.py
+++ b/packages/kernel/wasabiknot_kernel/releases.py
@@ -228,11 +228,15 @@
         if tracked is not None and tracked.order.offset >= order.offset:
             return False
         self._orders[order.service] = _TrackedOrder(order, now_s)
-        self._own_evidence.clear()
-        self._peer_evidence.clear()
+        self._drop_evidence(order.service)
         self._block_reasons.pop(order.service, None)
         return True
 
+    def _drop_evidence(self, service):
+        for evidence in (self._own_evidence, *self._peer_evidence.values()):
+            for key in [key for key in evidence if key.startswith(f"{service}/")]:
+                del evidence[key]
+
     def apply_record(self, release, now_s, now_ms):
         """Applies the record of a release from the store.
 
