Order kept values by where they were written, also between peers

What callers saw: after the store was put back to an older copy, an entry could take up a backend server again that it had seen leave, from a peer that had been behind when the store was away; requests to it were lost until its registration lapsed. Cause: a record of the copy is listed in the new era, and what stays in force gets a position in it, so both outranked all that a replica knew of the era before; and a peer's update of a later era was applied like a listing within an era, whose missing keys are deleted. Ruled out, each by a counterexample of the state machine: offsets alone (a leave at a lower offset of a later era), eras alone (a record of the copy that a peer keeps). Change: a kept fact carries the position at which it was written; between what two replicas keep, and for an update of a later era, a value replaces another only if it was written later by both orders. Such an update deletes nothing, and the first own listing of an era after it still keeps what is in force.

--- a/packages/kernel/tests/test_facts.py
+++ b/packages/kernel/tests/test_facts.py
@@ -192,6 +192,44 @@
         self.topic.apply_update(behind.build_update_since(self.topic.change_position))
         self.assertIsNone(self.topic.facts["b"].value)
 
+    def test_old_value_that_a_peer_keeps_replaces_no_later_one(self):
+        behind = facts.Topic("t")
+        behind.apply_listing(
+            [create_fact("a", b"0", 1, 1)], positions.create_position(1, 2)
+        )
+        behind.apply_listing([], positions.create_position(2, 1))
+        self.topic.apply_update(behind.build_update_since(self.topic.change_position))
+        self.assertEqual(self.get_values(), {"a": b"1", "b": b"1"})
+
+    def test_record_of_a_copy_that_a_peer_keeps_does_not_undo_a_leave(self):
+        behind = facts.Topic("t")
+        copy = [create_fact("b", b"1", 2, 4)]
+        behind.apply_listing(copy, positions.create_position(2, 5))
+        behind.apply_listing([], positions.create_position(3, 7))
+        left = create_fact("b", None, 1, 5)
+        self.topic.apply([left], positions.create_position(1, 6))
+        self.topic.apply_update(behind.build_update_since(self.topic.change_position))
+        self.assertIsNone(self.topic.facts["b"].value)
+
+    def test_value_of_an_earlier_era_does_not_undo_a_leave_at_a_lower_offset(self):
+        behind = facts.Topic("t")
+        behind.apply_listing(
+            [create_fact("b", b"1", 1, 9)], positions.create_position(1, 10)
+        )
+        self.restore(("b", b"1", 4), end=5)
+        self.read("b", None, 5)
+        behind.apply_listing([], positions.create_position(3, 6))
+        self.topic.apply_update(behind.build_update_since(self.topic.change_position))
+        self.assertIsNone(self.topic.facts["b"].value)
+
+    def test_listing_after_a_copy_from_a_peer_still_deletes_nothing(self):
+        peer = facts.Topic("t")
+        peer.apply_listing([], positions.create_position(2, 1))
+        self.topic.apply_update(peer.build_update_since(self.topic.change_position))
+        self.assertEqual(self.restore(end=2), [])
+        self.assertEqual(self.get_values(), {"a": b"1", "b": b"1"})
+        self.assertEqual(self.topic.pop_restoration().missing, ("a", "b"))
+
     def test_peer_learns_of_the_restoration_and_of_what_was_kept(self):
         restarted = facts.Topic("t")
         restarted.apply_listing(
--- a/packages/kernel/wasabiknot_kernel/facts.py
+++ b/packages/kernel/wasabiknot_kernel/facts.py
@@ -17,11 +17,45 @@
     :param key: key of the record.
     :param value: content as bytes; ``None`` is a tombstone.
     :param offset: ``positions.Position`` of the record in the topic.
+    :param origin: for a value that stays in force although the restored store lacks it,
+        the position at which it was written; otherwise ``None``.
     """
 
     key: str
     value: bytes | None
     offset: int
+    origin: int | None = None
+
+    @property
+    def written(self):
+        """Position at which the value was written."""
+        return self.offset if self.origin is None else self.origin
+
+    def is_newer_than(self, other):
+        """Tells whether this fact replaces another one of the same key.
+
+        :param other: ``Fact``.
+        :return: whether it is newer; among values that the store lacks, whether it was
+            certainly written later.
+        """
+        if self.origin is None or other.origin is None:
+            return self.offset > other.offset
+        if self.origin == other.origin:
+            return self.offset > other.offset
+        return self.was_written_after(other)
+
+    def was_written_after(self, other):
+        """Tells whether the value was certainly written after that of another fact.
+
+        A record of a restored copy is read at its former offset, but in the new era. So
+        neither eras nor offsets alone tell which of two records was written first.
+
+        :param other: ``Fact``.
+        :return: whether both the era and offset and the offset alone are higher.
+        """
+        offset = positions.get_offset(self.written)
+        other_offset = positions.get_offset(other.written)
+        return offset > other_offset and self.written > other.written
 
 
 class TopicUpdate(msgspec.Struct, frozen=True, array_like=True):
@@ -79,6 +113,8 @@
         self.change_position = 0
         self.is_loaded = False
         self.facts = {}
+        # Era of the latest listing of the store, or of the first facts from a peer.
+        self._listed_era = 0
         # End of the latest listing. Listings contain no tombstones, so keys that were
         # deleted before it have no fact here.
         self._listing_end = 0
@@ -93,7 +129,7 @@
         changed = []
         for fact in new_facts:
             current = self.facts.get(fact.key)
-            if current is not None and current.offset >= fact.offset:
+            if current is not None and not fact.is_newer_than(current):
                 continue
             if current is None and positions.is_before(fact.offset, self._listing_end):
                 # The update predates the listing, and the key has been deleted since.
@@ -119,9 +155,14 @@
         :param position: end of the topic when the listing began.
         :return: list of the ``Fact`` items that changed a value.
         """
-        if self.is_loaded and positions.get_era(position) > self.era:
-            return self._restore(listed_facts, position)
-        return self._replace(listed_facts, position)
+        era = positions.get_era(position)
+        is_restored = self.is_loaded and era > self._listed_era
+        self._listed_era = max(era, self._listed_era)
+        if not is_restored:
+            return self._replace(listed_facts, position)
+        changed, self._restoration = self._restore(listed_facts, position)
+        self.position = position
+        return changed
 
     @property
     def era(self):
@@ -157,22 +198,22 @@
                     changed.append(found)
                 continue
             kept_position = positions.create_kept_position(position)
-            self.facts[key] = Fact(key, current.value, kept_position)
+            self.facts[key] = Fact(key, current.value, kept_position, current.written)
             if current.value is not None:
                 kept += 1
                 if found is None:
                     missing.append(key)
         outdated = []
         for key, found in unknown.items():
-            if positions.get_offset(found.offset) < positions.get_offset(known_end):
+            if positions.get_offset(found.written) < positions.get_offset(known_end):
                 outdated.append(key)
             else:
                 self.facts[key] = found
                 changed.append(found)
         self._unconfirmed = set(missing)
-        self.position = self._listing_end = position
+        self._listing_end = max(self._listing_end, position)
         self.record_change(position - 1)
-        self._restoration = Restoration(
+        restoration = Restoration(
             previous_era,
             positions.get_era(position),
             len(listed_facts),
@@ -180,7 +221,7 @@
             tuple(missing),
             tuple(outdated),
         )
-        return changed
+        return changed, restoration
 
     def _is_in_force(self, found, current):
         if found.value == current.value:
@@ -189,8 +230,7 @@
         known_version = self._find_version(current)
         if version is not None and known_version is not None:
             return version > known_version
-        # The copy has the records before its end at their former offsets.
-        return positions.get_offset(found.offset) > positions.get_offset(current.offset)
+        return found.was_written_after(current)
 
     def pop_restoration(self):
         """Returns the result of a listing that began an era, once.
@@ -253,8 +293,12 @@
         :param update: ``TopicUpdate``.
         :return: list of the ``Fact`` items that changed a value.
         """
+        if not self.is_loaded:
+            self._listed_era = positions.get_era(update.position)
         if not update.is_full:
             return self.apply(update.facts, 0)
+        if self.is_loaded and positions.get_era(update.position) > self.era:
+            return self._restore(update.facts, update.position)[0]
         listing_end, position = self._listing_end, self.position
         changed = self._replace(update.facts, update.position)
         # The position of an update is that of a change, not the end of the topic.
