Draw in the soak which sends of its harmful request do harm

The soak's double always harmed, as did all others; see the postmortem. Drawn apart from the other draws, so that seeds stay the same.

--- a/packages/standins/wasabiknot_standins/soaks.py
+++ b/packages/standins/wasabiknot_standins/soaks.py
@@ -215,6 +215,8 @@
 
     def __init__(self, seed, duration_s, entry_count, directory):
         self._rng = random.Random(seed)
+        # Drawn apart, so that a seed keeps its other draws.
+        self._harm = random.Random(f"harm/{seed}").choice(list(harmfulcallers.Harm))
         self._duration_s = duration_s
         self._store = keyedlogs.Store()
         self._recorder = platformworkers.RunRecorder()
@@ -558,7 +560,7 @@
         if self._harmful_caller is not None:
             return
         self._harmful_caller = harmfulcallers.HarmfulCaller(
-            self._send_harmful, self._recorder
+            self._send_harmful, self._recorder, self._harm
         )
         running = self._harmful_caller.run(reactor.seconds() + self._duration_s)
         running.addErrback(self._record_internal_error)
