--- /dev/null
+++ b/packages/standins/wasabiknot_standins/entryprocesses.py
@@ -0,0 +1,94 @@
+"""Entries that run as separate processes under a soak test."""
+
+import os
+import subprocess
+import sys
+
+from wasabiknot_standins import processes
+
+SHUTDOWN_GRACE_S = 4.0
+HEARTBEAT_INTERVAL_S = 0.5
+
+
+class EntryProcess:
+    """An entry that runs as a separate process.
+
+    :param number: number of the entry.
+    :param directory: directory for its settings and log files.
+    :param store_address: address at which the entry reaches the store.
+    """
+
+    def __init__(self, number, directory, store_address):
+        self.number = number
+        self.caller_port, ready_port, internal_port = processes.find_ports(3)
+        self.caller_address = f"127.0.0.1:{self.caller_port}"
+        self.ready_address = f"127.0.0.1:{ready_port}"
+        self._settings_path = directory / f"entry-{number}.yaml"
+        self._log_path = directory / f"entry-{number}.log"
+        self._settings_path.write_text(
+            f"""name: entry-{number}
+domain: here
+host: 127.0.0.1
+caller_address: {self.caller_address}
+ready_address: {self.ready_address}
+ports: [{internal_port}, {internal_port + 1}]
+store_address: {store_address}
+link_mbps: 1000
+cpu_cores: 1
+beat_ms: {HEARTBEAT_INTERVAL_S * 1_000}
+bounds:
+  configuration_ms: 2000
+  leaving_ms: 2000
+  grace_s: {SHUTDOWN_GRACE_S}
+  retry_ratio: 0.2
+  retry_window_s: 10
+  retry_slack: 50
+  allowance_window_s: 8
+  allowance_overrun: 0.1
+  allowance_slack: 140000
+  canary_share: 0.1
+  rollback_ms: 5000
+""",
+            encoding="utf-8",
+        )
+        self.process = None
+        self.paused_s = -100.0
+        self.stopped_s = -100.0
+        self.is_paused = False
+
+    def start(self):
+        """Starts the entry process."""
+        environment = {**os.environ, "WASABIKNOT_SETTINGS": str(self._settings_path)}
+        with self._log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "wasabiknot_entry.edge"],
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    def send_signal(self, signal_number):
+        """Sends a signal to the process if it is running.
+
+        :param signal_number: number of the signal.
+        """
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(signal_number)
+
+    def list_error_lines(self):
+        """Returns the log lines that report an internal error or a traceback.
+
+        :return: list of at most three lines.
+        """
+        text = (
+            self._log_path.read_text(encoding="utf-8")
+            if self._log_path.exists()
+            else ""
+        )
+        lines = [
+            line
+            for line in text.splitlines()
+            if '"WK1901"' in line or line.startswith(("Traceback", "  File"))
+        ]
+        return lines[:3]
--- a/packages/standins/wasabiknot_standins/harmful.py
+++ b/packages/standins/wasabiknot_standins/harmful.py
@@ -79,7 +79,7 @@
         self._disturb().addErrback(self._record_internal_error)
         while reactor.seconds() < end_s:
             self._send_random_request().addErrback(self._record_internal_error)
-            yield soaks._sleep(self._rng.expovariate(self._load_per_s))
+            yield soaks.sleep(self._rng.expovariate(self._load_per_s))
 
     @defer.inlineCallbacks
     def _disturb(self):
@@ -88,15 +88,15 @@
         elif self._disturbance is Disturbance.PAUSE_ONE:
             self._pause(self._entries[0])
         while not self.caller.has_been_refused():
-            yield soaks._sleep(0.05)
-        yield soaks._sleep(1.0)
+            yield soaks.sleep(0.05)
+        yield soaks.sleep(1.0)
         if self._disturbance in (Disturbance.RESTART_ONE, Disturbance.STORE_AWAY):
             self._restart_all(self._entries[:1])
         elif self._disturbance is Disturbance.RESTART_ALL:
             self._restart_all(self._entries)
         elif self._disturbance is Disturbance.RESTART_ALL_TWICE:
             self._restart_all(self._entries)
-            yield soaks._sleep(RESTART_PAUSE_S)
+            yield soaks.sleep(RESTART_PAUSE_S)
             self._restart_all(self._entries)
 
     def _pause(self, entry):
--- /dev/null
+++ b/packages/standins/wasabiknot_standins/soakchecks.py
@@ -0,0 +1,162 @@
+"""Checks what callers and backend servers have seen in a soak test."""
+
+import msgspec
+
+from wasabiknot_standins import platformworkers
+
+# A fault accounts for an incomplete response if it occurred while the request was in
+# flight or up to this long before it was sent.
+FAULT_WINDOW_S = 3.0
+# Time within which a revocation is in force everywhere. The bound of the settings is
+# 2 s; the rest is for overlapping faults.
+MAX_REVOCATION_S = 6.0
+MIN_SERVED_SHARE = 0.3
+UNAUTHORIZED = 401
+RUN_ONCE_ROUTES = ("cash", "draft")
+STREAM_ROUTES = ("draft", "summary")
+
+
+class Response(msgspec.Struct):
+    """The response to one request, as received by the client.
+
+    :param request_id: id of the request.
+    :param route: name of the route.
+    :param entry: number of the entry that the request was sent to.
+    :param sent_s: time in seconds at which the request was sent.
+    :param status: HTTP status code; 0 if no response head was received.
+    :param headers: response headers.
+    :param body: body bytes received so far.
+    :param is_complete: whether the end of the response was received.
+    :param ended_s: time in seconds at which the request ended.
+    :param revoked_key: key that was revoked before the request; empty for a valid one.
+    :param process_id: id of the process that the request was sent to.
+    """
+
+    request_id: str
+    route: str
+    entry: int
+    sent_s: float
+    status: int = 0
+    headers: dict[bytes, bytes] = {}
+    body: bytes = b""
+    is_complete: bool = False
+    ended_s: float = 0.0
+    revoked_key: str = ""
+    process_id: int = 0
+
+
+class Checker:
+    """Checks the responses of one run against what the backend servers ran.
+
+    :param recorder: ``platformworkers.RunRecorder``.
+    :param responses: list of ``Response``.
+    :param fault_times_s: times in seconds at which faults began or ended.
+    :param revoked_s: times in seconds at which keys were revoked, by key.
+    """
+
+    def __init__(self, recorder, responses, fault_times_s, revoked_s):
+        self._recorder = recorder
+        self._responses = responses
+        self._fault_times_s = fault_times_s
+        self._revoked_s = revoked_s
+        self._violations = []
+
+    def list_violations(self):
+        """Lists the broken promises.
+
+        :return: list of texts.
+        """
+        self._violations = list(self._recorder.violations)
+        for response in self._responses:
+            self._check_response(response)
+        self._check_revoked_keys()
+        for request_id, runs in self._recorder.runs.items():
+            self._check_runs(request_id, runs)
+        self._check_served_share()
+        return self._violations
+
+    def _check_served_share(self):
+        served = sum(
+            response.status == 200 and response.is_complete
+            for response in self._responses
+        )
+        valid = sum(not response.revoked_key for response in self._responses)
+        if served < MIN_SERVED_SHARE * valid:
+            self._violations.append(f"{served} of {valid} succeeded")
+
+    def _check_revoked_keys(self):
+        # The time that an entry takes to learn of a revocation depends on the faults,
+        # but once it has rejected a key, it never accepts it again.
+        rejected_s = {}
+        for response in sorted(self._responses, key=lambda item: item.ended_s):
+            if not response.revoked_key:
+                continue
+            key = (response.process_id, response.revoked_key)
+            if response.status == UNAUTHORIZED:
+                rejected_s.setdefault(key, response.ended_s)
+            has_run = response.request_id in self._recorder.runs
+            due_s = self._revoked_s[response.revoked_key] + MAX_REVOCATION_S
+            due_s = min(due_s, rejected_s.get(key, due_s))
+            if has_run and response.sent_s > due_s:
+                late_s = response.sent_s - due_s
+                self._violations.append(
+                    f"{response.request_id}: entry {response.entry} accepted"
+                    f" {response.revoked_key} {late_s:.1f} s too late"
+                )
+
+    def _check_runs(self, request_id, runs):
+        responses = [item for item in self._responses if item.request_id == request_id]
+        route = responses[0].route if responses else ""
+        if route in RUN_ONCE_ROUTES and len(runs) > 1:
+            self._violations.append(f"{request_id} ({route}) ran {len(runs)} times")
+        if route in RUN_ONCE_ROUTES and responses[0].status in (429, 503) and runs:
+            is_from_entry = b"x-wasabiknot-server-stamp" not in responses[0].headers
+            if is_from_entry:
+                self._violations.append(f"{request_id} ({route}) was refused but ran")
+
+    def _check_response(self, response):
+        if response.status != 200 or not response.is_complete:
+            self._check_failed_response(response)
+            return
+        if b"x-wasabiknot-server-stamp" not in response.headers:
+            self._violations.append(
+                f"{response.request_id}: success without server stamp"
+            )
+        if response.body != _build_expected_body(response):
+            self._violations.append(f"{response.request_id}: unexpected body")
+
+    def _overlaps_fault(self, response):
+        start_s = response.sent_s - FAULT_WINDOW_S
+        return any(start_s <= at_s <= response.ended_s for at_s in self._fault_times_s)
+
+    def _check_failed_response(self, response):
+        if (
+            response.status
+            and not response.is_complete
+            and not self._overlaps_fault(response)
+        ):
+            self._violations.append(
+                f"{response.request_id}: incomplete without a fault"
+            )
+        events = response.body.split(b"\n\n")[:-1]
+        is_stream = response.route in STREAM_ROUTES
+        if response.status == 200 and is_stream:
+            expected = _build_expected_body(response).split(b"\n\n")[: len(events)]
+            if events != expected:
+                self._violations.append(f"{response.request_id}: unexpected events")
+        if response.status == UNAUTHORIZED and response.revoked_key:
+            return
+        if response.status in (UNAUTHORIZED, 403, 404):
+            self._violations.append(
+                f"{response.request_id}: rejected with {response.status}"
+            )
+
+
+def _build_expected_body(response):
+    if response.route not in STREAM_ROUTES:
+        return platformworkers.build_body(response.request_id)
+    count = platformworkers.count_events(response.request_id)
+    return b"".join(
+        f"id: {event_id}\ndata: {response.request_id}/{event_id}\n\n".encode()
+        for event_id in range(1, count + 1)
+    )
--- a/packages/standins/wasabiknot_standins/soaks.py
+++ b/packages/standins/wasabiknot_standins/soaks.py
@@ -1,11 +1,9 @@
 """Randomized soak test: runs entry processes under load and injected faults."""
 
 import collections
-import os
 import pathlib
 import random
 import signal
-import subprocess
 import sys
 import tempfile
 
@@ -15,30 +13,22 @@
 
 from wasabiknot_entry import connections
 from wasabiknot_standins import (
+    entryprocesses,
     harmfulcallers,
     keyedlogs,
     platformworkers,
-    processes,
     proxies,
+    soakchecks,
 )
 
 START_TIMEOUT_S = 20.0
-SHUTDOWN_GRACE_S = 4.0
-HEARTBEAT_INTERVAL_S = 0.5
 # Interval and number of the copies to which the store is put back.
 COPY_INTERVAL_S = 1.0
 MAX_COPIES = 4
 MAX_STORE_FAULT_S = 2.0
-# A fault accounts for an incomplete response if it occurred while the request was in
-# flight or up to this long before it was sent.
-FAULT_WINDOW_S = 3.0
 CALL_TIMEOUT_S = 5.0
-UNAUTHORIZED = 401
 HOST = "soak.example"
 API_KEY = "soak-key"
-# Time within which a revocation is in force everywhere. The bound of the settings is
-# 2 s; the rest is for overlapping faults.
-MAX_REVOCATION_S = 6.0
 # Fraction of the requests that are sent with a revoked key.
 REVOKED_SHARE = 0.15
 # Number of newest revoked keys that are used.
@@ -49,36 +39,6 @@
     ("draft", "/draft/", "streaming", "pool", False, 1),
     ("summary", "/summary/", "streaming", "pool", True, 2),
 )
-RUN_ONCE_ROUTES = ("cash", "draft")
-
-
-class Response(msgspec.Struct):
-    """The response to one request, as received by the client.
-
-    :param request_id: id of the request.
-    :param route: name of the route.
-    :param entry: number of the entry that the request was sent to.
-    :param sent_s: time in seconds at which the request was sent.
-    :param status: HTTP status code; 0 if no response head was received.
-    :param headers: response headers.
-    :param body: body bytes received so far.
-    :param is_complete: whether the end of the response was received.
-    :param ended_s: time in seconds at which the request ended.
-    :param revoked_key: key that was revoked before the request; empty for a valid one.
-    :param process_id: id of the process that the request was sent to.
-    """
-
-    request_id: str
-    route: str
-    entry: int
-    sent_s: float
-    status: int = 0
-    headers: dict[bytes, bytes] = {}
-    body: bytes = b""
-    is_complete: bool = False
-    ended_s: float = 0.0
-    revoked_key: str = ""
-    process_id: int = 0
 
 
 class _ResponseHandler:
@@ -120,90 +80,6 @@
         self._on_finished(self._response)
 
 
-class EntryProcess:
-    """An entry that runs as a separate process.
-
-    :param number: number of the entry.
-    :param directory: directory for its settings and log files.
-    :param store_address: address at which the entry reaches the store.
-    """
-
-    def __init__(self, number, directory, store_address):
-        self.number = number
-        self.caller_port, ready_port, internal_port = processes.find_ports(3)
-        self.caller_address = f"127.0.0.1:{self.caller_port}"
-        self.ready_address = f"127.0.0.1:{ready_port}"
-        self._settings_path = directory / f"entry-{number}.yaml"
-        self._log_path = directory / f"entry-{number}.log"
-        self._settings_path.write_text(
-            f"""name: entry-{number}
-domain: here
-host: 127.0.0.1
-caller_address: {self.caller_address}
-ready_address: {self.ready_address}
-ports: [{internal_port}, {internal_port + 1}]
-store_address: {store_address}
-link_mbps: 1000
-cpu_cores: 1
-beat_ms: {HEARTBEAT_INTERVAL_S * 1_000}
-bounds:
-  configuration_ms: 2000
-  leaving_ms: 2000
-  grace_s: {SHUTDOWN_GRACE_S}
-  retry_ratio: 0.2
-  retry_window_s: 10
-  retry_slack: 50
-  allowance_window_s: 8
-  allowance_overrun: 0.1
-  allowance_slack: 140000
-  canary_share: 0.1
-  rollback_ms: 5000
-""",
-            encoding="utf-8",
-        )
-        self.process = None
-        self.paused_s = -100.0
-        self.stopped_s = -100.0
-        self.is_paused = False
-
-    def start(self):
-        """Starts the entry process."""
-        environment = {**os.environ, "WASABIKNOT_SETTINGS": str(self._settings_path)}
-        with self._log_path.open("ab") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "wasabiknot_entry.edge"],
-                env=environment,
-                stdin=subprocess.DEVNULL,
-                stdout=log,
-                stderr=log,
-            )
-
-    def send_signal(self, signal_number):
-        """Sends a signal to the process if it is running.
-
-        :param signal_number: number of the signal.
-        """
-        if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(signal_number)
-
-    def list_error_lines(self):
-        """Returns the log lines that report an internal error or a traceback.
-
-        :return: list of at most three lines.
-        """
-        text = (
-            self._log_path.read_text(encoding="utf-8")
-            if self._log_path.exists()
-            else ""
-        )
-        lines = [
-            line
-            for line in text.splitlines()
-            if '"WK1901"' in line or line.startswith(("Traceback", "  File"))
-        ]
-        return lines[:3]
-
-
 class Soak:
     """One run of the soak test.
 
@@ -249,7 +125,9 @@
         self._start_platform()
         store_proxies = [self._add_proxy(self._store_address) for _ in range(3)]
         self._entries = [
-            EntryProcess(number, self._directory, store_proxies[number % 3].address)
+            entryprocesses.EntryProcess(
+                number, self._directory, store_proxies[number % 3].address
+            )
             for number in range(self._entry_count)
         ]
         for entry in self._entries:
@@ -278,7 +156,7 @@
                 self._add_worker(service, is_engine)
         self._publish()
         heartbeats = task.LoopingCall(self._send_heartbeats)
-        heartbeats.start(HEARTBEAT_INTERVAL_S, now=False)
+        heartbeats.start(entryprocesses.HEARTBEAT_INTERVAL_S, now=False)
         copies = task.LoopingCall(self._copy_store)
         copies.start(COPY_INTERVAL_S)
 
@@ -357,11 +235,13 @@
             while not (yield self._is_ready(entry)):
                 if reactor.seconds() > deadline_s:
                     raise TimeoutError(f"entry {entry.number} did not become ready")
-                yield _sleep(0.1)
+                yield sleep(0.1)
 
     @defer.inlineCallbacks
     def _is_ready(self, entry):
-        response = Response("ready", "ready", entry.number, reactor.seconds())
+        response = soakchecks.Response(
+            "ready", "ready", entry.number, reactor.seconds()
+        )
         request = connections.Request(b"GET", b"/", ((b"host", b"soak"),))
         yield self._send_request(entry.ready_address, request, response)
         return response.status == 200
@@ -384,7 +264,7 @@
         self._in_flight += 1
         name, prefix, *_ = self._rng.choice(ROUTES)
         entry = self._rng.choice(self._entries)
-        response = Response(
+        response = soakchecks.Response(
             f"q{self._request_count:06}", name, entry.number, reactor.seconds()
         )
         response.process_id = entry.process.pid
@@ -407,10 +287,10 @@
             if reactor.seconds() >= next_fault_s:
                 next_fault_s = reactor.seconds() + self._rng.uniform(0.1, 1.2)
                 self._run_random_action()
-            yield _sleep(self._rng.expovariate(40.0))
+            yield sleep(self._rng.expovariate(40.0))
         deadline_s = reactor.seconds() + CALL_TIMEOUT_S + 1.0
         while self._in_flight and reactor.seconds() < deadline_s:
-            yield _sleep(0.05)
+            yield sleep(0.05)
 
     def _record_internal_error(self, failure):
         self.violations.append(f"soak test error: {failure.getTraceback()}")
@@ -456,11 +336,11 @@
     def _restart(self, entry):
         # Restarts may overlap: each one waits for the process that it signalled.
         process = entry.process
-        deadline_s = reactor.seconds() + SHUTDOWN_GRACE_S + 1.0
+        deadline_s = reactor.seconds() + entryprocesses.SHUTDOWN_GRACE_S + 1.0
         while process.poll() is None and reactor.seconds() < deadline_s:
-            yield _sleep(0.05)
+            yield sleep(0.05)
             if entry.is_paused:
-                deadline_s = reactor.seconds() + SHUTDOWN_GRACE_S + 1.0
+                deadline_s = reactor.seconds() + entryprocesses.SHUTDOWN_GRACE_S + 1.0
         if process.poll() is None:
             self.violations.append(f"entry {entry.number} exceeded its grace period")
             self._fault_times_s.append(reactor.seconds())
@@ -572,7 +452,9 @@
         # Each run of the request crashes a backend server.
         self._fault_times_s.append(reactor.seconds())
         entry = self._choose_entry()
-        response = Response(request_id, "cash", entry.number, reactor.seconds())
+        response = soakchecks.Response(
+            request_id, "cash", entry.number, reactor.seconds()
+        )
         body = platformworkers.HARMFUL_BODY
         request = build_request("/cash/harmful", request_id, body)
         yield self._send_request(entry.caller_address, request, response)
@@ -586,102 +468,23 @@
             )
 
     def _check_results(self):
-        self.violations.extend(self._recorder.violations)
+        checker = soakchecks.Checker(
+            self._recorder, self._responses, self._fault_times_s, self._revoked_s
+        )
+        self.violations.extend(checker.list_violations())
         if self._harmful_caller is not None:
             self._check_harmful(self._harmful_caller)
-        for response in self._responses:
-            self._check_response(response)
-        self._check_revoked_keys()
-        for request_id, runs in self._recorder.runs.items():
-            self._check_runs(request_id, runs)
         for entry in self._entries:
             for line in entry.list_error_lines():
                 self.violations.append(f"entry {entry.number}: {line[:300]}")
-        served = sum(
-            response.status == 200 and response.is_complete
-            for response in self._responses
-        )
-        valid = sum(not response.revoked_key for response in self._responses)
-        if served < 0.3 * valid:
-            self.violations.append(f"{served} of {valid} succeeded")
-
-    def _check_revoked_keys(self):
-        # The time that an entry takes to learn of a revocation depends on the faults,
-        # but once it has rejected a key, it never accepts it again.
-        rejected_s = {}
-        for response in sorted(self._responses, key=lambda item: item.ended_s):
-            if not response.revoked_key:
-                continue
-            key = (response.process_id, response.revoked_key)
-            if response.status == UNAUTHORIZED:
-                rejected_s.setdefault(key, response.ended_s)
-            has_run = response.request_id in self._recorder.runs
-            due_s = self._revoked_s[response.revoked_key] + MAX_REVOCATION_S
-            due_s = min(due_s, rejected_s.get(key, due_s))
-            if has_run and response.sent_s > due_s:
-                late_s = response.sent_s - due_s
-                self.violations.append(
-                    f"{response.request_id}: entry {response.entry} accepted"
-                    f" {response.revoked_key} {late_s:.1f} s too late"
-                )
-
-    def _check_runs(self, request_id, runs):
-        responses = [item for item in self._responses if item.request_id == request_id]
-        route = responses[0].route if responses else ""
-        if route in RUN_ONCE_ROUTES and len(runs) > 1:
-            self.violations.append(f"{request_id} ({route}) ran {len(runs)} times")
-        if route in RUN_ONCE_ROUTES and responses[0].status in (429, 503) and runs:
-            is_from_entry = b"x-wasabiknot-server-stamp" not in responses[0].headers
-            if is_from_entry:
-                self.violations.append(f"{request_id} ({route}) was refused but ran")
-
-    def _check_response(self, response):
-        if response.status != 200 or not response.is_complete:
-            self._check_failed_response(response)
-            return
-        if b"x-wasabiknot-server-stamp" not in response.headers:
-            self.violations.append(
-                f"{response.request_id}: success without server stamp"
-            )
-        if response.body != _build_expected_body(response):
-            self.violations.append(f"{response.request_id}: unexpected body")
-
-    def _overlaps_fault(self, response):
-        start_s = response.sent_s - FAULT_WINDOW_S
-        return any(start_s <= at_s <= response.ended_s for at_s in self._fault_times_s)
-
-    def _check_failed_response(self, response):
-        if (
-            response.status
-            and not response.is_complete
-            and not self._overlaps_fault(response)
-        ):
-            self.violations.append(f"{response.request_id}: incomplete without a fault")
-        events = response.body.split(b"\n\n")[:-1]
-        is_stream = response.route in ("draft", "summary")
-        if response.status == 200 and is_stream:
-            expected = _build_expected_body(response).split(b"\n\n")[: len(events)]
-            if events != expected:
-                self.violations.append(f"{response.request_id}: unexpected events")
-        if response.status == UNAUTHORIZED and response.revoked_key:
-            return
-        if response.status in (UNAUTHORIZED, 403, 404):
-            self.violations.append(
-                f"{response.request_id}: rejected with {response.status}"
-            )
-
 
-def _build_expected_body(response):
-    if response.route not in ("draft", "summary"):
-        return platformworkers.build_body(response.request_id)
-    count = platformworkers.count_events(response.request_id)
-    return b"".join(
-        f"id: {event_id}\ndata: {response.request_id}/{event_id}\n\n".encode()
-        for event_id in range(1, count + 1)
-    )
 
+def sleep(delay_s):
+    """Waits.
 
-def _sleep(delay_s):
+    :param delay_s: time in seconds.
+    :return: deferred.
+    """
     return task.deferLater(reactor, delay_s)
 
 
