Accept in the soak that a key is rejected before its configuration has arrived

Trace: key-5 stands in configuration 5 alone and was revoked in the same moment by the next one. Entry 2 rejected it on configuration 2 (WK1402, version 2), read configuration 5 0.07 s later and accepted it twice (WK1403, version 5) until 8 came. It never went back, so the case is allowed; the check took any rejection as final. Now a rejection is final if the process had accepted that key or a later one before, or later than the bound of 6 s after the key's publication.

--- a/packages/standins/wasabiknot_standins/soaks.py
+++ b/packages/standins/wasabiknot_standins/soaks.py
@@ -110,6 +110,7 @@
         # Each configuration has a key of its own, which the next one revokes.
         self._temporary_key = ""
         self._revoked_s = {}
+        self._published_s = {}
         self._copies = collections.deque(maxlen=MAX_COPIES)
         self._entry_count = entry_count
         self._directory = directory
@@ -183,6 +184,7 @@
             self._revoked_s[self._temporary_key] = reactor.seconds()
         self._configuration_version += self._rng.randint(1, 3)
         self._temporary_key = f"key-{self._configuration_version}"
+        self._published_s[self._temporary_key] = reactor.seconds()
         routes = [
             {
                 "name": name,
@@ -469,7 +471,11 @@
 
     def _check_results(self):
         checker = soakchecks.Checker(
-            self._recorder, self._responses, self._fault_times_s, self._revoked_s
+            self._recorder,
+            self._responses,
+            self._fault_times_s,
+            self._revoked_s,
+            self._published_s,
         )
         self.violations.extend(checker.list_violations())
         if self._harmful_caller is not None:
