--- a/packages/kernel/tests/test_harmful_load.py
+++ b/packages/kernel/tests/test_harmful_load.py
@@ -5,7 +5,8 @@
 import unittest
 
 import builders
-from hypothesis import Phase, given, settings, strategies
+import hypothesis
+from hypothesis import given, settings, strategies
 
 from wasabiknot_kernel import suspects
 
@@ -229,7 +230,7 @@
     derandomize=True,
     max_examples=40,
     deadline=None,
-    phases=(Phase.explicit, Phase.generate),
+    phases=(hypothesis.Phase.explicit, hypothesis.Phase.generate),
 )
 DISTURBANCES = strategies.lists(
     strategies.tuples(
