Log how long a backend server was silent when its send ends for that

WK1404 told that a send had ended as silent, but not after how long, in which phase, with what was left to the request. No decision changes.

--- a/packages/entry/wasabiknot_entry/send_attempts.py
+++ b/packages/entry/wasabiknot_entry/send_attempts.py
@@ -5,8 +5,8 @@
 import msgspec
 from twisted.internet import error
 
-from wasabiknot_entry import eventstreams
-from wasabiknot_kernel import outcomes
+from wasabiknot_entry import eventstreams, journal
+from wasabiknot_kernel import events, outcomes
 from wasabiknot_platform import headers as platform_headers
 
 Outcome = outcomes.Outcome
@@ -84,6 +84,8 @@
         self._event_count = 0
         self.phase = Phase.CONNECTING
         self._timer = None
+        # Time of the send or of the newest event, in seconds.
+        self._heard_s = reactor.seconds()
         is_repeatable = self._ticket.route.is_repeatable
         idle_s = MAX_IDLE_REPEATABLE_S if is_repeatable else MAX_IDLE_NON_REPEATABLE_S
         address = assignment.server.registration.address
@@ -96,6 +98,7 @@
             return
         self._connection = connection
         self.phase = Phase.SENT
+        self._heard_s = self._reactor.seconds()
         self._start_first_event_timer()
         connection.send(self._request, self)
 
@@ -125,6 +128,18 @@
         self._timer = None
 
     def _handle_timeout(self):
+        silent_s = self._reactor.seconds() - self._heard_s
+        journal.write(
+            events.Event.SERVER_SILENT,
+            request=self._ticket.request_id,
+            server=self._assignment.server.server_id,
+            silent_ms=round(silent_s * 1_000),
+            step="ended",
+            reason="timeout",
+            events=self._event_count,
+            sends=self._ticket.sends,
+            attempts=self._ticket.route.attempts,
+        )
         self._abort_connection()
         self._finish(Result(Outcome.TIMED_OUT, self._head, detail="silent"))
 
@@ -198,6 +213,7 @@
         else:
             self._stop_timer()
         self._is_relayed = True
+        self._heard_s = self._reactor.seconds()
         self._event_count += 1
         output_tokens = self._ticket.arrival.output_tokens
         if output_tokens and self._event_count > output_tokens + EXTRA_EVENTS:
--- a/packages/kernel/wasabiknot_kernel/events.py
+++ b/packages/kernel/wasabiknot_kernel/events.py
@@ -189,6 +189,11 @@
         logging.WARNING,
         "{request}: its caller did not take {left_bytes} bytes, {reason}",
     )
+    SERVER_SILENT = EventDefinition(
+        1407,
+        logging.INFO,
+        "{request}: {server} silent for {silent_ms} ms, {step}: {reason}",
+    )
     DATAGRAM_BAD = EventDefinition(
         1501, logging.WARNING, "bad datagram from {peer}: {error}"
     )
