--- /dev/null
+++ b/packages/entry/tests/test_silent_servers.py
@@ -0,0 +1,302 @@
+import random
+import unittest
+from unittest import mock
+
+from twisted.internet import defer, task, testing
+
+from wasabiknot_entry import buffers, connections, gateways, send_attempts
+from wasabiknot_kernel import (
+    allowances,
+    deployments,
+    members,
+    registrations,
+    routes,
+)
+
+STREAM_HEAD = (b"x-wasabiknot-server-stamp", b"stamp")
+# Longer than the time after which a silent server is replaced if possible.
+SILENCE_S = 1.6
+ENGINE = routes.Engine(slots=4, kv_tokens=100_000, event_tokens=6)
+
+
+class Connection:
+    """A connection to a backend server whose response the test delivers."""
+
+    def __init__(self, address):
+        self.address = address
+        self.handler = None
+        self.request_id = b""
+        self.is_aborted = False
+
+    def send(self, request, handler):
+        self.handler = handler
+        self.request_id = dict(request.headers)[b"x-wasabiknot-attempt-id"]
+
+    def respond(self):
+        headers = ((b"x-wasabiknot-attempt-id", self.request_id), STREAM_HEAD)
+        self.handler.handle_head(connections.Head(200, headers))
+
+    def deliver(self, data):
+        if not self.is_aborted:
+            self.handler.handle_data(data)
+
+    def end(self):
+        if not self.is_aborted:
+            self.handler.handle_end()
+
+    def set_idle_timeout(self, idle_s):
+        pass
+
+    def pause(self):
+        pass
+
+    def resume(self):
+        pass
+
+    def abort(self):
+        self.is_aborted = True
+
+
+class Pool:
+    """A pool that records the connections it opens."""
+
+    def __init__(self):
+        self.buffers = buffers.Budget()
+        self.opened = []
+
+    def acquire(self, address, max_idle_s):
+        self.opened.append(Connection(address))
+        return defer.succeed(self.opened[-1])
+
+
+class DeploymentView:
+    """Stands in for ``edge.DeploymentView``."""
+
+    connect_timeout_s = 0.4
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+
+    def __getattr__(self, name):
+        return getattr(self.deployment, name)
+
+    def compute_read_age_ms(self):
+        return 0
+
+
+def build_route(name, rule, service, is_resumable=False, attempts=2):
+    return routes.Route(
+        name=name,
+        host="a.example",
+        prefix=f"/{name}/",
+        retry_rule=rule,
+        shares=(routes.TrafficShare(service, 1),),
+        timeout_ms=4_000,
+        objective_ms=400,
+        gap_ms=300,
+        rank=1,
+        attempts=attempts,
+        is_public=True,
+        is_resumable=is_resumable,
+    )
+
+
+def build_configuration():
+    stream = routes.RetryRule.STREAM
+    return routes.Configuration(
+        version=1,
+        routes=(
+            build_route("summary", stream, "pool", is_resumable=True),
+            build_route("lookup", routes.RetryRule.IDEMPOTENT, "desk"),
+        ),
+        services=(
+            routes.Service("pool", "/", 100, ENGINE),
+            routes.Service("desk", "/", 100, None),
+        ),
+        customers=(),
+        limits=routes.Limits(),
+    )
+
+
+def build_event(number):
+    return b"id: %d\ndata: part-%d\n\n" % (number, number)
+
+
+class SilentServerTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = task.Clock()
+        self.clock.advance(100.0)
+        policy = deployments.Policy(
+            0.2, 10.0, 50.0, allowances.Tolerance(8.0, 0.1, 140_000), 0.1
+        )
+        member = members.Member("e1", "r1", "10.0.0.1", 7000)
+        self.deployment = deployments.Deployment(member, policy, random.Random(1))
+        table = routes.RouteTable(build_configuration())
+        self.deployment.apply_configuration(table, 0.0)
+        self.deployment.has_servers = True
+        self.deployment.has_crashes = True
+        view = DeploymentView(self.deployment)
+        self.gateway = gateways.Gateway(self.clock, random.Random(1), view, mock.Mock())
+        self.pool = self.gateway.pool = Pool()
+
+    def register(self, service, count):
+        for number in range(count):
+            registration = registrations.Registration(
+                server_id=f"{service}-{number}",
+                service=service,
+                address=f"10.0.1.{number}:80",
+                domain="d",
+                version="v1",
+                slots=4,
+                state=registrations.ServerState.READY,
+            )
+            self.deployment.apply_registration(registration, 0.0)
+
+    def allow_retries(self, service, count):
+        budget = self.deployment.get_budget(service)
+        budget.has_slack = True
+        budget.set_bounds(0.0, 10.0, 2 * count)
+
+    def request(self, route, request_id=b"q1"):
+        channel = self.gateway.create_factory().buildProtocol(None)
+        transport = testing.StringTransport()
+        transport.setTcpNoDelay = lambda value: None
+        channel.callLater = self.clock.callLater
+        channel.makeConnection(transport)
+        lines = (
+            b"POST /%s/x HTTP/1.1" % route,
+            b"host: a.example",
+            b"x-wasabiknot-attempt-id: %s" % request_id,
+            b"x-wasabiknot-deadline-ms: 4000",
+            b"x-wasabiknot-token-count: 200,60",
+            b"content-length: 0",
+            b"",
+            b"",
+        )
+        channel.dataReceived(b"\r\n".join(lines))
+        return transport
+
+    def wait(self, seconds):
+        for _ in range(round(seconds / 0.05)):
+            self.clock.advance(0.05)
+
+    def start_stream(self, event_count=2):
+        connection = self.pool.opened[-1]
+        connection.respond()
+        for number in range(1, event_count + 1):
+            connection.deliver(build_event(number))
+        return connection
+
+    def finish_stream(self, connection, first=3):
+        for number in range(first, 6):
+            connection.deliver(build_event(number))
+        connection.end()
+
+    def check_whole_stream(self, transport):
+        value = transport.value()
+        for number in range(1, 6):
+            self.assertEqual(value.count(b"data: part-%d\n" % number), 1)
+        self.assertTrue(value.endswith(b"\r\n0\r\n\r\n"))
+        self.assertEqual(value.count(b"HTTP/1.1 200 "), 1)
+
+    def test_stream_of_a_silent_server_is_not_cut_without_retry_budget(self):
+        self.register("pool", 2)
+        self.allow_retries("pool", 0)
+        transport = self.request(b"summary")
+        connection = self.start_stream()
+        self.wait(SILENCE_S)
+        self.finish_stream(connection)
+        self.check_whole_stream(transport)
+        self.assertEqual(len(self.pool.opened), 1)
+
+    def test_stream_of_a_silent_server_is_not_cut_after_its_last_attempt(self):
+        self.register("pool", 2)
+        self.allow_retries("pool", 5)
+        transport = self.request(b"summary")
+        self.start_stream()
+        self.wait(SILENCE_S)
+        self.assertEqual(len(self.pool.opened), 2)
+        second = self.pool.opened[1]
+        second.respond()
+        second.deliver(build_event(3))
+        self.wait(SILENCE_S)
+        self.finish_stream(second, first=4)
+        self.check_whole_stream(transport)
+
+    def test_stream_of_the_only_server_goes_on_after_its_silence(self):
+        self.register("pool", 1)
+        self.allow_retries("pool", 5)
+        transport = self.request(b"summary")
+        connection = self.start_stream()
+        self.wait(SILENCE_S)
+        self.finish_stream(connection)
+        self.check_whole_stream(transport)
+        self.assertEqual(len(self.pool.opened), 1)
+
+    def test_streams_go_on_after_all_servers_were_silent(self):
+        self.register("pool", 3)
+        self.allow_retries("pool", 100)
+        started = []
+        for number in range(9):
+            transport = self.request(b"summary", b"q%d" % number)
+            started.append((transport, self.start_stream()))
+        self.wait(SILENCE_S)
+        for transport, connection in started:
+            if connection.is_aborted:
+                connection = next(
+                    item
+                    for item in self.pool.opened
+                    if item.request_id == connection.request_id and item != connection
+                )
+                connection.respond()
+            self.finish_stream(connection)
+            self.check_whole_stream(transport)
+
+    def test_lookup_of_a_silent_server_is_answered_without_retry_budget(self):
+        self.register("desk", 2)
+        self.allow_retries("desk", 0)
+        transport = self.request(b"lookup")
+        (connection,) = self.pool.opened
+        self.wait(SILENCE_S)
+        self.assertEqual(transport.value(), b"")
+        connection.respond()
+        connection.deliver(b"paid")
+        connection.end()
+        self.assertTrue(transport.value().startswith(b"HTTP/1.1 200 "))
+
+    def test_stream_moves_when_another_server_can_take_it(self):
+        self.register("pool", 2)
+        self.allow_retries("pool", 5)
+        transport = self.request(b"summary")
+        first = self.start_stream()
+        self.wait(send_attempts.STREAM_STALL_TIMEOUT_S + 0.1)
+        self.assertTrue(first.is_aborted)
+        second = self.pool.opened[1]
+        self.assertNotEqual(first.address, second.address)
+        second.respond()
+        self.finish_stream(second)
+        self.check_whole_stream(transport)
+
+    def test_silent_stream_moves_as_soon_as_another_server_has_room(self):
+        self.register("pool", 1)
+        self.allow_retries("pool", 5)
+        self.request(b"summary")
+        first = self.start_stream()
+        self.wait(SILENCE_S)
+        self.assertFalse(first.is_aborted)
+        self.register("pool", 2)
+        self.wait(0.3)
+        self.assertTrue(first.is_aborted)
+
+    def test_silence_beyond_the_deadline_is_answered_at_the_deadline(self):
+        self.register("desk", 2)
+        self.allow_retries("desk", 0)
+        transport = self.request(b"lookup")
+        self.wait(3.9)
+        self.assertEqual(transport.value(), b"")
+        self.wait(0.1)
+        self.assertTrue(transport.value().startswith(b"HTTP/1.1 504 "))
+
+
+if __name__ == "__main__":
+    unittest.main()
