Leave a request at a silent server unless another one takes it at once

Callers saw streams that had begun end without their rest, and 502 for lookups, though the server was sound and only silent for a second or so.

Cause: an attempt was ended for silence first, and only then was it asked whether the request may be sent again. Without retry budget, attempts, time or a server with room the response was lost by the entry's own doing.

Now silence is a question to the dispatcher: with time, attempts, a server that is neither full nor silent itself, and retry budget, the request is assigned there and the attempt ends; otherwise it stays, and is asked again each 0.2 s until the server goes on or the deadline comes. A silent server gets no new requests while others have room.

New: a property test of streams over sound servers with drawn silences and budgets, and tests of the decision alone.

--- a/packages/entry/tests/test_send_attempts.py
+++ b/packages/entry/tests/test_send_attempts.py
@@ -48,6 +48,8 @@
         self.events = []
         self.result = None
         self.accepts_events = True
+        self.has_other_server = True
+        self.silences_s = []
 
     def handle_head(self, head):
         self.heads.append(head)
@@ -56,6 +58,10 @@
         self.events.append(event.event_id)
         return self.accepts_events
 
+    def handle_silence(self, silent_s):
+        self.silences_s.append(silent_s)
+        return self.has_other_server
+
     def handle_result(self, result):
         self.result = result
 
@@ -236,6 +242,22 @@
         self.clock.advance(10.0)
         self.assertIs(self.receiver.result.outcome, Outcome.TIMED_OUT)
 
+    def test_silent_attempt_goes_on_while_no_other_server_can_take_it(self):
+        attempt = self.start(build_assignment(True, is_resumable=True))
+        self.receiver.has_other_server = False
+        attempt.handle_head(self.build_head())
+        attempt.handle_data(b"id: 1\ndata: a\n\n")
+        for _ in range(40):
+            self.clock.advance(0.05)
+        self.assertGreater(len(self.receiver.silences_s), 1)
+        self.assertAlmostEqual(
+            self.receiver.silences_s[0], send_attempts.STREAM_STALL_TIMEOUT_S, 1
+        )
+        self.assertFalse(self.connection.is_aborted)
+        attempt.handle_data(b"id: 2\ndata: b\n\n")
+        attempt.handle_end()
+        self.assertIs(self.receiver.result.outcome, Outcome.COMPLETE)
+
     def test_non_repeatable_attempt_has_no_timeout(self):
         self.start(build_assignment(False))
         self.clock.advance(10.0)
--- a/packages/entry/tests/test_silent_servers.py
+++ b/packages/entry/tests/test_silent_servers.py
@@ -2,11 +2,13 @@
 import unittest
 from unittest import mock
 
+from hypothesis import given, settings, strategies
 from twisted.internet import defer, task, testing
 
 from wasabiknot_entry import buffers, connections, gateways, send_attempts
 from wasabiknot_kernel import (
     allowances,
+    budgets,
     deployments,
     members,
     registrations,
@@ -25,14 +27,33 @@
     def __init__(self, address):
         self.address = address
         self.handler = None
+        self.is_responding = False
         self.request_id = b""
         self.is_aborted = False
+        self.is_ended = False
+        self.next_event = 0
 
     def send(self, request, handler):
+        headers = dict(request.headers)
         self.handler = handler
-        self.request_id = dict(request.headers)[b"x-wasabiknot-attempt-id"]
+        self.request_id = headers[b"x-wasabiknot-attempt-id"]
+        self.next_event = int(headers.get(b"last-event-id", b"0"))
+
+    def step(self, event_count):
+        """Delivers the head, one more event or the end."""
+        if self.is_aborted or self.is_ended:
+            return
+        if not self.is_responding:
+            self.respond()
+        elif self.next_event < event_count:
+            self.next_event += 1
+            self.deliver(build_event(self.next_event))
+        else:
+            self.is_ended = True
+            self.end()
 
     def respond(self):
+        self.is_responding = True
         headers = ((b"x-wasabiknot-attempt-id", self.request_id), STREAM_HEAD)
         self.handler.handle_head(connections.Head(200, headers))
 
@@ -84,18 +105,18 @@
         return 0
 
 
-def build_route(name, rule, service, is_resumable=False, attempts=2):
+def build_route(name, rule, service, timeout_ms, is_resumable=False):
     return routes.Route(
         name=name,
         host="a.example",
         prefix=f"/{name}/",
         retry_rule=rule,
         shares=(routes.TrafficShare(service, 1),),
-        timeout_ms=4_000,
+        timeout_ms=timeout_ms,
         objective_ms=400,
         gap_ms=300,
         rank=1,
-        attempts=attempts,
+        attempts=2,
         is_public=True,
         is_resumable=is_resumable,
     )
@@ -106,8 +127,8 @@
     return routes.Configuration(
         version=1,
         routes=(
-            build_route("summary", stream, "pool", is_resumable=True),
-            build_route("lookup", routes.RetryRule.IDEMPOTENT, "desk"),
+            build_route("summary", stream, "pool", 10_000, is_resumable=True),
+            build_route("lookup", routes.RetryRule.IDEMPOTENT, "desk", 4_000),
         ),
         services=(
             routes.Service("pool", "/", 100, ENGINE),
@@ -155,7 +176,7 @@
     def allow_retries(self, service, count):
         budget = self.deployment.get_budget(service)
         budget.has_slack = True
-        budget.set_bounds(0.0, 10.0, 2 * count)
+        budget.set_bounds(0.0, 10.0, count / budgets.SAFETY_FACTOR + 0.01)
 
     def request(self, route, request_id=b"q1"):
         channel = self.gateway.create_factory().buildProtocol(None)
@@ -167,7 +188,7 @@
             b"POST /%s/x HTTP/1.1" % route,
             b"host: a.example",
             b"x-wasabiknot-attempt-id: %s" % request_id,
-            b"x-wasabiknot-deadline-ms: 4000",
+            b"x-wasabiknot-deadline-ms: 10000",
             b"x-wasabiknot-token-count: 200,60",
             b"content-length: 0",
             b"",
@@ -192,9 +213,9 @@
             connection.deliver(build_event(number))
         connection.end()
 
-    def check_whole_stream(self, transport):
+    def check_whole_stream(self, transport, event_count=5):
         value = transport.value()
-        for number in range(1, 6):
+        for number in range(1, event_count + 1):
             self.assertEqual(value.count(b"data: part-%d\n" % number), 1)
         self.assertTrue(value.endswith(b"\r\n0\r\n\r\n"))
         self.assertEqual(value.count(b"HTTP/1.1 200 "), 1)
@@ -297,6 +318,48 @@
         self.wait(0.1)
         self.assertTrue(transport.value().startswith(b"HTTP/1.1 504 "))
 
+    @settings(max_examples=60)
+    @given(
+        server_count=strategies.integers(1, 4),
+        retries=strategies.integers(0, 6),
+        silences=strategies.lists(
+            strategies.tuples(
+                strategies.sets(strategies.integers(0, 3), min_size=1),
+                strategies.integers(10, 32),
+            ),
+            max_size=3,
+        ),
+        gap=strategies.integers(5, 20),
+    )
+    def test_every_stream_of_sound_servers_is_whole(
+        self, server_count, retries, silences, gap
+    ):
+        self.setUp()
+        self.register("pool", server_count)
+        self.allow_retries("pool", retries)
+        steps = self.list_silent_steps(silences, gap)
+        transports = []
+        for number, silent in enumerate(steps):
+            if number < 12:
+                transports.append(self.request(b"summary", b"q%d" % number))
+            for connection in list(self.pool.opened):
+                if connection.address not in silent:
+                    connection.step(8)
+            self.clock.advance(0.05)
+        requests = [item.request_id for item in self.pool.opened]
+        self.assertLessEqual(len(requests) - len(set(requests)), retries)
+        for transport in transports:
+            if not transport.value().startswith(b"HTTP/1.1 503 "):
+                self.check_whole_stream(transport, 8)
+
+    @staticmethod
+    def list_silent_steps(silences, gap):
+        steps = [set()] * 4
+        for servers, length in silences:
+            silent = {f"10.0.1.{number}:80" for number in servers}
+            steps += [silent] * length + [set()] * gap
+        return steps + [set()] * 60
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/entry/wasabiknot_entry/flows.py
+++ b/packages/entry/wasabiknot_entry/flows.py
@@ -1,7 +1,7 @@
 """Requests in flight: attempts, relayed responses, retries and timeouts."""
 
 from wasabiknot_entry import connections, error_responses, journal, send_attempts
-from wasabiknot_kernel import events, exceptions, outcomes, releases
+from wasabiknot_kernel import dispatch, events, exceptions, outcomes, releases
 from wasabiknot_platform import headers as platform_headers
 
 Kind = exceptions.ErrorKind
@@ -31,6 +31,8 @@
         self._assignment = None
         self._attempt = None
         self._forwarded_head = None
+        # Decision on the silence of the backend server, if it is silent.
+        self._silence_decision = None
         self._sent_s = 0.0
         self._received_count = 0
         self.first_event_s = None
@@ -51,6 +53,7 @@
         :param assignment: ``dispatch.Assignment``.
         """
         self._assignment = assignment
+        self._silence_decision = None
         self._sent_s = self._gateway.reactor.seconds()
         self._received_count = 0
         ticket = self.ticket
@@ -93,6 +96,7 @@
         :param head: ``platform_headers.ResponseHead``.
         """
         server = self._assignment.server
+        server.record_life()
         self._gateway.record_statement(server, head, self._sent_s)
 
     def handle_event(self, event, head):
@@ -109,6 +113,8 @@
         now_s = self._gateway.reactor.seconds()
         server = self._assignment.server
         self._received_count += 1
+        self._silence_decision = None
+        server.record_life()
         self.dispatcher.record_first_event(self.ticket, server, now_s)
         self.dispatcher.record_progress(
             self.ticket, server, self._received_count, now_s
@@ -125,6 +131,40 @@
         self._request.write(event.data)
         return True
 
+    def handle_silence(self, silent_s):
+        """Looks for another backend server, as the present one is silent.
+
+        :param silent_s: time since the send or the last event, in seconds.
+        :return: whether the request goes on at another server, so that the attempt
+            must end.
+        """
+        gateway = self._gateway
+        ticket = self.ticket
+        now_s = gateway.reactor.seconds()
+        previous = self._silence_decision
+        decision = self.dispatcher.replace_silent_server(
+            ticket,
+            self._assignment.server,
+            gateway.get_budget(ticket.service),
+            now_s + MIN_SEND_S < ticket.deadline_s,
+            now_s,
+        )
+        self._silence_decision = decision
+        is_replaced = isinstance(decision, dispatch.Assignment)
+        if decision != previous:
+            journal.write(
+                events.Event.SERVER_SILENT,
+                request=ticket.request_id,
+                server=self._assignment.server.server_id,
+                silent_ms=round(silent_s * 1_000),
+                step="moved" if is_replaced else "stays",
+                reason=decision.server.server_id if is_replaced else decision.reason,
+                events=self._received_count,
+                sends=ticket.sends,
+                attempts=ticket.route.attempts,
+            )
+        return is_replaced
+
     def _forward_head(self, head):
         if self._forwarded_head is not None:
             return
@@ -181,6 +221,9 @@
         gateway.record_result(ticket, assignment.server, result, now_s)
         if result.outcome in (Outcome.COMPLETE, Outcome.CANCELLED):
             self._forward_response(result)
+        elif isinstance(self._silence_decision, dispatch.Assignment):
+            self._log_failed_attempt(result, Step.RESEND, result.outcome.value)
+            self.send(self._silence_decision)
         else:
             self._handle_failed_attempt(result, now_s)
         gateway.dispatch_waiting(ticket.service)
@@ -191,14 +234,7 @@
         decision = outcomes.decide_next_step(
             ticket, result.outcome, now_s, MIN_SEND_S, budget
         )
-        journal.write(
-            events.Event.SEND_ENDED,
-            request=ticket.request_id,
-            outcome=result.outcome.value,
-            detail=result.detail,
-            step=decision.step.value,
-            reason=decision.reason,
-        )
+        self._log_failed_attempt(result, decision.step, decision.reason)
         if decision.step is Step.RESEND:
             self._gateway.submit(self)
         elif decision.step is Step.FORWARD_RESPONSE:
@@ -206,6 +242,16 @@
         else:
             self._gateway.fail_request(self, decision.kind, decision.reason)
 
+    def _log_failed_attempt(self, result, step, reason):
+        journal.write(
+            events.Event.SEND_ENDED,
+            request=self.ticket.request_id,
+            outcome=result.outcome.value,
+            detail=result.detail,
+            step=step.value,
+            reason=reason,
+        )
+
     def _forward_response(self, result):
         head = result.head
         if self._forwarded_head is not None and result.outcome is not Outcome.COMPLETE:
--- a/packages/entry/wasabiknot_entry/send_attempts.py
+++ b/packages/entry/wasabiknot_entry/send_attempts.py
@@ -5,8 +5,8 @@
 import msgspec
 from twisted.internet import error
 
-from wasabiknot_entry import eventstreams, journal
-from wasabiknot_kernel import events, outcomes
+from wasabiknot_entry import eventstreams
+from wasabiknot_kernel import outcomes
 from wasabiknot_platform import headers as platform_headers
 
 Outcome = outcomes.Outcome
@@ -17,13 +17,16 @@
 # the request cannot be retried.
 MAX_IDLE_NON_REPEATABLE_S = 2.0
 MAX_IDLE_REPEATABLE_S = 10.0
-# Timeout for the first event of a stream, or the head of a plain response, if the
-# request can be retried: a multiple of the expected time, and its lower bounds.
+# Time without the first event of a stream, or the head of a plain response, after
+# which a request that may be retried counts as silent: a multiple of the expected
+# time, and its lower bounds.
 FIRST_EVENT_TIMEOUT_FACTOR = 4.0
 MIN_STREAM_TIMEOUT_S = 0.8
 MIN_PLAIN_TIMEOUT_S = 0.12
-# Gap between two events after which a stream is resumed on another backend server.
+# Gap between two events after which a stream that may be resumed counts as silent.
 STREAM_STALL_TIMEOUT_S = 1.2
+# Interval of the checks whether another backend server can take a silent request.
+SILENCE_CHECK_INTERVAL_S = 0.2
 # Bounds on a response that isn't relayed as events, and on one event.
 MAX_BODY_BYTES = 4 * 1024 * 1024
 MAX_EVENT_BYTES = 256 * 1024
@@ -65,8 +68,8 @@
     :param pool: ``connections.Pool``.
     :param assignment: ``dispatch.Assignment``.
     :param request: ``connections.Request``.
-    :param receiver: object with ``handle_head``, ``handle_event`` and
-        ``handle_result``.
+    :param receiver: object with ``handle_head``, ``handle_event``, ``handle_silence``
+        and ``handle_result``.
     """
 
     def __init__(self, reactor, pool, assignment, request, receiver):
@@ -112,7 +115,7 @@
 
     def _start_first_event_timer(self):
         route = self._ticket.route
-        if not route.is_repeatable or self._ticket.sends >= route.attempts:
+        if not route.is_repeatable:
             return
         expected_s = self._assignment.score_ms / 1_000
         min_timeout_s = MIN_STREAM_TIMEOUT_S if route.is_stream else MIN_PLAIN_TIMEOUT_S
@@ -120,26 +123,19 @@
 
     def _start_timer(self, delay_s):
         self._stop_timer()
-        self._timer = self._reactor.callLater(delay_s, self._handle_timeout)
+        self._timer = self._reactor.callLater(delay_s, self._handle_silence)
 
     def _stop_timer(self):
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         self._timer = None
 
-    def _handle_timeout(self):
+    def _handle_silence(self):
+        # The server may go on: the attempt ends only if another server is found.
         silent_s = self._reactor.seconds() - self._heard_s
-        journal.write(
-            events.Event.SERVER_SILENT,
-            request=self._ticket.request_id,
-            server=self._assignment.server.server_id,
-            silent_ms=round(silent_s * 1_000),
-            step="ended",
-            reason="timeout",
-            events=self._event_count,
-            sends=self._ticket.sends,
-            attempts=self._ticket.route.attempts,
-        )
+        if not self._receiver.handle_silence(silent_s):
+            self._start_timer(SILENCE_CHECK_INTERVAL_S)
+            return
         self._abort_connection()
         self._finish(Result(Outcome.TIMED_OUT, self._head, detail="silent"))
 
--- a/packages/kernel/tests/test_dispatch.py
+++ b/packages/kernel/tests/test_dispatch.py
@@ -8,6 +8,7 @@
 
 from wasabiknot_kernel import (
     arrivals,
+    budgets,
     dispatch,
     exceptions,
     outcomes,
@@ -396,3 +397,78 @@
     def test_harmful_request_is_not_sent_again(self):
         self.dispatcher.withdraw(self.queued)
         self.check_refused(self.dispatcher.submit(self.queued, 0.1))
+
+
+class SilenceTests(unittest.TestCase):
+    def setUp(self):
+        self.dispatcher = builders.build_dispatcher(servers=2, slots=2)
+        self.budget = budgets.RetryBudget(0.0, 10.0, 100.0)
+        self.ticket, self.server = self.send("q1")
+
+    def send(self, request_id, rank=1):
+        route = builders.build_route(is_resumable=True)
+        ticket = builders.build_ticket(request_id, route=route, rank=rank)
+        decisions = self.dispatcher.submit(ticket, 0.0)
+        if not decisions:
+            return ticket, None
+        ticket.sends = 1
+        return ticket, decisions[0].server
+
+    def fill(self):
+        count = 0
+        while self.send(f"other-{count}")[1] is not None:
+            count += 1
+
+    def decide(self, now_s=1.2, has_time=True):
+        return self.dispatcher.replace_silent_server(
+            self.ticket, self.server, self.budget, has_time, now_s
+        )
+
+    def check_stays(self, decision):
+        self.assertIsInstance(decision, dispatch.Stay)
+        self.assertIn("q1", self.server.sends)
+        others = [item for item in self.dispatcher.servers.values()]
+        others.remove(self.server)
+        self.assertTrue(all("q1" not in item.sends for item in others))
+
+    def test_request_moves_to_a_server_that_can_take_it(self):
+        decision = self.decide()
+        self.assertIsInstance(decision, dispatch.Assignment)
+        self.assertIsNot(decision.server, self.server)
+        self.assertIn("q1", decision.server.sends)
+
+    def test_request_stays_if_anything_is_missing_and_uses_no_budget(self):
+        self.check_stays(self.decide(has_time=False))
+        self.ticket.sends = 2
+        self.check_stays(self.decide())
+        self.ticket.sends = 1
+        self.fill()
+        self.check_stays(self.decide())
+        self.assertTrue(all(self.budget.try_acquire(1.2) for _ in range(80)))
+
+    def test_request_stays_without_retry_budget(self):
+        self.budget.set_bounds(0.0, 10.0, 0.0)
+        self.check_stays(self.decide())
+
+    def test_request_is_not_moved_to_a_server_that_is_silent_too(self):
+        (other,) = set(self.dispatcher.servers.values()) - {self.server}
+        while not other.sends:
+            self.send(f"other-{len(self.server.sends)}")
+        other.record_silence()
+        self.check_stays(self.decide(now_s=0.9))
+        other.record_life()
+        self.assertIsInstance(self.decide(now_s=0.9), dispatch.Assignment)
+
+    def test_room_is_left_to_more_urgent_requests_that_wait(self):
+        self.fill()
+        self.send("urgent", rank=0)
+        (other,) = set(self.dispatcher.servers.values()) - {self.server}
+        other.sends.popitem()
+        self.check_stays(self.decide())
+
+    def test_silent_server_gets_no_request_until_it_goes_on(self):
+        self.decide(has_time=False)
+        self.assertIsNot(self.send("q2")[1], self.server)
+        self.assertIsNot(self.send("q3")[1], self.server)
+        self.server.record_life()
+        self.assertIs(self.send("q4")[1], self.server)
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -130,6 +130,15 @@
     reason: str
 
 
+class Stay(msgspec.Struct, frozen=True):
+    """A decision to leave a request at a backend server that is silent.
+
+    :param reason: what is missing for another send, for the log.
+    """
+
+    reason: str
+
+
 def create_harmful_refusal(ticket):
     """Creates the refusal of a request that crashes backend servers.
 
@@ -396,6 +405,45 @@
                 decisions.append(self._create_refusal(ticket, kind, reason, now_s))
         return decisions
 
+    def replace_silent_server(self, ticket, server, budget, has_time, now_s):
+        """Assigns a request to another server because its own one is silent.
+
+        A sound server may be silent for a while and go on. The request stays there
+        unless nothing is missing for another send.
+
+        :param ticket: ``arrivals.Ticket``; its sends include the silent one.
+        :param server: ``servers.Server`` that is silent.
+        :param budget: ``budgets.RetryBudget`` of the service.
+        :param has_time: whether there is time for another send before the deadline.
+        :param now_s: current time, in seconds.
+        :return: ``Assignment`` or ``Stay``.
+        """
+        server.record_silence()
+        if not ticket.route.is_repeatable:
+            return Stay("may run once")
+        obstacle = outcomes.find_resend_obstacle(ticket, has_time)
+        if obstacle:
+            return Stay(obstacle)
+        chosen = self._choose_substitute(ticket, now_s)
+        if chosen is None:
+            return Stay("no other server")
+        if not budget.try_acquire(now_s):
+            return Stay(outcomes.NO_BUDGET)
+        return self._assign(ticket, chosen, now_s)
+
+    def _choose_substitute(self, ticket, now_s):
+        if self._is_harmful(ticket, now_s):
+            return None
+        if any(item.rank < ticket.rank for item in self._waiting.values()):
+            return None
+        usable = self._list_usable(ticket, now_s)
+        candidates = [
+            item
+            for item in usable
+            if item.server_id not in ticket.tried and self._is_available(item, now_s)
+        ]
+        return self._choose_best(ticket, candidates, now_s)
+
     def _estimate_first_event_s(self, ticket):
         if not self.is_engine:
             return self._average_first_event.value / 1_000
@@ -406,8 +454,9 @@
 
     def _try_assign(self, ticket, now_s):
         chosen = self.choose(ticket, now_s)
-        if chosen is None:
-            return None
+        return None if chosen is None else self._assign(ticket, chosen, now_s)
+
+    def _assign(self, ticket, chosen, now_s):
         server, score_ms = chosen
         self.record_send(ticket, server, now_s, score_ms)
         return Assignment(ticket, server, now_s - ticket.arrived_s, score_ms)
@@ -480,6 +529,9 @@
             if len(avoided_servers) < len(open_servers) or not avoided_servers:
                 return None
             candidates = avoided_servers
+        return self._choose_best(ticket, candidates, now_s)
+
+    def _choose_best(self, ticket, candidates, now_s):
         candidates = self._filter_by_group(candidates)
         if not candidates:
             return None
--- a/packages/kernel/wasabiknot_kernel/outcomes.py
+++ b/packages/kernel/wasabiknot_kernel/outcomes.py
@@ -25,6 +25,8 @@
 
 # Outcomes after which the backend server certainly did not run the request.
 NOT_EXECUTED = frozenset({Outcome.REJECTED, Outcome.UNREACHABLE})
+# Obstacle to another send, for the log.
+NO_BUDGET = "no retry budget left"
 
 
 class Step(enum.Enum):
@@ -80,16 +82,27 @@
     return _end_possibly_run(outcome, obstacle)
 
 
-def _find_retry_obstacle(ticket, has_time, now_s, budget):
+def find_resend_obstacle(ticket, has_time):
+    """Tells what keeps a request from another send, whatever the retry budget.
+
+    :param ticket: ``arrivals.Ticket``.
+    :param has_time: whether there is time for another send before its deadline.
+    :return: short text for the log; empty for nothing.
+    """
     if not has_time:
         return "no time left"
     if ticket.sends >= ticket.route.attempts:
         return "no attempts left"
-    if not budget.try_acquire(now_s):
-        return "no retry budget left"
     return ""
 
 
+def _find_retry_obstacle(ticket, has_time, now_s, budget):
+    obstacle = find_resend_obstacle(ticket, has_time)
+    if not obstacle and not budget.try_acquire(now_s):
+        return NO_BUDGET
+    return obstacle
+
+
 def _end_not_run(ticket, reason):
     # An earlier send may have run the request. The response must then not claim that
     # the request was not executed.
--- a/packages/kernel/wasabiknot_kernel/servers.py
+++ b/packages/kernel/wasabiknot_kernel/servers.py
@@ -72,6 +72,8 @@
         self.consecutive_failures = 0
         self.avoid_until_s = 0.0
         self.cached_parts = {}
+        # Whether it has said nothing since a request was found to have waited too long.
+        self._is_silent = False
         # Address at which another backend server has answered for this one.
         self.lost_address = None
         # Running and waiting requests, as stated in its newest response.
@@ -153,10 +155,20 @@
         """Whether this entry itself has found the server faulty.
 
         :param now_s: current time, in seconds.
-        :return: ``True`` during the backoff after failures, or while stalled.
+        :return: ``True`` during the backoff after failures, or while silent or stalled.
         """
+        if self._is_silent and self.sends:
+            return True
         return now_s < self.avoid_until_s or self.is_stalled(now_s)
 
+    def record_silence(self):
+        """Records that a request has waited too long for the server to go on."""
+        self._is_silent = True
+
+    def record_life(self):
+        """Records bytes of a response."""
+        self._is_silent = False
+
     def record_replacement(self):
         """Records that another backend server has the address of this one."""
         self.lost_address = self.registration.address
