Don't refuse the rest of a response for the length of the queue

A request whose response has begun is now first within its rank and waits until its deadline or until its caller leaves; it gets the first place that another server has.

Both tests failed before: the place went to a request that had got nothing yet, and a stream without any server was cut at once.

--- a/packages/entry/tests/test_silent_servers.py
+++ b/packages/entry/tests/test_silent_servers.py
@@ -318,6 +318,42 @@
         self.wait(0.1)
         self.assertTrue(transport.value().startswith(b"HTTP/1.1 504 "))
 
+    def fill_queue(self):
+        for number in range(3):
+            self.request(b"summary", b"other-%d" % number)
+        for number in range(40):
+            self.request(b"summary", b"waiting-%d" % number)
+
+    def test_begun_stream_is_not_refused_for_a_long_queue(self):
+        self.register("pool", 1)
+        self.allow_retries("pool", 5)
+        transport = self.request(b"summary")
+        first = self.start_stream()
+        self.fill_queue()
+        first.handler.handle_loss(connections.LossReason.MALFORMED)
+        newest = self.pool.opened[-1]
+        self.assertEqual(newest.request_id, b"q1")
+        newest.respond()
+        self.finish_stream(newest)
+        self.check_whole_stream(transport)
+
+    def test_begun_stream_waits_for_a_server_while_there_is_none(self):
+        self.register("pool", 1)
+        self.allow_retries("pool", 5)
+        transport = self.request(b"summary")
+        first = self.start_stream()
+        self.deployment.record_read(100.0)
+        self.assertTrue(self.deployment.apply_removal("pool-0", 100.0))
+        first.handler.handle_loss(connections.LossReason.MALFORMED)
+        self.wait(1.0)
+        self.register("pool", 2)
+        self.wait(0.1)
+        newest = self.pool.opened[-1]
+        self.assertIsNot(newest, first)
+        newest.respond()
+        self.finish_stream(newest)
+        self.check_whole_stream(transport)
+
     @settings(max_examples=60)
     @given(
         server_count=strategies.integers(1, 4),
--- a/packages/entry/wasabiknot_entry/flows.py
+++ b/packages/entry/wasabiknot_entry/flows.py
@@ -128,6 +128,7 @@
             self.last_event_id = event.event_id
         self._forward_head(head)
         self.event_count += 1
+        self.ticket.is_begun = True
         self._request.write(event.data)
         return True
 
--- a/packages/kernel/wasabiknot_kernel/arrivals.py
+++ b/packages/kernel/wasabiknot_kernel/arrivals.py
@@ -78,6 +78,8 @@
     :param sends: number of sends to backend servers.
     :param tried: ids of the backend servers that it was sent to.
     :param may_have_run: whether a backend server may have run the request.
+    :param is_begun: whether the caller has got a part of the response, which another
+        server must complete.
     :param charge: tokens charged to the customer.
     :param is_canary: whether the request goes to the new version of a release;
         ``None`` before this is drawn.
@@ -96,6 +98,7 @@
     sends: int = 0
     tried: set[str] = msgspec.field(default_factory=set)
     may_have_run: bool = False
+    is_begun: bool = False
     charge: float = 0.0
     is_canary: bool | None = None
     is_trial: bool = False
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -294,6 +294,8 @@
     def _find_refusal(self, ticket, now_s):
         if self._is_harmful(ticket, now_s):
             return create_harmful_refusal(ticket)
+        if ticket.is_begun:
+            return None
         if not any(not item.is_leaving for item in self.servers.values()):
             return self._create_refusal(
                 ticket, exceptions.ErrorKind.NO_WORKER, "no server"
@@ -331,15 +333,18 @@
     def _compute_queue_key(self, ticket, now_s):
         if not self._chooser.orders_by_rank:
             return (ticket.arrived_s,)
-        # Within a rank, requests that can still meet their objective go first. Late
-        # ones have lost most of their value and would make further requests late.
+        # Within a rank, responses that have begun go first, then requests that can
+        # still meet their objective. Late ones have lost most of their value and would
+        # make further requests late.
         # The rank of the customer comes first; that of the route breaks ties.
         objective_s = ticket.route.objective_ms / 1_000
         first_event_s = min(
             self._estimate_first_event_s(ticket), MAX_FIRST_EVENT_FRACTION * objective_s
         )
         is_late = now_s + first_event_s > ticket.arrived_s + objective_s
-        return (ticket.rank, is_late, ticket.route.rank, ticket.arrived_s)
+        is_unbegun = not ticket.is_begun
+        rank = ticket.rank
+        return (rank, is_unbegun, is_late, ticket.route.rank, ticket.arrived_s)
 
     def _estimate_send_interval_s(self, now_s):
         while self._send_times_s and self._send_times_s[0] < now_s - RATE_WINDOW_S:
@@ -398,7 +403,7 @@
             if self._is_harmful(ticket, now_s):
                 self.withdraw(ticket)
                 decisions.append(create_harmful_refusal(ticket))
-            elif waited_s > compute_max_wait_s(ticket):
+            elif not ticket.is_begun and waited_s > compute_max_wait_s(ticket):
                 self.withdraw(ticket)
                 kind = exceptions.ErrorKind.QUEUE_FULL
                 reason = f"waited {waited_s:.2f} s"
