Take a server for silent only if it says nothing to others either

A server that loses a single response answers its other requests; it was avoided until that request ended or it spoke. Silence now counts from the request's newest event, and any bytes since then are proof against it. The new test failed before.

--- a/packages/entry/wasabiknot_entry/flows.py
+++ b/packages/entry/wasabiknot_entry/flows.py
@@ -96,7 +96,7 @@
         :param head: ``platform_headers.ResponseHead``.
         """
         server = self._assignment.server
-        server.record_life()
+        server.record_life(self._gateway.reactor.seconds())
         self._gateway.record_statement(server, head, self._sent_s)
 
     def handle_event(self, event, head):
@@ -114,7 +114,7 @@
         server = self._assignment.server
         self._received_count += 1
         self._silence_decision = None
-        server.record_life()
+        server.record_life(now_s)
         self.dispatcher.record_first_event(self.ticket, server, now_s)
         self.dispatcher.record_progress(
             self.ticket, server, self._received_count, now_s
@@ -143,9 +143,9 @@
         ticket = self.ticket
         now_s = gateway.reactor.seconds()
         previous = self._silence_decision
+        self._assignment.server.record_silence(now_s - silent_s)
         decision = self.dispatcher.replace_silent_server(
             ticket,
-            self._assignment.server,
             gateway.get_budget(ticket.service),
             now_s + MIN_SEND_S < ticket.deadline_s,
             now_s,
--- a/packages/kernel/tests/test_dispatch.py
+++ b/packages/kernel/tests/test_dispatch.py
@@ -421,7 +421,7 @@
 
     def decide(self, now_s=1.2, has_time=True):
         return self.dispatcher.replace_silent_server(
-            self.ticket, self.server, self.budget, has_time, now_s
+            self.ticket, self.budget, has_time, now_s
         )
 
     def check_stays(self, decision):
@@ -454,9 +454,9 @@
         (other,) = set(self.dispatcher.servers.values()) - {self.server}
         while not other.sends:
             self.send(f"other-{len(self.server.sends)}")
-        other.record_silence()
+        other.record_silence(0.0)
         self.check_stays(self.decide(now_s=0.9))
-        other.record_life()
+        other.record_life(0.5)
         self.assertIsInstance(self.decide(now_s=0.9), dispatch.Assignment)
 
     def test_room_is_left_to_more_urgent_requests_that_wait(self):
@@ -467,8 +467,13 @@
         self.check_stays(self.decide())
 
     def test_silent_server_gets_no_request_until_it_goes_on(self):
-        self.decide(has_time=False)
+        self.server.record_silence(0.0)
         self.assertIsNot(self.send("q2")[1], self.server)
         self.assertIsNot(self.send("q3")[1], self.server)
-        self.server.record_life()
+        self.server.record_life(0.5)
         self.assertIs(self.send("q4")[1], self.server)
+
+    def test_server_that_answers_others_is_not_silent(self):
+        self.server.record_life(0.5)
+        self.server.record_silence(0.0)
+        self.assertFalse(self.server.is_avoided(0.9))
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -410,20 +410,18 @@
                 decisions.append(self._create_refusal(ticket, kind, reason, now_s))
         return decisions
 
-    def replace_silent_server(self, ticket, server, budget, has_time, now_s):
+    def replace_silent_server(self, ticket, budget, has_time, now_s):
         """Assigns a request to another server because its own one is silent.
 
         A sound server may be silent for a while and go on. The request stays there
         unless nothing is missing for another send.
 
         :param ticket: ``arrivals.Ticket``; its sends include the silent one.
-        :param server: ``servers.Server`` that is silent.
         :param budget: ``budgets.RetryBudget`` of the service.
         :param has_time: whether there is time for another send before the deadline.
         :param now_s: current time, in seconds.
         :return: ``Assignment`` or ``Stay``.
         """
-        server.record_silence()
         if not ticket.route.is_repeatable:
             return Stay("may run once")
         obstacle = outcomes.find_resend_obstacle(ticket, has_time)
--- a/packages/kernel/wasabiknot_kernel/servers.py
+++ b/packages/kernel/wasabiknot_kernel/servers.py
@@ -1,5 +1,7 @@
 """Load and health of a backend server, as known to one entry."""
 
+import math
+
 import msgspec
 
 from wasabiknot_kernel import arrivals, eligibility, registrations
@@ -72,8 +74,10 @@
         self.consecutive_failures = 0
         self.avoid_until_s = 0.0
         self.cached_parts = {}
-        # Whether it has said nothing since a request was found to have waited too long.
-        self._is_silent = False
+        # Time of the newest bytes from it, and time since which a request that has
+        # waited too long has got nothing.
+        self._heard_s = -math.inf
+        self._silent_since_s = None
         # Address at which another backend server has answered for this one.
         self.lost_address = None
         # Running and waiting requests, as stated in its newest response.
@@ -157,17 +161,29 @@
         :param now_s: current time, in seconds.
         :return: ``True`` during the backoff after failures, or while silent or stalled.
         """
-        if self._is_silent and self.sends:
+        if now_s < self.avoid_until_s or self.is_stalled(now_s):
             return True
-        return now_s < self.avoid_until_s or self.is_stalled(now_s)
+        return self._is_silent()
+
+    def _is_silent(self):
+        # A server that answers others meanwhile has lost that one request.
+        if self._silent_since_s is None or not self.sends:
+            return False
+        return self._heard_s <= self._silent_since_s
 
-    def record_silence(self):
-        """Records that a request has waited too long for the server to go on."""
-        self._is_silent = True
+    def record_silence(self, since_s):
+        """Records that a request has waited too long for the server to go on.
+
+        :param since_s: time of its send or of its newest event, in seconds.
+        """
+        self._silent_since_s = since_s
 
-    def record_life(self):
-        """Records bytes of a response."""
-        self._is_silent = False
+    def record_life(self, now_s):
+        """Records bytes of a response.
+
+        :param now_s: current time, in seconds.
+        """
+        self._heard_s = now_s
 
     def record_replacement(self):
         """Records that another backend server has the address of this one."""
