Let requests at silent servers move before those that wait

A request at a silent server was asked again each 0.2 s only, while each place that became free went to the queue at once: under load it never moved, though its retry was allowed.

When capacity becomes free, requests at silent servers are asked first, by rank and arrival. The test failed before.

--- a/packages/entry/tests/test_silent_servers.py
+++ b/packages/entry/tests/test_silent_servers.py
@@ -318,6 +318,27 @@
         self.wait(0.1)
         self.assertTrue(transport.value().startswith(b"HTTP/1.1 504 "))
 
+    def test_silent_request_gets_a_place_before_those_that_wait(self):
+        self.register("pool", 2)
+        self.allow_retries("pool", 5)
+        self.request(b"summary")
+        first = self.start_stream()
+        busy = []
+        for number in range(20):
+            self.request(b"summary", b"q1%d" % number)
+            if len(self.pool.opened) > 1 + len(busy):
+                busy.append(self.start_stream())
+        elsewhere = next(item for item in busy if item.address != first.address)
+        for step in range(32):
+            self.clock.advance(0.05)
+            for connection in busy:
+                connection.deliver(build_event(3 + step))
+        self.assertFalse(first.is_aborted)
+        elsewhere.end()
+        self.assertTrue(first.is_aborted)
+        moved = [item for item in self.pool.opened if item.request_id == b"q1"]
+        self.assertEqual(moved[-1].address, elsewhere.address)
+
     def fill_queue(self):
         for number in range(3):
             self.request(b"summary", b"other-%d" % number)
--- a/packages/entry/wasabiknot_entry/flows.py
+++ b/packages/entry/wasabiknot_entry/flows.py
@@ -96,6 +96,7 @@
         :param head: ``platform_headers.ResponseHead``.
         """
         server = self._assignment.server
+        self._gateway.silent_flows.discard(self)
         server.record_life(self._gateway.reactor.seconds())
         self._gateway.record_statement(server, head, self._sent_s)
 
@@ -113,6 +114,7 @@
         now_s = self._gateway.reactor.seconds()
         server = self._assignment.server
         self._received_count += 1
+        self._gateway.silent_flows.discard(self)
         self._silence_decision = None
         server.record_life(now_s)
         self.dispatcher.record_first_event(self.ticket, server, now_s)
@@ -152,6 +154,8 @@
         )
         self._silence_decision = decision
         is_replaced = isinstance(decision, dispatch.Assignment)
+        if not is_replaced:
+            gateway.silent_flows.add(self)
         if decision != previous:
             journal.write(
                 events.Event.SERVER_SILENT,
@@ -166,6 +170,11 @@
             )
         return is_replaced
 
+    def check_silence(self):
+        """Asks again whether another server can take the request, if it is silent."""
+        if self in self._gateway.silent_flows:
+            self._attempt.check_silence()
+
     def _forward_head(self, head):
         if self._forwarded_head is not None:
             return
@@ -199,6 +208,7 @@
         assignment, self._assignment = self._assignment, None
         self._attempt = None
         gateway = self._gateway
+        gateway.silent_flows.discard(self)
         now_s = gateway.reactor.seconds()
         ticket = self.ticket
         if result.outcome not in outcomes.NOT_EXECUTED:
@@ -343,6 +353,7 @@
 
     def _finish(self, ended):
         self.is_ended = True
+        self._gateway.silent_flows.discard(self)
         if self._request.producer is not None and self._request.channel is not None:
             self._request.unregisterProducer()
         if self._timer.active():
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -147,6 +147,8 @@
         self._metrics = metrics
         self.record_evidence = deployment.record_evidence
         self._flows = {}
+        # Requests whose backend server is silent and that no other one can take yet.
+        self.silent_flows = set()
         self._channels = set()
         self.is_stopping = False
         self._is_tick_scheduled = False
@@ -348,12 +350,21 @@
     def dispatch_waiting(self, service):
         """Sends the waiting requests of a service for which capacity is free.
 
+        Those that wait at a silent server were first.
+
         :param service: service name.
         """
+        for flow in self._list_silent(service):
+            flow.check_silence()
         dispatcher = self.get_dispatcher(service)
         if len(dispatcher):
             self._apply_decisions(dispatcher.dispatch_waiting(self.reactor.seconds()))
 
+    def _list_silent(self, service):
+        flows = [item for item in self.silent_flows if item.ticket.service == service]
+        flows.sort(key=lambda item: (item.ticket.rank, item.ticket.arrived_s))
+        return flows
+
     def tick(self):
         """Expires waiting requests and sends those for which capacity is free."""
         self._is_tick_scheduled = False
@@ -361,7 +372,7 @@
         for dispatcher in self._deployment.list_dispatchers():
             if len(dispatcher):
                 self._apply_decisions(dispatcher.refuse_expired(now_s))
-                self._apply_decisions(dispatcher.dispatch_waiting(now_s))
+                self.dispatch_waiting(dispatcher.service)
         self._schedule_tick()
 
     def _schedule_tick(self):
--- a/packages/entry/wasabiknot_entry/send_attempts.py
+++ b/packages/entry/wasabiknot_entry/send_attempts.py
@@ -123,15 +123,18 @@
 
     def _start_timer(self, delay_s):
         self._stop_timer()
-        self._timer = self._reactor.callLater(delay_s, self._handle_silence)
+        self._timer = self._reactor.callLater(delay_s, self.check_silence)
 
     def _stop_timer(self):
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
         self._timer = None
 
-    def _handle_silence(self):
-        # The server may go on: the attempt ends only if another server is found.
+    def check_silence(self):
+        """Ends the attempt if another server takes its request, as this one is silent.
+
+        Otherwise the server may go on.
+        """
         silent_s = self._reactor.seconds() - self._heard_s
         if not self._receiver.handle_silence(silent_s):
             self._start_timer(SILENCE_CHECK_INTERVAL_S)
