--- a/packages/kernel/tests/test_dispatch.py
+++ b/packages/kernel/tests/test_dispatch.py
@@ -473,6 +473,12 @@
         self.server.record_life(0.5)
         self.assertIs(self.send("q4")[1], self.server)
 
+    def test_server_that_stays_silent_is_tried_again(self):
+        self.server.record_silence(0.0)
+        self.server.sends["q1"].first_event_s = 0.0
+        self.assertTrue(self.server.is_avoided(1.9))
+        self.assertFalse(self.server.is_avoided(2.1))
+
     def test_server_that_answers_others_is_not_silent(self):
         self.server.record_life(0.5)
         self.server.record_silence(0.0)
--- a/packages/kernel/wasabiknot_kernel/servers.py
+++ b/packages/kernel/wasabiknot_kernel/servers.py
@@ -16,6 +16,9 @@
 # longer than both this time and this multiple of the expected time.
 MIN_STALL_S = 1.0
 STALL_FACTOR = 4.0
+# Longest silence of a sound backend server. One that is silent for longer may have lost
+# the requests that wait there, and answer others.
+MAX_SILENCE_S = 2.0
 
 
 class Send(msgspec.Struct, eq=False):
@@ -163,13 +166,14 @@
         """
         if now_s < self.avoid_until_s or self.is_stalled(now_s):
             return True
-        return self._is_silent()
+        return self._is_silent(now_s)
 
-    def _is_silent(self):
+    def _is_silent(self, now_s):
         # A server that answers others meanwhile has lost that one request.
         if self._silent_since_s is None or not self.sends:
             return False
-        return self._heard_s <= self._silent_since_s
+        is_recent = now_s - self._silent_since_s < MAX_SILENCE_S
+        return is_recent and self._heard_s <= self._silent_since_s
 
     def record_silence(self, since_s):
         """Records that a request has waited too long for the server to go on.
