--- a/packages/kernel/wasabiknot_kernel/servers.py
+++ b/packages/kernel/wasabiknot_kernel/servers.py
@@ -1,5 +1,7 @@
 """Load and health of a backend server, as known to one entry."""
 
+import math
+
 import msgspec
 
 from wasabiknot_kernel import arrivals, eligibility, registrations
@@ -14,6 +16,9 @@
 # longer than both this time and this multiple of the expected time.
 MIN_STALL_S = 1.0
 STALL_FACTOR = 4.0
+# Longest silence of a sound backend server. One that is silent for longer may have lost
+# the requests that wait there, and answer others.
+MAX_SILENCE_S = 2.0
 
 
 class Send(msgspec.Struct, eq=False):
@@ -72,6 +77,10 @@
         self.consecutive_failures = 0
         self.avoid_until_s = 0.0
         self.cached_parts = {}
+        # Time of the newest bytes from it, and time since which a request that has
+        # waited too long has got nothing.
+        self._heard_s = -math.inf
+        self._silent_since_s = None
         # Address at which another backend server has answered for this one.
         self.lost_address = None
         # Running and waiting requests, as stated in its newest response.
@@ -153,9 +162,32 @@
         """Whether this entry itself has found the server faulty.
 
         :param now_s: current time, in seconds.
-        :return: ``True`` during the backoff after failures, or while stalled.
+        :return: ``True`` during the backoff after failures, or while silent or stalled.
+        """
+        if now_s < self.avoid_until_s or self.is_stalled(now_s):
+            return True
+        return self._is_silent(now_s)
+
+    def _is_silent(self, now_s):
+        # A server that answers others meanwhile has lost that one request.
+        if self._silent_since_s is None or not self.sends:
+            return False
+        is_recent = now_s - self._silent_since_s < MAX_SILENCE_S
+        return is_recent and self._heard_s <= self._silent_since_s
+
+    def record_silence(self, since_s):
+        """Records that a request has waited too long for the server to go on.
+
+        :param since_s: time of its send or of its newest event, in seconds.
+        """
+        self._silent_since_s = since_s
+
+    def record_life(self, now_s):
+        """Records bytes of a response.
+
+        :param now_s: current time, in seconds.
         """
-        return now_s < self.avoid_until_s or self.is_stalled(now_s)
+        self._heard_s = now_s
 
     def record_replacement(self):
         """Records that another backend server has the address of this one."""
