Let open connections of callers follow the idle limit in force

Callers that reuse idle connections for up to four fifths of the limit had them closed under a request after a version with a longer limit. The limit was read once, when the connection was opened. The timer now only asks: at its end the limit in force is compared with the time since the last byte or response, so a longer limit also reaches connections that are idle now, and a shorter one applies from the next idle time on. Connections closed for being idle are counted (wasabiknot_idle_closes).

--- /dev/null
+++ b/packages/entry/wasabiknot_entry/channels.py
@@ -0,0 +1,54 @@
+"""Callers' connections and their idle limit."""
+
+from twisted.web import http
+
+# Idle connections stay open longer than the configured timeout, so that a caller
+# that relies on the timeout does not send into a connection being closed.
+IDLE_TIMEOUT_MARGIN_S = 2.0
+
+
+class CallerChannel(http.HTTPChannel):
+    """A caller's connection, which follows the idle limit in force.
+
+    The timer of the base class may end early; the limit is checked when it does.
+    """
+
+    gateway = None
+    _quiet_since_s = 0.0
+
+    def connectionMade(self):  # noqa: N802
+        """Starts the idle time of the connection."""
+        self._quiet_since_s = self.gateway.reactor.seconds()
+        self.timeOut = self._compute_idle_limit_s()
+        super().connectionMade()
+        self.gateway.add_channel(self)
+        self.transport.setTcpNoDelay(True)
+
+    def dataReceived(self, data):  # noqa: N802
+        """Parses received bytes; ends the idle time."""
+        self._quiet_since_s = self.gateway.reactor.seconds()
+        super().dataReceived(data)
+
+    def requestDone(self, request):  # noqa: N802
+        """Starts the idle time after a response, under the limit in force."""
+        self._quiet_since_s = self.gateway.reactor.seconds()
+        self._savedTimeOut = self._compute_idle_limit_s()
+        super().requestDone(request)
+
+    def timeoutConnection(self):  # noqa: N802
+        """Closes the connection, or waits on if the limit in force allows it."""
+        limit_s = self._compute_idle_limit_s()
+        left_s = self._quiet_since_s + limit_s - self.gateway.reactor.seconds()
+        if left_s > 0:
+            self.setTimeout(left_s)
+            return
+        self.gateway.count_idle_close()
+        super().timeoutConnection()
+
+    def connectionLost(self, reason):  # noqa: N802
+        """Ends the requests of the connection."""
+        self.gateway.discard_channel(self)
+        super().connectionLost(reason)
+
+    def _compute_idle_limit_s(self):
+        return self.gateway.limits.idle_ms / 1_000 + IDLE_TIMEOUT_MARGIN_S
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -9,6 +9,7 @@
 from wasabiknot_entry import (
     buffers,
     caller_bodies,
+    channels,
     connections,
     error_responses,
     flows,
@@ -40,9 +41,6 @@
 RESPONSE_MARGIN_S = 0.015
 # Interval of the queue checks while requests are waiting.
 TICK_INTERVAL_S = 0.025
-# Idle connections stay open longer than the configured timeout, so that a caller
-# that relies on the timeout does not send into a connection being closed.
-IDLE_TIMEOUT_MARGIN_S = 2.0
 # Retry time of a request that is refused because the bodies held are too large.
 BUFFERS_FULL_RETRY_AFTER_S = 1.0
 BUFFERS_FULL = "bodies held in memory are too large"
@@ -167,24 +165,33 @@
 
         Request.gateway = gateway
 
-        class Channel(http.HTTPChannel):
+        class Channel(channels.CallerChannel):
             requestFactory = Request
 
-            def connectionMade(self):  # noqa: N802
-                self.timeOut = gateway.limits.idle_ms / 1_000 + IDLE_TIMEOUT_MARGIN_S
-                super().connectionMade()
-                gateway._channels.add(self)
-                self.transport.setTcpNoDelay(True)
-
-            def connectionLost(self, reason):  # noqa: N802
-                gateway._channels.discard(self)
-                super().connectionLost(reason)
-
+        Channel.gateway = gateway
         factory = http.HTTPFactory(timeout=None)
         factory.protocol = Channel
         factory.log = lambda request: None
         return factory
 
+    def add_channel(self, channel):
+        """Adds a caller's connection.
+
+        :param channel: ``channels.CallerChannel``.
+        """
+        self._channels.add(channel)
+
+    def discard_channel(self, channel):
+        """Removes a caller's connection that has ended.
+
+        :param channel: ``channels.CallerChannel``.
+        """
+        self._channels.discard(channel)
+
+    def count_idle_close(self):
+        """Counts a caller's connection that was closed for being idle."""
+        self._metrics.count_idle_close()
+
     @property
     def limits(self):
         """Limits on callers' connections and requests in the active configuration."""
--- a/packages/entry/wasabiknot_entry/request_metrics.py
+++ b/packages/entry/wasabiknot_entry/request_metrics.py
@@ -27,6 +27,11 @@
             ["outcome"],
             registry=self._registry,
         )
+        self._idle_closes = prometheus_client.Counter(
+            "wasabiknot_idle_closes",
+            "Callers' connections that were closed for being idle.",
+            registry=self._registry,
+        )
         self._total = prometheus_client.Histogram(
             "wasabiknot_total_seconds",
             "Time from arrival to the final answer.",
@@ -63,6 +68,10 @@
         """
         self._attempts.labels(outcome.value).inc()
 
+    def count_idle_close(self):
+        """Counts a caller's connection that was closed for being idle."""
+        self._idle_closes.inc()
+
     def observe_total(self, ticket, ended, total_s):
         """Observes the latency of a completed request.
 
