Don't apply the idle limit to a request that is arriving

With a short idle limit, a request whose body paused for longer than it, on a slow link, was closed in the middle. The limit is for the time between two requests. A request that is arriving may now pause for 15 s at least. The memory that such requests hold is bounded by the buffers, as before.

--- a/packages/entry/tests/test_channels.py
+++ b/packages/entry/tests/test_channels.py
@@ -8,6 +8,7 @@
 from wasabiknot_kernel import routes
 
 GET = b"GET /x HTTP/1.1\r\nhost: a\r\n\r\n"
+POST_HEAD = b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-length: 4\r\n\r\n"
 MARGIN_S = channels.IDLE_TIMEOUT_MARGIN_S
 
 
@@ -98,3 +99,20 @@
         self.answer()
         self.assertEqual(self.transport.value().count(b"200 OK"), 3)
         self.assert_closed_after(1.0 + MARGIN_S)
+
+    def test_body_that_pauses_longer_than_the_idle_limit_is_cut_off(self):
+        self.set_limit(0.5)
+        self.channel.dataReceived(GET)
+        self.answer()
+        for data in (POST_HEAD[:20], POST_HEAD[20:], b"ab", b"cd"):
+            self.advance(2.0 if data == POST_HEAD[:20] else 10.0)
+            self.assertFalse(self.transport.disconnecting)
+            self.channel.dataReceived(data)
+        self.answer()
+        self.assertEqual(self.transport.value().count(b"200 OK"), 2)
+        self.assert_closed_after(0.5 + MARGIN_S)
+
+    def test_request_that_never_becomes_whole_is_cut(self):
+        self.set_limit(0.5)
+        self.channel.dataReceived(POST_HEAD + b"ab")
+        self.assert_closed_after(channels.MIN_READ_TIMEOUT_S)
--- a/packages/entry/wasabiknot_entry/channels.py
+++ b/packages/entry/wasabiknot_entry/channels.py
@@ -5,6 +5,8 @@
 # Idle connections stay open longer than the configured timeout, so that a caller
 # that relies on the timeout does not send into a connection being closed.
 IDLE_TIMEOUT_MARGIN_S = 2.0
+# A request that is arriving may pause for this time, whatever the idle limit.
+MIN_READ_TIMEOUT_S = 15.0
 
 
 class CallerChannel(http.HTTPChannel):
@@ -15,6 +17,7 @@
 
     gateway = None
     _quiet_since_s = 0.0
+    _is_reading = False
 
     def connectionMade(self):  # noqa: N802
         """Starts the idle time of the connection."""
@@ -27,17 +30,21 @@
     def dataReceived(self, data):  # noqa: N802
         """Parses received bytes; ends the idle time."""
         self._quiet_since_s = self.gateway.reactor.seconds()
+        self._is_reading = True
         super().dataReceived(data)
 
     def requestDone(self, request):  # noqa: N802
         """Starts the idle time after a response, under the limit in force."""
         self._quiet_since_s = self.gateway.reactor.seconds()
+        self._is_reading = False
         self._savedTimeOut = self._compute_idle_limit_s()
         super().requestDone(request)
 
     def timeoutConnection(self):  # noqa: N802
         """Closes the connection, or waits on if the limit in force allows it."""
         limit_s = self._compute_idle_limit_s()
+        if self._is_reading or self.requests:
+            limit_s = max(limit_s, MIN_READ_TIMEOUT_S)
         left_s = self._quiet_since_s + limit_s - self.gateway.reactor.seconds()
         if left_s > 0:
             self.setTimeout(left_s)
