Read a caller's connection once more before it is closed for being idle

A process that was paused for some seconds closed connections into which callers had sent requests meanwhile, within the limit: the timers that are due run before the sockets are read. The connection is now closed 20 ms after the end of the limit, if nothing has arrived by then.

The test failed before: the connection was closed at once.

--- a/packages/entry/tests/test_channels.py
+++ b/packages/entry/tests/test_channels.py
@@ -116,3 +116,14 @@
         self.set_limit(0.5)
         self.channel.dataReceived(POST_HEAD + b"ab")
         self.assert_closed_after(channels.MIN_READ_TIMEOUT_S)
+
+    def test_request_that_arrives_while_the_process_is_paused_is_closed(self):
+        # The timers run before the sockets are read.
+        self.channel.dataReceived(GET)
+        self.answer()
+        self.clock.advance(30.0)
+        self.assertFalse(self.transport.disconnecting)
+        self.channel.dataReceived(GET)
+        self.answer()
+        self.assertFalse(self.transport.disconnecting)
+        self.assert_closed_after(10.0 + MARGIN_S)
--- a/packages/entry/wasabiknot_entry/channels.py
+++ b/packages/entry/wasabiknot_entry/channels.py
@@ -7,6 +7,9 @@
 IDLE_TIMEOUT_MARGIN_S = 2.0
 # A request that is arriving may pause for this time, whatever the idle limit.
 MIN_READ_TIMEOUT_S = 15.0
+# Time between the end of the limit and the close. After a pause of the process the
+# timers run first; a request that arrived meanwhile is read in this time.
+LAST_READ_S = 0.02
 
 
 class CallerChannel(http.HTTPChannel):
@@ -18,6 +21,7 @@
     gateway = None
     _quiet_since_s = 0.0
     _is_reading = False
+    _is_closing = False
 
     def connectionMade(self):  # noqa: N802
         """Starts the idle time of the connection."""
@@ -31,6 +35,7 @@
         """Parses received bytes; ends the idle time."""
         self._quiet_since_s = self.gateway.reactor.seconds()
         self._is_reading = True
+        self._is_closing = False
         super().dataReceived(data)
 
     def requestDone(self, request):  # noqa: N802
@@ -49,6 +54,10 @@
         if left_s > 0:
             self.setTimeout(left_s)
             return
+        if not self._is_closing:
+            self._is_closing = True
+            self.setTimeout(LAST_READ_S)
+            return
         self.gateway.count_idle_close()
         super().timeoutConnection()
 
