Announce the close with responses to requests in flight at a SIGTERM

Their connections were kept and closed later without notice, so a caller's next request could cross the close. A response that has not begun at the signal now says "Connection: close", as those to later requests do. Where two requests came together after the signal, the first response announced the close and the second request, received in whole, was dropped; it is now answered first.

--- a/packages/entry/wasabiknot_entry/channels.py
+++ b/packages/entry/wasabiknot_entry/channels.py
@@ -66,5 +66,20 @@
         self.gateway.discard_channel(self)
         super().connectionLost(reason)
 
+    def announce_close(self):
+        """Closes the connection after the response that is due, and says so in it.
+
+        Not if the response has begun or the next request is here already.
+        """
+        if not self._handlingRequest or self._has_next_request():
+            return
+        request = self.requests[0]
+        if not request.startedWriting:
+            self.persistent = False
+            request.setHeader(b"connection", b"close")
+
+    def _has_next_request(self):
+        return bool(self._buffer) or any(self._dataBuffer)
+
     def _compute_idle_limit_s(self):
         return self.gateway.limits.idle_ms / 1_000 + IDLE_TIMEOUT_MARGIN_S
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -220,8 +220,7 @@
         :param request: ``CallerRequest``.
         """
         if self.is_stopping and request.channel is not None:
-            request.channel.persistent = False
-            request.setHeader(b"connection", b"close")
+            request.channel.announce_close()
         headers = _list_headers(request)
         arrival = _decode_arrival(request, headers)
         body = request.content.read()
@@ -543,6 +542,8 @@
         """
         self.is_stopping = True
         self._reject_from_s = self.reactor.seconds() + accept_s
+        for channel in self._channels:
+            channel.announce_close()
 
     def close_idle(self):
         """Closes the callers' connections that have no request in flight."""
