Refuse requests that can't end before a stopping entry does

An entry passed on requests until 2.7 s after a SIGTERM, whatever they needed and whatever the grace period: with 4 s of it, requests of up to 2.2 s that came 2 to 2.6 s after the signal were cut.

The kernel now decides (stops): a request is taken or kept in the queue only if its route's responses, as learned from complete ones, end before the entry does. The estimate (durations) is the average plus three average deviations, at least one and a half averages; streams of engines are estimated from their tokens, with the margins of the queue. Samples of the load balancing don't do: they are clipped at 2 s and mix routes. Others get 503 "stopping" with Retry-After at once, which is true, as they were not sent. A request whose own time ends first is taken. The time of accepting is at most what the grace period allows.

The three tests of test_gateway_stops with refusals failed before (no answer).

--- a/packages/entry/tests/test_gateway_stops.py
+++ b/packages/entry/tests/test_gateway_stops.py
@@ -7,10 +7,54 @@
     def send(self, request_id):
         return self.connect(gatewaycases.build_head(request_id))
 
+    def learn(self, duration_s):
+        for number in range(4):
+            channel = self.send(f"s{number}")
+            connection = self.accept(-1)
+            self.advance(duration_s)
+            self.respond(connection, f"s{number}")
+            connection.connectionLost(gatewaycases.CLOSED)
+            self.assertEqual(self.read_answer(channel).status, 200)
+
+    def assert_refused(self, channel):
+        answer = self.read_answer(channel)
+        self.assertEqual((answer.status, answer.body), (503, b"stopping\n"))
+        self.assertGreater(float(answer.head[b"retry-after"]), 0)
+        self.assertEqual(answer.head[b"connection"], b"close")
+        self.assertTrue(channel.transport.disconnecting)
+
+    def test_request_that_cannot_end_before_the_process_is_refused_at_once(self):
+        for grace_s, accepted_s in ((4.0, 1.7), (8.0, 2.7)):
+            with self.subTest(grace_s=grace_s):
+                self.setUp()
+                self.learn(1.0)
+                self.gateway.stop(ACCEPT_S, grace_s)
+                self.advance(accepted_s - 0.1)
+                self.assertEqual(self.send("q1").transport.value(), b"")
+                self.advance(0.2)
+                self.assert_refused(self.send("q2"))
+
+    def test_small_grace_period_does_not_accept_what_it_cannot_end(self):
+        self.gateway.stop(ACCEPT_S, 1.0)
+        self.advance(0.35)
+        self.assert_refused(self.send("q1"))
+        self.assertTrue(self.gateway.is_drained)
+
+    def test_queued_request_is_refused_once_it_cannot_end(self):
+        self.learn(1.0)
+        accepted = [self.send("q1"), self.send("q2")]
+        queued = self.send("q3")
+        self.gateway.stop(ACCEPT_S, 4.0)
+        self.advance(1.6)
+        self.assertEqual(queued.transport.value(), b"")
+        self.advance(0.3)
+        self.assert_refused(queued)
+        self.assertEqual([item.transport.value() for item in accepted], [b"", b""])
+
     def test_response_to_a_request_in_flight_at_the_signal_closes_the_connection(self):
         channel = self.send("q1")
         connection = self.accept(0)
-        self.gateway.stop(ACCEPT_S)
+        self.gateway.stop(ACCEPT_S, 4.0)
         self.respond(connection)
         answer = self.read_answer(channel)
         self.assertEqual((answer.status, answer.body), (200, b"ok"))
--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -64,7 +64,6 @@
 # After SIGTERM the load balancer still routes connections here until its readiness
 # check fails. Requests accepted later may not finish within the grace period.
 BALANCER_DELAY_S = 2.7
-GRACE_MARGIN_S = 0.7
 DRAIN_CHECK_INTERVAL_S = 0.05
 FINAL_FLUSH_DELAY_S = 0.05
 PUBLISH_RETRY_S = 0.5
@@ -440,23 +439,17 @@
             return None
         self._is_stopping = True
         self._deployment.is_stopping = True
-        self._gateway.stop(BALANCER_DELAY_S)
+        self._gateway.stop(BALANCER_DELAY_S, self._settings.bounds.grace_s)
         journal.write(events.Event.STOPPING, running=len(self._gateway))
-        now_s = reactor.seconds()
-        deadline_s = now_s + self._settings.bounds.grace_s - GRACE_MARGIN_S
-        return self._wait_until_drained(now_s + BALANCER_DELAY_S, deadline_s)
+        return self._wait_until_drained()
 
-    def _wait_until_drained(self, accept_until_s, deadline_s):
-        now_s = reactor.seconds()
-        is_drained = now_s >= accept_until_s and not len(self._gateway)
-        if is_drained or now_s >= deadline_s:
+    def _wait_until_drained(self):
+        if self._gateway.is_drained:
             self._gateway.close_idle()
             journal.write(events.Event.STOPPED, entry=self._settings.name)
             return task.deferLater(reactor, FINAL_FLUSH_DELAY_S)
         delayed = task.deferLater(reactor, DRAIN_CHECK_INTERVAL_S)
-        return delayed.addCallback(
-            lambda _: self._wait_until_drained(accept_until_s, deadline_s)
-        )
+        return delayed.addCallback(lambda _: self._wait_until_drained())
 
 
 def _log_change(change):
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -1,6 +1,7 @@
 """Accepts callers' requests, admits them and tracks them to the final response."""
 
 import io
+import math
 
 import xxhash
 from twisted.internet import error
@@ -22,6 +23,7 @@
     exceptions,
     outcomes,
     routes,
+    stops,
 )
 from wasabiknot_platform import headers as platform_headers
 
@@ -43,6 +45,10 @@
 TICK_INTERVAL_S = 0.025
 # Retry time of a request that is refused because the bodies held are too large.
 BUFFERS_FULL_RETRY_AFTER_S = 1.0
+# Retry time of a request that is refused because this entry stops. The load balancer
+# soon routes to other entries only.
+STOPPING_RETRY_AFTER_S = 0.2
+STOPPING = "shutting down"
 BUFFERS_FULL = "bodies held in memory are too large"
 
 
@@ -146,9 +152,8 @@
         self.record_evidence = deployment.record_evidence
         self._flows = {}
         self._channels = set()
-        self.is_stopping = False
+        self._stop = None
         self._is_tick_scheduled = False
-        self._reject_from_s = None
 
     def __len__(self):
         return len(self._flows) + len(self._body_writers)
@@ -219,7 +224,7 @@
 
         :param request: ``CallerRequest``.
         """
-        if self.is_stopping and request.channel is not None:
+        if self._stop is not None and request.channel is not None:
             request.channel.announce_close()
         headers = _list_headers(request)
         arrival = _decode_arrival(request, headers)
@@ -273,10 +278,8 @@
             return error_responses.ErrorResponse(
                 Kind.NOT_READY, 503, 0.5, "no configuration yet"
             )
-        if self._reject_from_s is not None and now_s >= self._reject_from_s:
-            return error_responses.ErrorResponse(
-                Kind.STOPPING, 503, 0.2, "shutting down"
-            )
+        if self._stop is not None and now_s >= self._stop.accept_until_s:
+            return _create_stop_refusal()
         table = deployment.table
         route = table.find_route(arrival.host, arrival.path)
         if route is None:
@@ -295,6 +298,8 @@
                 Kind.BAD_REQUEST, 400, None, "no request id"
             )
         ticket = self._create_ticket(arrival, route, customer, request, body, now_s)
+        if not self._can_finish(ticket, now_s):
+            return _create_stop_refusal()
         is_refused = deployment.crashes.is_refused(ticket.fingerprint, now_s)
         if is_refused and not deployment.try_start_trial(ticket, now_s):
             refusal = dispatch.create_harmful_refusal(ticket)
@@ -326,6 +331,12 @@
             fingerprint=xxhash.xxh64_hexdigest(content),
         )
 
+    def _can_finish(self, ticket, now_s):
+        if self._stop is None:
+            return True
+        longest_s = self.get_dispatcher(ticket.service).estimate_longest_s(ticket)
+        return self._stop.can_finish(ticket, longest_s, now_s)
+
     def _charge(self, ticket, customer, now_s):
         if customer is None:
             return ticket
@@ -348,9 +359,21 @@
         """
         dispatcher = self.get_dispatcher(flow.ticket.service)
         now_s = self.reactor.seconds()
+        if self._refuse_unfinishable(flow, now_s):
+            return
         self._apply_decisions(dispatcher.submit(flow.ticket, now_s))
         self._schedule_tick()
 
+    def _refuse_unfinishable(self, flow, now_s):
+        # A response that has begun goes on for as long as the entry runs.
+        if flow.first_event_s is not None or self._can_finish(flow.ticket, now_s):
+            return False
+        self._refuse_for_stop(flow)
+        return True
+
+    def _refuse_for_stop(self, flow):
+        self.fail_request(flow, Kind.STOPPING, STOPPING, STOPPING_RETRY_AFTER_S)
+
     def dispatch_waiting(self, service):
         """Sends the waiting requests of a service for which capacity is free.
 
@@ -366,10 +389,17 @@
         now_s = self.reactor.seconds()
         for dispatcher in self._deployment.list_dispatchers():
             if len(dispatcher):
+                self._refuse_waiting_unfinishable(dispatcher, now_s)
                 self._apply_decisions(dispatcher.refuse_expired(now_s))
                 self._apply_decisions(dispatcher.dispatch_waiting(now_s))
         self._schedule_tick()
 
+    def _refuse_waiting_unfinishable(self, dispatcher, now_s):
+        if self._stop is None:
+            return
+        for ticket in dispatcher.list_waiting():
+            self._refuse_unfinishable(self._flows[id(ticket)], now_s)
+
     def _schedule_tick(self):
         # The tick is only needed while requests are waiting.
         if self._is_tick_scheduled:
@@ -535,18 +565,32 @@
             server, is_refused, now_s
         )
 
-    def stop(self, accept_s):
+    def stop(self, accept_s, grace_s=math.inf):
         """Closes connections after their responses and later rejects new requests.
 
         :param accept_s: seconds for which new requests are still admitted.
+        :param grace_s: seconds after which the process is killed.
         """
-        self.is_stopping = True
-        self._reject_from_s = self.reactor.seconds() + accept_s
+        self._stop = stops.plan_stop(self.reactor.seconds(), grace_s, accept_s)
         for channel in self._channels:
             channel.announce_close()
 
+    @property
+    def is_drained(self):
+        """Whether the stop may end: nothing is in flight, or the time is over."""
+        now_s = self.reactor.seconds()
+        if now_s >= self._stop.end_s:
+            return True
+        return now_s >= self._stop.accept_until_s and not len(self)
+
     def close_idle(self):
         """Closes the callers' connections that have no request in flight."""
         for channel in list(self._channels):
             if not channel.requests:
                 channel.loseConnection()
+
+
+def _create_stop_refusal():
+    return error_responses.ErrorResponse(
+        Kind.STOPPING, 503, STOPPING_RETRY_AFTER_S, STOPPING
+    )
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -14,6 +14,7 @@
 from wasabiknot_kernel import (
     arrivals,
     choosers,
+    durations,
     eligibility,
     estimates,
     exceptions,
@@ -180,6 +181,7 @@
         self.group_servers_key = None
         # Output tokens per stream event.
         self.event_tokens = 1
+        self._durations = durations.Durations()
         # Average over all backend servers: the first event factor of engines, or
         # the duration of a plain request in milliseconds.
         self._average_first_event = estimates.MovingAverage(1.0, AVERAGE_WEIGHT)
@@ -404,6 +406,32 @@
             FIRST_EVENT_MARGIN * self._average_first_event.value * baseline_ms / 1_000
         )
 
+    def estimate_longest_s(self, ticket):
+        """Estimates how long a response may take, with a margin.
+
+        :param ticket: ``arrivals.Ticket``.
+        :return: seconds from the send to the end of the response.
+        """
+        event_count = ticket.estimate_output_tokens() / self.event_tokens
+        if self.is_engine and event_count:
+            interval_ms = self._average_event_interval_ms()
+            events_s = OUTPUT_LENGTH_MARGIN * event_count * interval_ms / 1_000
+            return self._estimate_first_event_s(ticket) + events_s
+        longest_s = self._durations.estimate_longest_s(ticket.route.name)
+        if longest_s is None:
+            return ticket.route.objective_ms / 1_000
+        return longest_s
+
+    def _average_event_interval_ms(self):
+        intervals = [
+            item.service_times.event_interval_ms.value
+            for item in self.servers.values()
+            if not item.is_leaving
+        ]
+        if not intervals:
+            return service_times.EVENT_INTERVAL_MS
+        return sum(intervals) / len(intervals)
+
     def _try_assign(self, ticket, now_s):
         chosen = self.choose(ticket, now_s)
         if chosen is None:
@@ -654,6 +682,7 @@
             return
         duration_s = now_s - send.sent_s
         if outcome is outcomes.Outcome.COMPLETE:
+            self._durations.add(ticket.route.name, duration_s)
             self._record_complete(server, duration_s)
         elif outcome is outcomes.Outcome.REJECTED:
             server.record_rejection(now_s)
