Answer all requests that are left when a stopping entry ends

When the grace period ended, requests that were queued or at servers were left without an answer: the process exited and their connections were closed. Now queued requests and those that were not sent get 503 "stopping", a request that is still arriving too, and those at servers get a complete 502 "outcome-unknown", as they may have run. Only responses that have begun are cut. The process waits for up to 0.4 s until all callers' connections have ended, so that the answers are written; the margin of 0.7 s before the kill is unchanged.

Five tests failed before (four of test_gateway_stops against a stand-in that only closed idle connections, and one of test_edge with a process): no answer.

--- a/packages/entry/tests/test_edge.py
+++ b/packages/entry/tests/test_edge.py
@@ -118,3 +118,23 @@
                 caller.sendall(head.encode())
                 response = caller.recv(4_096)
             self.assertIn(b" 503 ", response.splitlines()[0])
+
+    def test_request_that_is_arriving_when_the_process_ends_gets_a_refusal(self):
+        ports = [find_port() for _ in range(3)]
+        entry = self.start(ports)
+        self.assertIsNotNone(entry.read_event("started"))
+        address = ("127.0.0.1", ports[0])
+        with (
+            socket.create_connection(address, TIMEOUT_S) as caller,
+            socket.create_connection(address, TIMEOUT_S) as idle,
+        ):
+            caller.sendall(b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nx")
+            entry.process.send_signal(signal.SIGTERM)
+            sent_s = time.monotonic()
+            response = caller.makefile("rb").read()
+            self.assertEqual(idle.recv(1), b"")
+        self.assertEqual(entry.process.wait(TIMEOUT_S), 0)
+        self.assertLess(time.monotonic() - sent_s, 4.5)
+        self.assertTrue(response.startswith(b"HTTP/1.1 503 "))
+        self.assertIn(b"\r\nconnection: close\r\n", response)
+        self.assertTrue(response.endswith(b"\r\n\r\nstopping\n"))
--- a/packages/entry/tests/test_gateway_stops.py
+++ b/packages/entry/tests/test_gateway_stops.py
@@ -1,8 +1,16 @@
 import gatewaycases
 
+from wasabiknot_kernel import routes
+
 ACCEPT_S = 2.7
 
 
+STREAM_HEAD = (
+    b"HTTP/1.1 200 OK\r\nx-wasabiknot-attempt-id: q1\r\n"
+    b"x-wasabiknot-server-stamp: s1\r\ncontent-type: text/event-stream\r\n\r\n"
+)
+
+
 class StopTests(gatewaycases.GatewayCase):
     def send(self, request_id):
         return self.connect(gatewaycases.build_head(request_id))
@@ -51,6 +59,51 @@
         self.assert_refused(queued)
         self.assertEqual([item.transport.value() for item in accepted], [b"", b""])
 
+    def test_requests_still_queued_when_the_grace_period_ends_are_refused(self):
+        in_flight = [self.send("q1"), self.send("q2")]
+        for number in range(2):
+            self.accept(number)
+        queued = self.send("q3")
+        self.gateway.stop(ACCEPT_S, 4.0)
+        self.gateway.end_requests()
+        self.assert_refused(queued)
+        for channel in in_flight:
+            answer = self.read_answer(channel)
+            self.assertEqual((answer.status, answer.body), (502, b"outcome-unknown\n"))
+            self.assertNotIn(b"retry-after", answer.head)
+            self.assertEqual(answer.head[b"connection"], b"close")
+            self.assertTrue(channel.transport.disconnecting)
+        self.assertEqual(len(self.gateway), 0)
+
+    def test_request_that_was_not_sent_is_refused_when_the_grace_period_ends(self):
+        connecting = self.send("q1")
+        self.gateway.stop(ACCEPT_S, 4.0)
+        self.gateway.end_requests()
+        self.assert_refused(connecting)
+
+    def test_request_that_is_arriving_when_the_process_ends_is_refused(self):
+        post = gatewaycases.build_head(method=b"POST", extra=(b"content-length: 2",))
+        arriving = [self.connect(post[:30]), self.connect(post + b"x")]
+        idle = self.connect()
+        self.gateway.stop(ACCEPT_S, 4.0)
+        self.gateway.end_requests()
+        for channel in arriving:
+            self.assert_refused(channel)
+        self.assertTrue(idle.transport.disconnecting)
+        self.assertEqual(idle.transport.value(), b"")
+
+    def test_only_a_stream_that_has_begun_is_cut_when_the_grace_period_ends(self):
+        stream = gatewaycases.build_route(retry_rule=routes.RetryRule.STREAM)
+        self.configure(gatewaycases.build_configuration(2, routes=(stream,)))
+        begun, quiet = self.send("q1"), self.send("q2")
+        begun_connection, _ = self.accept(0), self.accept(1)
+        begun_connection.dataReceived(STREAM_HEAD + b"id: 1\ndata: a\n\n")
+        self.gateway.stop(ACCEPT_S, 4.0)
+        self.gateway.end_requests()
+        self.assertTrue(begun.transport.value().endswith(b"data: a\n\n\r\n"))
+        self.assertTrue(begun.transport.disconnecting)
+        self.assertEqual(self.read_answer(quiet).status, 502)
+
     def test_response_to_a_request_in_flight_at_the_signal_closes_the_connection(self):
         channel = self.send("q1")
         connection = self.accept(0)
--- a/packages/entry/wasabiknot_entry/channels.py
+++ b/packages/entry/wasabiknot_entry/channels.py
@@ -81,5 +81,14 @@
     def _has_next_request(self):
         return bool(self._buffer) or any(self._dataBuffer)
 
+    def end(self):
+        """Closes the connection; refuses a request that is still arriving."""
+        if self._handlingRequest:
+            self.persistent = False
+        elif self.requests:
+            self.requests[0].refuse_for_stop()
+        else:
+            self.loseConnection()
+
     def _compute_idle_limit_s(self):
         return self.gateway.limits.idle_ms / 1_000 + IDLE_TIMEOUT_MARGIN_S
--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -65,6 +65,9 @@
 # check fails. Requests accepted later may not finish within the grace period.
 BALANCER_DELAY_S = 2.7
 DRAIN_CHECK_INTERVAL_S = 0.05
+# Longest time in which the last responses are written. It is part of the margin that
+# ``stops`` keeps at the end of the grace period.
+MAX_FLUSH_S = 0.4
 FINAL_FLUSH_DELAY_S = 0.05
 PUBLISH_RETRY_S = 0.5
 
@@ -445,12 +448,18 @@
 
     def _wait_until_drained(self):
         if self._gateway.is_drained:
-            self._gateway.close_idle()
-            journal.write(events.Event.STOPPED, entry=self._settings.name)
-            return task.deferLater(reactor, FINAL_FLUSH_DELAY_S)
+            self._gateway.end_requests()
+            return self._wait_until_flushed(reactor.seconds() + MAX_FLUSH_S)
         delayed = task.deferLater(reactor, DRAIN_CHECK_INTERVAL_S)
         return delayed.addCallback(lambda _: self._wait_until_drained())
 
+    def _wait_until_flushed(self, deadline_s):
+        delayed = task.deferLater(reactor, FINAL_FLUSH_DELAY_S)
+        if not self._gateway.connection_count or reactor.seconds() >= deadline_s:
+            journal.write(events.Event.STOPPED, entry=self._settings.name)
+            return delayed
+        return delayed.addCallback(lambda _: self._wait_until_flushed(deadline_s))
+
 
 def _log_change(change):
     source = change.source.value
--- a/packages/entry/wasabiknot_entry/flows.py
+++ b/packages/entry/wasabiknot_entry/flows.py
@@ -225,15 +225,16 @@
         kind = Kind.DEADLINE_EXCEEDED if self.ticket.may_have_run else Kind.QUEUE_FULL
         self._gateway.fail_request(self, kind, "time is over")
 
-    def drop(self, reason):
-        """Ends the request before its response, for lack of memory.
+    def drop(self, reason, kind=Kind.QUEUE_FULL):
+        """Ends the request before its response, for lack of memory or time.
 
         :param reason: short text for the log.
+        :param kind: error kind.
         """
         if self.is_ended:
             return
         self._cancel_attempt(is_timed_out=False)
-        self._gateway.fail_request(self, Kind.QUEUE_FULL, reason)
+        self._gateway.fail_request(self, kind, reason)
         self._gateway.dispatch_waiting(self.ticket.service)
 
     def _cancel_attempt(self, is_timed_out):
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -113,6 +113,11 @@
             kind = Kind.QUEUE_FULL
             self._refuse(kind, 503, BUFFERS_FULL_RETRY_AFTER_S, BUFFERS_FULL)
 
+    def refuse_for_stop(self):
+        """Refuses the request, which is still arriving, because the entry ends."""
+        if not self.is_refused:
+            self._refuse(Kind.STOPPING, 503, STOPPING_RETRY_AFTER_S, STOPPING)
+
     def process(self):
         """Passes the request to the gateway."""
         if not self.is_refused:
@@ -432,6 +437,8 @@
         if flow.is_ended:
             return
         if flow.ticket.may_have_run:
+            if kind is Kind.STOPPING:
+                kind = Kind.OUTCOME_UNKNOWN
             is_late = kind is Kind.DEADLINE_EXCEEDED
             status, retry_after_s = (504 if is_late else 502), None
         else:
@@ -583,11 +590,24 @@
             return True
         return now_s >= self._stop.accept_until_s and not len(self)
 
-    def close_idle(self):
-        """Closes the callers' connections that have no request in flight."""
+    @property
+    def connection_count(self):
+        """Number of callers' connections."""
+        return len(self._channels)
+
+    def end_requests(self):
+        """Ends all requests with a response, as the process ends.
+
+        Queued requests are refused. Of those in flight, only the responses that have
+        begun are cut. The connections are closed once everything is written.
+        """
+        for dispatcher in self._deployment.list_dispatchers():
+            for ticket in dispatcher.list_waiting():
+                self._refuse_for_stop(self._flows[id(ticket)])
+        for flow in list(self._flows.values()):
+            flow.drop(STOPPING, Kind.STOPPING)
         for channel in list(self._channels):
-            if not channel.requests:
-                channel.loseConnection()
+            channel.end()
 
 
 def _create_stop_refusal():
