Answer requests that can't be sent to a server with 400 at once

Twisted accepts requests that the client for backend servers rejects: targets with bytes from 0x7f on, values with form feeds or vertical tabs, two Host fields. The rejection was raised in a callback whose errback doesn't see it, so the caller got 504 at its deadline (h11.LocalProtocolError, unhandled). After a CONNECT the response was never read. Such requests now get 400 before admission.

--- a/packages/entry/wasabiknot_entry/connections.py
+++ b/packages/entry/wasabiknot_entry/connections.py
@@ -30,6 +30,10 @@
 # without end.
 MAX_INTERIM_HEADS = 8
 
+# After a response to this method, the connection isn't used for HTTP any more.
+TUNNEL_METHOD = b"CONNECT"
+FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
+
 
 class LossReason(enum.Enum):
     """Reasons for the loss of a connection with a request in flight."""
@@ -66,6 +70,25 @@
     body: bytes = b""
 
 
+def find_fault(method, target, headers):
+    """Finds out why a request can't be sent.
+
+    :param method: HTTP method.
+    :param target: path with the query string.
+    :param headers: pairs of lower-case names and values; those of the framing are not
+        looked at, as each connection has its own.
+    :return: short text; empty if it can be sent.
+    """
+    if method == TUNNEL_METHOD:
+        return "tunnels are not supported"
+    fields = [field for field in headers if field[0] not in FRAMING_HEADERS]
+    try:
+        h11.Request(method=method, target=target, headers=fields)
+    except h11.LocalProtocolError as fault:
+        return str(fault)
+    return ""
+
+
 class Connection(protocol.Protocol):
     """A connection that carries one request at a time.
 
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -71,6 +71,14 @@
     )
 
 
+def _find_fault(request, headers):
+    # Twisted accepts some requests that the client for backend servers doesn't.
+    fault = connections.find_fault(request.method, request.uri, headers)
+    if not fault:
+        return None
+    return error_responses.ErrorResponse(Kind.BAD_REQUEST, 400, None, fault)
+
+
 class CallerRequest(http.Request):
     """A caller's request, which is processed once its body is complete."""
 
@@ -234,7 +242,9 @@
         headers = _list_headers(request)
         arrival = _decode_arrival(request, headers)
         body = request.content.read()
-        admission = self._admit(arrival, request, body)
+        admission = _find_fault(request, headers)
+        if admission is None:
+            admission = self._admit(arrival, request, body)
         if isinstance(admission, error_responses.ErrorResponse):
             self._record_error(arrival.request_id, admission, None)
             error_responses.write_error(request, admission)
