Pass forms on to servers without parsing them

The body of a POST with a form's content type was parsed on arrival, though nothing reads the result. A form that can't be parsed got a bare 400 from Twisted, and one with an encoded field name closed the connection without an answer (AttributeError). Bodies are now passed on as they are, which also saves the time.

The test failed before for both bodies.

--- a/packages/entry/tests/test_gateway_faults.py
+++ b/packages/entry/tests/test_gateway_faults.py
@@ -32,3 +32,20 @@
         channel = self.connect(head + b"1\r\na\r\n0\r\n\r\n")
         self.respond(self.accept(0))
         self.assert_status(channel, 200)
+
+    def test_form_that_cannot_be_parsed_closes_the_connection(self):
+        kind = b"content-type: multipart/form-data; boundary=x"
+        bodies = (
+            b"ab",
+            b"\r\n--x\r\nContent-Disposition: form-data; name*=x'y'%ff\r\n\r\na",
+        )
+        for body in bodies:
+            with self.subTest(body=body):
+                self.setUp()
+                size = b"content-length: %d" % len(body)
+                head = gatewaycases.build_head(method=b"POST", extra=(kind, size))
+                channel = self.connect(head + body)
+                connection = self.accept(0)
+                self.assertTrue(connection.transport.value().endswith(body))
+                self.respond(connection)
+                self.assert_status(channel, 200)
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -87,6 +87,10 @@
     received_bytes = 0
     is_refused = False
 
+    def __init__(self, channel, queued):
+        # Bodies are passed on as they are, so forms aren't parsed.
+        super().__init__(channel, queued, parsePOSTFormSubmission=False)
+
     def gotLength(self, length):  # noqa: N802
         """Prepares to store the body in memory, where the budget counts it."""
         self.content = io.BytesIO()
