Go on with requests when the reader of the log has ended

Each log line raised BrokenPipeError then, also those written before a request is sent and before it is answered: all requests ended without an answer. Lines that nobody takes are now dropped and counted, as with a full pipe.

The test failed before (BrokenPipeError).

--- a/packages/entry/tests/test_journal.py
+++ b/packages/entry/tests/test_journal.py
@@ -52,3 +52,13 @@
             pass
         journal.write(events.Event.REFUSED, request="q1", kind="x")
         self.assertEqual(self.handler.dropped, 1)
+
+    def test_line_fails_when_the_reader_of_the_log_has_ended(self):
+        # Each request then ended with an exception instead of an answer.
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, writer)
+        os.close(reader)
+        handler = journal.NonBlockingHandler(writer)
+        record = logging.LogRecord("x", logging.INFO, "", 0, "line", (), None)
+        handler.emit(record)
+        self.assertEqual(handler.dropped, 1)
--- a/packages/entry/wasabiknot_entry/journal.py
+++ b/packages/entry/wasabiknot_entry/journal.py
@@ -30,11 +30,14 @@
         os.set_blocking(descriptor, False)
 
     def emit(self, record):
-        """Writes one line, or counts it as dropped if the pipe is full."""
+        """Writes one line, or counts it as dropped if nobody takes it.
+
+        The pipe may be full, or its reader may have ended; requests go on without it.
+        """
         line = self.format(record).encode() + b"\n"
         try:
             os.write(self._descriptor, line)
-        except BlockingIOError:
+        except OSError:
             self.dropped += 1
 
 
