Answer requests whose handling fails unexpectedly, in one place

An exception between admission and the first send closed the caller's connection (on arrival), or left the request until its deadline (in a callback or the tick); it could also keep the slot at the server, end the tick, and drop the other requests of the same batch of decisions. The errback of SendAttempt's connection doesn't see a failure of the callback beside it.

Every step of a request that is called from outside now runs through Gateway.run_step: on an exception the request gets a complete 503 "internal-error" if it wasn't sent, 502 if it may have run, or is cut if its response has begun; WK1409 tells the failure. A failure in a queue ends the requests in it, as any of them may be the cause. A failed send frees its slot.

--- a/packages/entry/wasabiknot_entry/flows.py
+++ b/packages/entry/wasabiknot_entry/flows.py
@@ -1,5 +1,7 @@
 """Requests in flight: attempts, relayed responses, retries and timeouts."""
 
+import functools
+
 from wasabiknot_entry import connections, error_responses, journal, send_attempts
 from wasabiknot_kernel import events, exceptions, outcomes, releases
 from wasabiknot_platform import headers as platform_headers
@@ -12,6 +14,15 @@
 MIN_SEND_S = 0.02
 
 
+def _answer_failures(step):
+    # An exception must not leave the request without an answer.
+    @functools.wraps(step)
+    def run(self, *arguments):
+        return self._gateway.run_step(self.request, step, self, *arguments)
+
+    return run
+
+
 class Flow:
     """One request of a caller, from admission to its final response.
 
@@ -40,6 +51,11 @@
         delay_s = max(0.0, ticket.deadline_s - gateway.reactor.seconds())
         self._timer = gateway.reactor.callLater(delay_s, self._time_out)
 
+    @property
+    def request(self):
+        """The ``gateways.CallerRequest``."""
+        return self._request
+
     @property
     def dispatcher(self):
         """The dispatcher of the service that handles the request."""
@@ -87,6 +103,7 @@
             self._gateway.reactor, self._gateway.pool, assignment, request, self
         )
 
+    @_answer_failures
     def handle_head(self, head):
         """Records what the backend server states about itself.
 
@@ -95,6 +112,7 @@
         server = self._assignment.server
         self._gateway.record_statement(server, head, self._sent_s)
 
+    @_answer_failures
     def handle_event(self, event, head):
         """Relays one event of a streamed response to the caller.
 
@@ -150,6 +168,14 @@
     def stopProducing(self):  # noqa: N802
         """Does nothing: ``handle_disconnect`` ends the request."""
 
+    def handle_failure(self, failure):
+        """Ends the request after a failure to send it.
+
+        :param failure: Twisted failure.
+        """
+        self._gateway.end_failed(self.request, failure)
+
+    @_answer_failures
     def handle_result(self, result):
         """Handles the result of an attempt: forwards the response, retries or fails.
 
@@ -218,6 +244,7 @@
         else:
             self._request.finish()
 
+    @_answer_failures
     def _time_out(self):
         if self.is_ended:
             return
@@ -240,10 +267,14 @@
     def _cancel_attempt(self, is_timed_out):
         attempt, self._attempt = self._attempt, None
         assignment, self._assignment = self._assignment, None
-        if attempt is None:
+        if assignment is None:
             return
-        is_sent = attempt.phase is not send_attempts.Phase.CONNECTING
-        attempt.cancel()
+        # Without an attempt, it failed before the send.
+        is_sent = attempt is not None and (
+            attempt.phase is not send_attempts.Phase.CONNECTING
+        )
+        if attempt is not None:
+            attempt.cancel()
         if is_sent:
             self.ticket.may_have_run = True
         now_s = self._gateway.reactor.seconds()
@@ -264,6 +295,7 @@
                 now_s,
             )
 
+    @_answer_failures
     def handle_disconnect(self):
         """Cancels the request after the caller has closed the connection."""
         if self.is_ended:
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -5,7 +5,8 @@
 
 import xxhash
 from twisted.internet import error
-from twisted.web import http
+from twisted.python import failure
+from twisted.web import http, http_headers
 
 from wasabiknot_entry import (
     buffers,
@@ -49,6 +50,10 @@
 # soon routes to other entries only.
 STOPPING_RETRY_AFTER_S = 0.2
 STOPPING = "shutting down"
+# Error kinds that say that the request has not run.
+NOT_RUN_KINDS = frozenset((Kind.STOPPING, Kind.INTERNAL_ERROR))
+INTERNAL_RETRY_AFTER_S = 0.5
+INTERNAL_ERROR = "unexpected failure"
 BUFFERS_FULL = "bodies held in memory are too large"
 
 
@@ -120,7 +125,7 @@
     def drop_buffer(self):
         """Ends the request, as buffers hold too much and its body the most."""
         if self.flow is not None:
-            self.flow.drop(BUFFERS_FULL)
+            self.gateway.run_step(self, self.flow.drop, BUFFERS_FULL)
         elif not self.is_refused:
             kind = Kind.QUEUE_FULL
             self._refuse(kind, 503, BUFFERS_FULL_RETRY_AFTER_S, BUFFERS_FULL)
@@ -133,7 +138,24 @@
     def process(self):
         """Passes the request to the gateway."""
         if not self.is_refused:
-            self.gateway.handle_request(self)
+            self.gateway.run_step(self, self.gateway.handle_request, self)
+
+    def answer_failure(self, error):
+        """Ends the request with an error response, unless it has one.
+
+        :param error: ``error_responses.ErrorResponse``.
+        """
+        if self.finished or self.channel is None:
+            return
+        if self.producer is not None:
+            self.unregisterProducer()
+        if self.startedWriting:
+            self.channel.loseConnection()
+            return
+        self.responseHeaders = http_headers.Headers()
+        if not self.channel.persistent:
+            self.setHeader(b"connection", b"close")
+        error_responses.write_error(self, error)
 
     def finish(self):
         """Finishes the response; the body isn't needed any more."""
@@ -261,6 +283,55 @@
         self.get_budget(admission.service).record_request(self.reactor.seconds())
         self.submit(flow)
 
+    def run_step(self, request, step, *arguments):
+        """Runs a step of a request; if it fails, the request gets an answer.
+
+        :param request: ``CallerRequest``.
+        :param step: function.
+        :param arguments: arguments of the function.
+        :return: what the function returns; ``None`` if it has failed.
+        """
+        try:
+            return step(*arguments)
+        except Exception:
+            self.end_failed(request, failure.Failure())
+            return None
+
+    def end_failed(self, request, reason):
+        """Ends a request with a complete response after an unexpected failure.
+
+        A response that has begun is cut; one that is complete isn't touched.
+
+        :param request: ``CallerRequest``.
+        :param reason: Twisted failure.
+        """
+        flow = request.flow
+        journal.write(
+            events.Event.REQUEST_FAILED,
+            request=flow.ticket.request_id if flow else "",
+            error=reason.getTraceback(),
+        )
+        if flow is not None:
+            if flow.is_ended and request.startedWriting:
+                return
+            if not flow.is_ended and self._try_drop(flow):
+                return
+            self._forget(flow)
+        request.answer_failure(_create_failure_response(flow))
+
+    def _try_drop(self, flow):
+        try:
+            flow.drop(INTERNAL_ERROR, Kind.INTERNAL_ERROR)
+        except Exception:
+            journal.log_failure(failure.Failure(), "end of a request")
+            return False
+        return True
+
+    def _forget(self, flow):
+        flow.is_ended = True
+        self._flows.pop(id(flow.ticket), None)
+        self.get_dispatcher(flow.ticket.service).withdraw(flow.ticket)
+
     def record_refused_body(self, request, error):
         """Records a request that is refused while its body is still arriving.
 
@@ -400,19 +471,34 @@
         """
         dispatcher = self.get_dispatcher(service)
         if len(dispatcher):
-            self._apply_decisions(dispatcher.dispatch_waiting(self.reactor.seconds()))
+            self._run_queue_step(self._send_waiting, dispatcher)
+
+    def _send_waiting(self, dispatcher):
+        self._apply_decisions(dispatcher.dispatch_waiting(self.reactor.seconds()))
+
+    def _run_queue_step(self, step, dispatcher):
+        # A failure may be due to any of the queued requests, so all of them end.
+        try:
+            step(dispatcher)
+        except Exception:
+            reason = failure.Failure()
+            for ticket in dispatcher.list_waiting():
+                self.end_failed(self._flows[id(ticket)].request, reason)
 
     def tick(self):
         """Expires waiting requests and sends those for which capacity is free."""
         self._is_tick_scheduled = False
-        now_s = self.reactor.seconds()
         for dispatcher in self._deployment.list_dispatchers():
             if len(dispatcher):
-                self._refuse_waiting_unfinishable(dispatcher, now_s)
-                self._apply_decisions(dispatcher.refuse_expired(now_s))
-                self._apply_decisions(dispatcher.dispatch_waiting(now_s))
+                self._run_queue_step(self._check_queue, dispatcher)
         self._schedule_tick()
 
+    def _check_queue(self, dispatcher):
+        now_s = self.reactor.seconds()
+        self._refuse_waiting_unfinishable(dispatcher, now_s)
+        self._apply_decisions(dispatcher.refuse_expired(now_s))
+        self._apply_decisions(dispatcher.dispatch_waiting(now_s))
+
     def _refuse_waiting_unfinishable(self, dispatcher, now_s):
         if self._stop is None:
             return
@@ -430,14 +516,16 @@
     def _apply_decisions(self, decisions):
         for decision in decisions:
             flow = self._flows.get(id(decision.ticket))
-            if flow is None or flow.is_ended:
-                continue
-            if isinstance(decision, dispatch.Assignment):
-                flow.send(decision)
-            else:
-                self.fail_request(
-                    flow, decision.kind, decision.reason, decision.retry_after_s
-                )
+            if flow is not None and not flow.is_ended:
+                self.run_step(flow.request, self._apply_decision, flow, decision)
+
+    def _apply_decision(self, flow, decision):
+        if isinstance(decision, dispatch.Assignment):
+            flow.send(decision)
+        else:
+            self.fail_request(
+                flow, decision.kind, decision.reason, decision.retry_after_s
+            )
 
     def fail_request(self, flow, kind, reason, retry_after_s=None):
         """Ends a request with an error response.
@@ -451,7 +539,7 @@
         if flow.is_ended:
             return
         if flow.ticket.may_have_run:
-            if kind is Kind.STOPPING:
+            if kind in NOT_RUN_KINDS:
                 kind = Kind.OUTCOME_UNKNOWN
             is_late = kind is Kind.DEADLINE_EXCEEDED
             status, retry_after_s = (504 if is_late else 502), None
@@ -628,3 +716,13 @@
     return error_responses.ErrorResponse(
         Kind.STOPPING, 503, STOPPING_RETRY_AFTER_S, STOPPING
     )
+
+
+def _create_failure_response(flow):
+    if flow is not None and flow.ticket.may_have_run:
+        return error_responses.ErrorResponse(
+            Kind.OUTCOME_UNKNOWN, 502, None, INTERNAL_ERROR
+        )
+    return error_responses.ErrorResponse(
+        Kind.INTERNAL_ERROR, 503, INTERNAL_RETRY_AFTER_S, INTERNAL_ERROR
+    )
--- a/packages/entry/wasabiknot_entry/send_attempts.py
+++ b/packages/entry/wasabiknot_entry/send_attempts.py
@@ -4,6 +4,7 @@
 
 import msgspec
 from twisted.internet import error
+from twisted.python import failure
 
 from wasabiknot_entry import eventstreams
 from wasabiknot_kernel import outcomes
@@ -95,9 +96,14 @@
             connection.abort()
             return
         self._connection = connection
+        try:
+            connection.send(self._request, self)
+        except Exception:
+            self._receiver.handle_failure(failure.Failure())
+            self.cancel()
+            return
         self.phase = Phase.SENT
         self._start_first_event_timer()
-        connection.send(self._request, self)
 
     def _handle_connect_failure(self, failure):
         if self.phase is not Phase.ENDED:
--- a/packages/kernel/wasabiknot_kernel/events.py
+++ b/packages/kernel/wasabiknot_kernel/events.py
@@ -189,6 +189,9 @@
         logging.WARNING,
         "{request}: its caller did not take {left_bytes} bytes, {reason}",
     )
+    REQUEST_FAILED = EventDefinition(
+        1409, logging.ERROR, "{request}: unexpected failure: {error}"
+    )
     DATAGRAM_BAD = EventDefinition(
         1501, logging.WARNING, "bad datagram from {peer}: {error}"
     )
--- a/packages/kernel/wasabiknot_kernel/exceptions.py
+++ b/packages/kernel/wasabiknot_kernel/exceptions.py
@@ -38,6 +38,7 @@
     INCOMPLETE = "incomplete"
     KEY_UNKNOWN = "key-unknown"
     OVER_ALLOWANCE = "over-allowance"
+    INTERNAL_ERROR = "internal-error"
 
 
 class ErrorTemplate(msgspec.Struct, frozen=True):
@@ -92,6 +93,7 @@
     ErrorKind.OVER_ALLOWANCE: ErrorTemplate(
         429, "The customer's allowance is used up.", 1
     ),
+    ErrorKind.INTERNAL_ERROR: ErrorTemplate(503, "This VM has failed.", 1),
 }
 
 
