--- /dev/null
+++ b/packages/entry/tests/test_gateway_stops.py
@@ -0,0 +1,134 @@
+import gatewaycases
+
+from wasabiknot_kernel import routes
+
+ACCEPT_S = 2.7
+
+
+STREAM_HEAD = (
+    b"HTTP/1.1 200 OK\r\nx-wasabiknot-attempt-id: q1\r\n"
+    b"x-wasabiknot-server-stamp: s1\r\ncontent-type: text/event-stream\r\n\r\n"
+)
+
+
+class StopTests(gatewaycases.GatewayCase):
+    def send(self, request_id):
+        return self.connect(gatewaycases.build_head(request_id))
+
+    def learn(self, duration_s):
+        for number in range(4):
+            channel = self.send(f"s{number}")
+            connection = self.accept(-1)
+            self.advance(duration_s)
+            self.respond(connection, f"s{number}")
+            connection.connectionLost(gatewaycases.CLOSED)
+            self.assertEqual(self.read_answer(channel).status, 200)
+
+    def assert_refused(self, channel):
+        answer = self.read_answer(channel)
+        self.assertEqual((answer.status, answer.body), (503, b"stopping\n"))
+        self.assertGreater(float(answer.head[b"retry-after"]), 0)
+        self.assertEqual(answer.head[b"connection"], b"close")
+        self.assertTrue(channel.transport.disconnecting)
+
+    def test_request_that_cannot_end_before_the_process_is_refused_at_once(self):
+        for grace_s, accepted_s in ((4.0, 1.7), (8.0, 2.7)):
+            with self.subTest(grace_s=grace_s):
+                self.setUp()
+                self.learn(1.0)
+                self.gateway.stop(ACCEPT_S, grace_s)
+                self.advance(accepted_s - 0.1)
+                self.assertEqual(self.send("q1").transport.value(), b"")
+                self.advance(0.2)
+                self.assert_refused(self.send("q2"))
+
+    def test_small_grace_period_does_not_accept_what_it_cannot_end(self):
+        self.gateway.stop(ACCEPT_S, 1.0)
+        self.advance(0.35)
+        self.assert_refused(self.send("q1"))
+        self.assertTrue(self.gateway.is_drained)
+
+    def test_queued_request_is_refused_once_it_cannot_end(self):
+        self.learn(1.0)
+        accepted = [self.send("q1"), self.send("q2")]
+        queued = self.send("q3")
+        self.gateway.stop(ACCEPT_S, 4.0)
+        self.advance(1.6)
+        self.assertEqual(queued.transport.value(), b"")
+        self.advance(0.3)
+        self.assert_refused(queued)
+        self.assertEqual([item.transport.value() for item in accepted], [b"", b""])
+
+    def test_requests_still_queued_when_the_grace_period_ends_are_refused(self):
+        in_flight = [self.send("q1"), self.send("q2")]
+        for number in range(2):
+            self.accept(number)
+        queued = self.send("q3")
+        self.gateway.stop(ACCEPT_S, 4.0)
+        self.gateway.end_requests()
+        self.assert_refused(queued)
+        for channel in in_flight:
+            answer = self.read_answer(channel)
+            self.assertEqual((answer.status, answer.body), (502, b"outcome-unknown\n"))
+            self.assertNotIn(b"retry-after", answer.head)
+            self.assertEqual(answer.head[b"connection"], b"close")
+            self.assertTrue(channel.transport.disconnecting)
+        self.assertEqual(len(self.gateway), 0)
+
+    def test_request_that_was_not_sent_is_refused_when_the_grace_period_ends(self):
+        connecting = self.send("q1")
+        self.gateway.stop(ACCEPT_S, 4.0)
+        self.gateway.end_requests()
+        self.assert_refused(connecting)
+
+    def test_request_that_is_arriving_when_the_process_ends_is_refused(self):
+        post = gatewaycases.build_head(method=b"POST", extra=(b"content-length: 2",))
+        arriving = [self.connect(post[:30]), self.connect(post + b"x")]
+        idle = self.connect()
+        self.gateway.stop(ACCEPT_S, 4.0)
+        self.gateway.end_requests()
+        for channel in arriving:
+            self.assert_refused(channel)
+        self.assertTrue(idle.transport.disconnecting)
+        self.assertEqual(idle.transport.value(), b"")
+
+    def test_only_a_stream_that_has_begun_is_cut_when_the_grace_period_ends(self):
+        stream = gatewaycases.build_route(retry_rule=routes.RetryRule.STREAM)
+        self.configure(gatewaycases.build_configuration(2, routes=(stream,)))
+        begun, quiet = self.send("q1"), self.send("q2")
+        begun_connection, _ = self.accept(0), self.accept(1)
+        begun_connection.dataReceived(STREAM_HEAD + b"id: 1\ndata: a\n\n")
+        self.gateway.stop(ACCEPT_S, 4.0)
+        self.gateway.end_requests()
+        self.assertTrue(begun.transport.value().endswith(b"data: a\n\n\r\n"))
+        self.assertTrue(begun.transport.disconnecting)
+        self.assertEqual(self.read_answer(quiet).status, 502)
+
+    def test_response_to_a_request_in_flight_at_the_signal_closes_the_connection(self):
+        channel = self.send("q1")
+        connection = self.accept(0)
+        self.gateway.stop(ACCEPT_S, 4.0)
+        self.respond(connection)
+        answer = self.read_answer(channel)
+        self.assertEqual((answer.status, answer.body), (200, b"ok"))
+        self.assertEqual(answer.head[b"connection"], b"close")
+        self.assertTrue(channel.transport.disconnecting)
+
+    def test_second_request_that_arrives_with_the_first_is_dropped(self):
+        heads = [gatewaycases.build_head(f"q{number}") for number in (1, 2)]
+        for is_before in (True, False):
+            with self.subTest(is_before=is_before):
+                self.setUp()
+                channel = self.connect()
+                if is_before:
+                    channel.dataReceived(b"".join(heads))
+                self.gateway.stop(ACCEPT_S)
+                if not is_before:
+                    channel.dataReceived(b"".join(heads))
+                connection = self.accept(0)
+                self.respond(connection)
+                self.respond(connection, "q2")
+                answers = self.read_answers(channel)
+                self.assertEqual([item.status for item in answers], [200, 200])
+                self.assertNotIn(b"connection", answers[0].head)
+                self.assertEqual(answers[1].head[b"connection"], b"close")
--- /dev/null
+++ b/packages/entry/wasabiknot_entry/channels.py
@@ -0,0 +1,94 @@
+"""Callers' connections and their idle limit."""
+
+from twisted.web import http
+
+# Idle connections stay open longer than the configured timeout, so that a caller
+# that relies on the timeout does not send into a connection being closed.
+IDLE_TIMEOUT_MARGIN_S = 2.0
+# A request that is arriving may pause for this time, whatever the idle limit.
+MIN_READ_TIMEOUT_S = 15.0
+# Time between the end of the limit and the close. After a pause of the process the
+# timers run first; a request that arrived meanwhile is read in this time.
+LAST_READ_S = 0.02
+
+
+class CallerChannel(http.HTTPChannel):
+    """A caller's connection, which follows the idle limit in force.
+
+    The timer of the base class may end early; the limit is checked when it does.
+    """
+
+    gateway = None
+    _quiet_since_s = 0.0
+    _is_reading = False
+    _is_closing = False
+
+    def connectionMade(self):  # noqa: N802
+        """Starts the idle time of the connection."""
+        self._quiet_since_s = self.gateway.reactor.seconds()
+        self.timeOut = self._compute_idle_limit_s()
+        super().connectionMade()
+        self.gateway.add_channel(self)
+        self.transport.setTcpNoDelay(True)
+
+    def dataReceived(self, data):  # noqa: N802
+        """Parses received bytes; ends the idle time."""
+        self._quiet_since_s = self.gateway.reactor.seconds()
+        self._is_reading = True
+        self._is_closing = False
+        super().dataReceived(data)
+
+    def requestDone(self, request):  # noqa: N802
+        """Starts the idle time after a response, under the limit in force."""
+        self._quiet_since_s = self.gateway.reactor.seconds()
+        self._is_reading = False
+        self._savedTimeOut = self._compute_idle_limit_s()
+        super().requestDone(request)
+
+    def timeoutConnection(self):  # noqa: N802
+        """Closes the connection, or waits on if the limit in force allows it."""
+        limit_s = self._compute_idle_limit_s()
+        if self._is_reading or self.requests:
+            limit_s = max(limit_s, MIN_READ_TIMEOUT_S)
+        left_s = self._quiet_since_s + limit_s - self.gateway.reactor.seconds()
+        if left_s > 0:
+            self.setTimeout(left_s)
+            return
+        if not self._is_closing:
+            self._is_closing = True
+            self.setTimeout(LAST_READ_S)
+            return
+        self.gateway.count_idle_close()
+        super().timeoutConnection()
+
+    def connectionLost(self, reason):  # noqa: N802
+        """Ends the requests of the connection."""
+        self.gateway.discard_channel(self)
+        super().connectionLost(reason)
+
+    def announce_close(self):
+        """Closes the connection after the response that is due, and says so in it.
+
+        Not if the response has begun or the next request is here already.
+        """
+        if not self._handlingRequest or self._has_next_request():
+            return
+        request = self.requests[0]
+        if not request.startedWriting:
+            self.persistent = False
+            request.setHeader(b"connection", b"close")
+
+    def _has_next_request(self):
+        return bool(self._buffer) or any(self._dataBuffer)
+
+    def end(self):
+        """Closes the connection; refuses a request that is still arriving."""
+        if self._handlingRequest:
+            self.persistent = False
+        elif self.requests:
+            self.requests[0].refuse_for_stop()
+        else:
+            self.loseConnection()
+
+    def _compute_idle_limit_s(self):
+        return self.gateway.limits.idle_ms / 1_000 + IDLE_TIMEOUT_MARGIN_S
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -1,14 +1,17 @@
 """Accepts callers' requests, admits them and tracks them to the final response."""
 
 import io
+import math
 
 import xxhash
 from twisted.internet import error
-from twisted.web import http
+from twisted.python import failure
+from twisted.web import http, http_headers
 
 from wasabiknot_entry import (
     buffers,
     caller_bodies,
+    channels,
     connections,
     error_responses,
     flows,
@@ -21,6 +24,7 @@
     exceptions,
     outcomes,
     routes,
+    stops,
 )
 from wasabiknot_platform import headers as platform_headers
 
@@ -40,11 +44,16 @@
 RESPONSE_MARGIN_S = 0.015
 # Interval of the queue checks while requests are waiting.
 TICK_INTERVAL_S = 0.025
-# Idle connections stay open longer than the configured timeout, so that a caller
-# that relies on the timeout does not send into a connection being closed.
-IDLE_TIMEOUT_MARGIN_S = 2.0
 # Retry time of a request that is refused because the bodies held are too large.
 BUFFERS_FULL_RETRY_AFTER_S = 1.0
+# Retry time of a request that is refused because this entry stops. The load balancer
+# soon routes to other entries only.
+STOPPING_RETRY_AFTER_S = 0.2
+STOPPING = "shutting down"
+# Error kinds that say that the request has not run.
+NOT_RUN_KINDS = frozenset((Kind.STOPPING, Kind.INTERNAL_ERROR))
+INTERNAL_RETRY_AFTER_S = 0.5
+INTERNAL_ERROR = "unexpected failure"
 BUFFERS_FULL = "bodies held in memory are too large"
 
 
@@ -67,6 +76,14 @@
     )
 
 
+def _find_fault(request, headers):
+    # Twisted accepts some requests that the client for backend servers doesn't.
+    fault = connections.find_fault(request.method, request.uri, headers)
+    if not fault:
+        return None
+    return error_responses.ErrorResponse(Kind.BAD_REQUEST, 400, None, fault)
+
+
 class CallerRequest(http.Request):
     """A caller's request, which is processed once its body is complete."""
 
@@ -75,6 +92,10 @@
     received_bytes = 0
     is_refused = False
 
+    def __init__(self, channel, queued):
+        # Bodies are passed on as they are, so forms aren't parsed.
+        super().__init__(channel, queued, parsePOSTFormSubmission=False)
+
     def gotLength(self, length):  # noqa: N802
         """Prepares to store the body in memory, where the budget counts it."""
         self.content = io.BytesIO()
@@ -104,15 +125,37 @@
     def drop_buffer(self):
         """Ends the request, as buffers hold too much and its body the most."""
         if self.flow is not None:
-            self.flow.drop(BUFFERS_FULL)
+            self.gateway.run_step(self, self.flow.drop, BUFFERS_FULL)
         elif not self.is_refused:
             kind = Kind.QUEUE_FULL
             self._refuse(kind, 503, BUFFERS_FULL_RETRY_AFTER_S, BUFFERS_FULL)
 
+    def refuse_for_stop(self):
+        """Refuses the request, which is still arriving, because the entry ends."""
+        if not self.is_refused:
+            self._refuse(Kind.STOPPING, 503, STOPPING_RETRY_AFTER_S, STOPPING)
+
     def process(self):
         """Passes the request to the gateway."""
         if not self.is_refused:
-            self.gateway.handle_request(self)
+            self.gateway.run_step(self, self.gateway.handle_request, self)
+
+    def answer_failure(self, error):
+        """Ends the request with an error response, unless it has one.
+
+        :param error: ``error_responses.ErrorResponse``.
+        """
+        if self.finished or self.channel is None:
+            return
+        if self.producer is not None:
+            self.unregisterProducer()
+        if self.startedWriting:
+            self.channel.loseConnection()
+            return
+        self.responseHeaders = http_headers.Headers()
+        if not self.channel.persistent:
+            self.setHeader(b"connection", b"close")
+        error_responses.write_error(self, error)
 
     def finish(self):
         """Finishes the response; the body isn't needed any more."""
@@ -150,9 +193,8 @@
         # Requests whose backend server is silent and that no other one can take yet.
         self.silent_flows = set()
         self._channels = set()
-        self.is_stopping = False
+        self._stop = None
         self._is_tick_scheduled = False
-        self._reject_from_s = None
 
     def __len__(self):
         return len(self._flows) + len(self._body_writers)
@@ -169,24 +211,33 @@
 
         Request.gateway = gateway
 
-        class Channel(http.HTTPChannel):
+        class Channel(channels.CallerChannel):
             requestFactory = Request
 
-            def connectionMade(self):  # noqa: N802
-                self.timeOut = gateway.limits.idle_ms / 1_000 + IDLE_TIMEOUT_MARGIN_S
-                super().connectionMade()
-                gateway._channels.add(self)
-                self.transport.setTcpNoDelay(True)
-
-            def connectionLost(self, reason):  # noqa: N802
-                gateway._channels.discard(self)
-                super().connectionLost(reason)
-
+        Channel.gateway = gateway
         factory = http.HTTPFactory(timeout=None)
         factory.protocol = Channel
         factory.log = lambda request: None
         return factory
 
+    def add_channel(self, channel):
+        """Adds a caller's connection.
+
+        :param channel: ``channels.CallerChannel``.
+        """
+        self._channels.add(channel)
+
+    def discard_channel(self, channel):
+        """Removes a caller's connection that has ended.
+
+        :param channel: ``channels.CallerChannel``.
+        """
+        self._channels.discard(channel)
+
+    def count_idle_close(self):
+        """Counts a caller's connection that was closed for being idle."""
+        self._metrics.count_idle_close()
+
     @property
     def limits(self):
         """Limits on callers' connections and requests in the active configuration."""
@@ -214,13 +265,14 @@
 
         :param request: ``CallerRequest``.
         """
-        if self.is_stopping and request.channel is not None:
-            request.channel.persistent = False
-            request.setHeader(b"connection", b"close")
+        if self._stop is not None and request.channel is not None:
+            request.channel.announce_close()
         headers = _list_headers(request)
         arrival = _decode_arrival(request, headers)
         body = request.content.read()
-        admission = self._admit(arrival, request, body)
+        admission = _find_fault(request, headers)
+        if admission is None:
+            admission = self._admit(arrival, request, body)
         if isinstance(admission, error_responses.ErrorResponse):
             self._record_error(arrival.request_id, admission, None)
             error_responses.write_error(request, admission)
@@ -233,6 +285,56 @@
         self.get_budget(admission.service).record_request(self.reactor.seconds())
         self.submit(flow)
 
+    def run_step(self, request, step, *arguments):
+        """Runs a step of a request; if it fails, the request gets an answer.
+
+        :param request: ``CallerRequest``.
+        :param step: function.
+        :param arguments: arguments of the function.
+        :return: what the function returns; ``None`` if it has failed.
+        """
+        try:
+            return step(*arguments)
+        except Exception:
+            self.end_failed(request, failure.Failure())
+            return None
+
+    def end_failed(self, request, reason):
+        """Ends a request with a complete response after an unexpected failure.
+
+        A response that has begun is cut; one that is complete isn't touched.
+
+        :param request: ``CallerRequest``.
+        :param reason: Twisted failure.
+        """
+        flow = request.flow
+        journal.write(
+            events.Event.REQUEST_FAILED,
+            request=flow.ticket.request_id if flow else "",
+            error=reason.getTraceback(),
+        )
+        if flow is not None:
+            if flow.is_ended and request.startedWriting:
+                return
+            if not flow.is_ended and self._try_drop(flow):
+                return
+            self._forget(flow)
+        request.answer_failure(_create_failure_response(flow))
+
+    def _try_drop(self, flow):
+        try:
+            flow.drop(INTERNAL_ERROR, Kind.INTERNAL_ERROR)
+        except Exception:
+            journal.log_failure(failure.Failure(), "end of a request")
+            return False
+        return True
+
+    def _forget(self, flow):
+        flow.is_ended = True
+        self.silent_flows.discard(flow)
+        self._flows.pop(id(flow.ticket), None)
+        self.get_dispatcher(flow.ticket.service).withdraw(flow.ticket)
+
     def record_refused_body(self, request, error):
         """Records a request that is refused while its body is still arriving.
 
@@ -269,10 +371,8 @@
             return error_responses.ErrorResponse(
                 Kind.NOT_READY, 503, 0.5, "no configuration yet"
             )
-        if self._reject_from_s is not None and now_s >= self._reject_from_s:
-            return error_responses.ErrorResponse(
-                Kind.STOPPING, 503, 0.2, "shutting down"
-            )
+        if self._stop is not None and now_s >= self._stop.accept_until_s:
+            return _create_stop_refusal()
         table = deployment.table
         route = table.find_route(arrival.host, arrival.path)
         if route is None:
@@ -291,6 +391,8 @@
                 Kind.BAD_REQUEST, 400, None, "no request id"
             )
         ticket = self._create_ticket(arrival, route, customer, request, body, now_s)
+        if not self._can_finish(ticket, now_s):
+            return _create_stop_refusal()
         is_refused = deployment.crashes.is_refused(ticket.fingerprint, now_s)
         if is_refused and not deployment.try_start_trial(ticket, now_s):
             refusal = dispatch.create_harmful_refusal(ticket)
@@ -322,6 +424,12 @@
             fingerprint=xxhash.xxh64_hexdigest(content),
         )
 
+    def _can_finish(self, ticket, now_s):
+        if self._stop is None:
+            return True
+        longest_s = self.get_dispatcher(ticket.service).estimate_longest_s(ticket)
+        return self._stop.can_finish(ticket, longest_s, now_s)
+
     def _charge(self, ticket, customer, now_s):
         if customer is None:
             return ticket
@@ -344,9 +452,21 @@
         """
         dispatcher = self.get_dispatcher(flow.ticket.service)
         now_s = self.reactor.seconds()
+        if self._refuse_unfinishable(flow, now_s):
+            return
         self._apply_decisions(dispatcher.submit(flow.ticket, now_s))
         self._schedule_tick()
 
+    def _refuse_unfinishable(self, flow, now_s):
+        # A response that has begun goes on for as long as the entry runs.
+        if flow.first_event_s is not None or self._can_finish(flow.ticket, now_s):
+            return False
+        self._refuse_for_stop(flow)
+        return True
+
+    def _refuse_for_stop(self, flow):
+        self.fail_request(flow, Kind.STOPPING, STOPPING, STOPPING_RETRY_AFTER_S)
+
     def dispatch_waiting(self, service):
         """Sends the waiting requests of a service for which capacity is free.
 
@@ -358,7 +478,19 @@
             flow.check_silence()
         dispatcher = self.get_dispatcher(service)
         if len(dispatcher):
-            self._apply_decisions(dispatcher.dispatch_waiting(self.reactor.seconds()))
+            self._run_queue_step(self._send_waiting, dispatcher)
+
+    def _send_waiting(self, dispatcher):
+        self._apply_decisions(dispatcher.dispatch_waiting(self.reactor.seconds()))
+
+    def _run_queue_step(self, step, dispatcher):
+        # A failure may be due to any of the queued requests, so all of them end.
+        try:
+            step(dispatcher)
+        except Exception:
+            reason = failure.Failure()
+            for ticket in dispatcher.list_waiting():
+                self.end_failed(self._flows[id(ticket)].request, reason)
 
     def _list_silent(self, service):
         flows = [item for item in self.silent_flows if item.ticket.service == service]
@@ -368,13 +500,23 @@
     def tick(self):
         """Expires waiting requests and sends those for which capacity is free."""
         self._is_tick_scheduled = False
-        now_s = self.reactor.seconds()
         for dispatcher in self._deployment.list_dispatchers():
             if len(dispatcher):
-                self._apply_decisions(dispatcher.refuse_expired(now_s))
-                self.dispatch_waiting(dispatcher.service)
+                self._run_queue_step(self._check_queue, dispatcher)
         self._schedule_tick()
 
+    def _check_queue(self, dispatcher):
+        now_s = self.reactor.seconds()
+        self._refuse_waiting_unfinishable(dispatcher, now_s)
+        self._apply_decisions(dispatcher.refuse_expired(now_s))
+        self.dispatch_waiting(dispatcher.service)
+
+    def _refuse_waiting_unfinishable(self, dispatcher, now_s):
+        if self._stop is None:
+            return
+        for ticket in dispatcher.list_waiting():
+            self._refuse_unfinishable(self._flows[id(ticket)], now_s)
+
     def _schedule_tick(self):
         # The tick is only needed while requests are waiting.
         if self._is_tick_scheduled:
@@ -386,14 +528,16 @@
     def _apply_decisions(self, decisions):
         for decision in decisions:
             flow = self._flows.get(id(decision.ticket))
-            if flow is None or flow.is_ended:
-                continue
-            if isinstance(decision, dispatch.Assignment):
-                flow.send(decision)
-            else:
-                self.fail_request(
-                    flow, decision.kind, decision.reason, decision.retry_after_s
-                )
+            if flow is not None and not flow.is_ended:
+                self.run_step(flow.request, self._apply_decision, flow, decision)
+
+    def _apply_decision(self, flow, decision):
+        if isinstance(decision, dispatch.Assignment):
+            flow.send(decision)
+        else:
+            self.fail_request(
+                flow, decision.kind, decision.reason, decision.retry_after_s
+            )
 
     def fail_request(self, flow, kind, reason, retry_after_s=None):
         """Ends a request with an error response.
@@ -407,6 +551,8 @@
         if flow.is_ended:
             return
         if flow.ticket.may_have_run:
+            if kind in NOT_RUN_KINDS:
+                kind = Kind.OUTCOME_UNKNOWN
             is_late = kind is Kind.DEADLINE_EXCEEDED
             status, retry_after_s = (504 if is_late else 502), None
         else:
@@ -540,16 +686,55 @@
             server, is_refused, now_s
         )
 
-    def stop(self, accept_s):
+    def stop(self, accept_s, grace_s=math.inf):
         """Closes connections after their responses and later rejects new requests.
 
         :param accept_s: seconds for which new requests are still admitted.
+        :param grace_s: seconds after which the process is killed.
         """
-        self.is_stopping = True
-        self._reject_from_s = self.reactor.seconds() + accept_s
+        self._stop = stops.plan_stop(self.reactor.seconds(), grace_s, accept_s)
+        for channel in self._channels:
+            channel.announce_close()
 
-    def close_idle(self):
-        """Closes the callers' connections that have no request in flight."""
+    @property
+    def is_drained(self):
+        """Whether the stop may end: nothing is in flight, or the time is over."""
+        now_s = self.reactor.seconds()
+        if now_s >= self._stop.end_s:
+            return True
+        return now_s >= self._stop.accept_until_s and not len(self)
+
+    @property
+    def connection_count(self):
+        """Number of callers' connections."""
+        return len(self._channels)
+
+    def end_requests(self):
+        """Ends all requests with a response, as the process ends.
+
+        Queued requests are refused. Of those in flight, only the responses that have
+        begun are cut. The connections are closed once everything is written.
+        """
+        for dispatcher in self._deployment.list_dispatchers():
+            for ticket in dispatcher.list_waiting():
+                self._refuse_for_stop(self._flows[id(ticket)])
+        for flow in list(self._flows.values()):
+            flow.drop(STOPPING, Kind.STOPPING)
         for channel in list(self._channels):
-            if not channel.requests:
-                channel.loseConnection()
+            channel.end()
+
+
+def _create_stop_refusal():
+    return error_responses.ErrorResponse(
+        Kind.STOPPING, 503, STOPPING_RETRY_AFTER_S, STOPPING
+    )
+
+
+def _create_failure_response(flow):
+    if flow is not None and flow.ticket.may_have_run:
+        return error_responses.ErrorResponse(
+            Kind.OUTCOME_UNKNOWN, 502, None, INTERNAL_ERROR
+        )
+    return error_responses.ErrorResponse(
+        Kind.INTERNAL_ERROR, 503, INTERNAL_RETRY_AFTER_S, INTERNAL_ERROR
+    )
--- a/packages/kernel/wasabiknot_kernel/events.py
+++ b/packages/kernel/wasabiknot_kernel/events.py
@@ -194,6 +194,9 @@
         logging.INFO,
         "{request}: {server} silent for {silent_ms} ms, {step}: {reason}",
     )
+    REQUEST_FAILED = EventDefinition(
+        1409, logging.ERROR, "{request}: unexpected failure: {error}"
+    )
     DATAGRAM_BAD = EventDefinition(
         1501, logging.WARNING, "bad datagram from {peer}: {error}"
     )
