Keep connections to backend servers through a silence of two seconds

Callers saw a reset or a 502 (a stream without its end) for requests at a sound server that had said nothing for a second or two and then went on.

The OS ended the connection. TCP_USER_TIMEOUT of 1.5 s also counts while the server's process reads none of a long body, and Linux measures keep-alive by it instead of by the number of probes: one unanswered probe, so a silence of just over 1 s, ended a connection that had waited for its response for 2 s.

Seen over loopback sockets, before: a body of 20 KB or more, unread for 2.0 s, lost after 1.8 s (1.7 s was survived); a host that drops all packets for 2.0 s from the request on, lost after 1.9 s; one that does so for 1.2 s, from 0.9 or 1.9 s after the request, lost after 3.0 s.

Connections to backend servers now have a user timeout of 3.5 s and the first probe after 1 s, so the last probe that can end them comes 4 s after the last packet, and a silence of 2 s leaves one that is answered. A host that is silent for good is found after 3.8 to 4.1 s instead of 1.9 to 3.0 s. Connections to the store and peers keep their limits.

test_request_is_not_lost_as_server_is_silent_for_two_seconds failed before, in all four cases.

--- a/packages/entry/tests/test_connections.py
+++ b/packages/entry/tests/test_connections.py
@@ -1,9 +1,12 @@
+import random
 import unittest
+from unittest import mock
 
+import silent_servers
 from twisted.internet import error, task, testing
 from twisted.python import failure
 
-from wasabiknot_entry import connections
+from wasabiknot_entry import connections, gateways
 
 REQUEST = connections.Request(b"GET", b"/a", ((b"host", b"h"),))
 RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
@@ -163,3 +166,37 @@
         self.connection.dataReceived(RESPONSE)
         disconnect(self.connection, error.ConnectionDone())
         self.assertIsNone(self.pop_idle())
+
+
+class SilenceTests(unittest.TestCase):
+    def setUp(self):
+        self.reactor = silent_servers.create_reactor()
+        deployment = mock.Mock(connect_timeout_s=1.0)
+        gateway = gateways.Gateway(
+            self.reactor, random.Random(1), deployment, mock.Mock()
+        )
+        self.pool = gateway.pool
+
+    def test_request_is_not_lost_as_server_is_silent_for_two_seconds(self):
+        servers = {
+            "long body unread": {"body_bytes": 3_000_000, "unread_s": 2.0},
+            "cut off at the request": {"cut_off_s": 2.0},
+            "cut off at work": {"work_s": 1.9, "cut_off_s": 2.0},
+            "cut off before the first probe": {"work_s": 0.9, "cut_off_s": 2.0},
+        }
+        started = [silent_servers.SilentServer(**item) for item in servers.values()]
+        receivers = silent_servers.call_all(self.reactor, self.pool, started)
+        for name, receiver in zip(servers, receivers, strict=True):
+            with self.subTest(name):
+                self.assertEqual(receiver.received, [200, b"ok", "end"])
+
+    def test_server_that_is_silent_for_good_is_found_within_five_seconds(self):
+        servers = [
+            silent_servers.SilentServer(cut_off_s=60.0),
+            silent_servers.SilentServer(work_s=0.1, cut_off_s=60.0),
+            silent_servers.SilentServer(body_bytes=3_000_000, unread_s=60.0),
+        ]
+        receivers = silent_servers.call_all(self.reactor, self.pool, servers)
+        for receiver in receivers:
+            self.assertEqual(receiver.received, [connections.LossReason.RESET])
+            self.assertLess(receiver.ended_after_s, 5.0)
--- a/packages/entry/wasabiknot_entry/connections.py
+++ b/packages/entry/wasabiknot_entry/connections.py
@@ -14,11 +14,9 @@
 
 from wasabiknot_entry import buffers
 
-# Time after which the OS drops a connection with unacknowledged data.
-TCP_USER_TIMEOUT_MS = 1_500
 # TCP keep-alive probes detect an unreachable host on a connection without traffic.
-KEEP_ALIVE_IDLE_S = 2
 KEEP_ALIVE_INTERVAL_S = 1
+# Linux ignores the number of probes on connections with a user timeout.
 KEEP_ALIVE_PROBES = 2
 # Idle timeout of connections whose server sends no ``Keep-Alive`` timeout.
 DEFAULT_IDLE_TIMEOUT_S = 4.0
@@ -40,6 +38,27 @@
     MALFORMED = "garbled"
 
 
+class SilenceLimits(msgspec.Struct, frozen=True):
+    """Limits on the silence of a host, after which the OS drops the connection.
+
+    :param user_timeout_ms: time without acknowledgement of data, or with data that
+        the process at the other end doesn't read. It is also the least time since
+        the last packet after which an unanswered keep-alive probe ends a connection.
+    :param keep_alive_idle_s: time without traffic before the first probe.
+    """
+
+    user_timeout_ms: int
+    keep_alive_idle_s: int
+
+
+# Calls to the store and peers are repeated; bounds on a configuration depend on how
+# soon they fail.
+PEER_SILENCE = SilenceLimits(1_500, 2)
+# A sound server may say nothing for a second or two. A request that is lost with its
+# connection may not be sendable again. Hosts that are gone are found after about 4 s.
+SERVER_SILENCE = SilenceLimits(3_500, 1)
+
+
 class Head(msgspec.Struct, frozen=True):
     """The head of a response.
 
@@ -87,12 +106,13 @@
         """Sets the socket options that detect an unreachable host."""
         self.transport.setTcpNoDelay(True)
         handle = self.transport.getHandle()
+        silence = self._pool.silence
         options = (
             (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-            (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S),
+            (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, silence.keep_alive_idle_s),
             (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S),
             (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES),
-            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
+            (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, silence.user_timeout_ms),
         )
         for level, option, value in options:
             handle.setsockopt(level, option, value)
@@ -226,13 +246,15 @@
     :param reactor: Twisted reactor.
     :param connect_timeout_s: timeout for opening a connection, in seconds.
     :param held: ``buffers.Budget`` for responses; one of its own if ``None``.
+    :param silence: ``SilenceLimits`` of the connections.
     """
 
-    def __init__(self, reactor, connect_timeout_s, held=None):
+    def __init__(self, reactor, connect_timeout_s, held=None, silence=PEER_SILENCE):
         self._reactor = reactor
         self._connect_timeout_s = connect_timeout_s
         self._idle = {}
         self.buffers = held if held is not None else buffers.Budget()
+        self.silence = silence
 
     def acquire(self, address, max_idle_s):
         """Takes an idle connection from the pool or opens a new one.
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -139,7 +139,10 @@
         # Counts callers' bodies and the responses that aren't yet passed on.
         self.buffers = buffers.Budget()
         self.pool = connections.Pool(
-            reactor, deployment.connect_timeout_s, self.buffers
+            reactor,
+            deployment.connect_timeout_s,
+            self.buffers,
+            connections.SERVER_SILENCE,
         )
         self._body_writers = set()
         self._rng = rng
