Count a plain server as crashed only after three silent probes

After a connection to a sound plain server was lost, a server that then said nothing for a second counted as crashed: it got no requests for a second, its version a failure, and the contents of all requests at it a crash. Two of those quarantine a content, so callers' later requests with it are refused.

PlainAttempt took a probe without an answer in 1.0 s for a crash, as it does a refused one. A silent probe is now repeated, up to three times; a refused or reset one still counts at once, and a server that is silent for good after 3 s instead of 1 s.

test_silence_after_a_lost_connection_is_not_a_crash failed before. The tests of a refused probe and of a server silent for good passed before as well.

--- a/packages/entry/wasabiknot_entry/attempts.py
+++ b/packages/entry/wasabiknot_entry/attempts.py
@@ -14,6 +14,8 @@
 RESUME_BACKOFF_S = 0.1
 CANCEL_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_S = 1.0
+# A sound server may be silent for a second or two; it answers a later probe.
+MAX_SILENT_PROBES = 3
 JSON_CONTENT_TYPE = "application/json"
 JSON_HEADERS = {"Content-Type": [JSON_CONTENT_TYPE]}
 
@@ -70,6 +72,10 @@
 class PlainAttempt(Attempt):
     """An attempt on a plain service, which responds with one JSON document."""
 
+    def __init__(self, backends, effect):
+        super().__init__(backends, effect)
+        self._probes = 0
+
     def send(self):
         """Sends the request."""
         if self._exchange is None:
@@ -107,15 +113,32 @@
             self.finish(Outcome.NOT_SENT)
             return None
         # The server may have run the request. It counts as crashed if it does not
-        # respond to the probe either.
+        # respond to the probes either.
+        self._probe()
+        return None
+
+    def _probe(self):
+        self._probes += 1
+        started_s = self._backends.reactor.seconds()
         probe = self._backends.http.get(
             f"{self._base_url}/load", timeout=PROBE_TIMEOUT_S
         )
         probe.addCallback(treq.content)
         probe.addCallbacks(
-            lambda _: self.finish(Outcome.LOST), lambda _: self.finish(Outcome.CRASHED)
+            lambda _: self.finish(Outcome.LOST),
+            lambda _: self._handle_failed_probe(started_s),
         )
-        return probe
+        probe.addErrback(journal.log_failure, "probe")
+
+    def _handle_failed_probe(self, started_s):
+        if self._is_finished:
+            return
+        waited_s = self._backends.reactor.seconds() - started_s
+        is_silent = waited_s >= PROBE_TIMEOUT_S
+        if is_silent and self._probes < MAX_SILENT_PROBES:
+            self._probe()
+            return
+        self.finish(Outcome.CRASHED)
 
 
 class StreamAttempt(Attempt):
