Let silences end a stream's attempt only if its request may be sent again

Callers of the product's own interface lost streams ("outcome-unknown", or a stream without its end) on a sound engine that was silent for 2 s four times in one stream, or once for 8 s, long before their deadline.

StreamAttempt counted each silence of 2.0 s as a failure to resume, and never counted anew: the fourth in the life of a stream ended its attempt, and a connect timeout after the third counted the engine as crashed, with the contents of all requests at it.

A silence still opens a new connection to the stream at the same engine. It now ends the attempt, after four in a row without a new token, only if the request may be sent again: Dispatch says so, by the same property that decides the retry. Otherwise the attempt lasts until the deadline of its call. New tokens start the count of failures and silences again.

--- a/packages/entry/tests/test_attempts.py
+++ b/packages/entry/tests/test_attempts.py
@@ -1,12 +1,14 @@
+import itertools
 import types
 import unittest
 
+import msgspec
 from twisted.internet import defer, error, task
 from twisted.python import failure
 from twisted.web import client
 
 from wasabiknot_entry import attempts, exchanges
-from wasabiknot_kernel import effects, messages
+from wasabiknot_kernel import effects, messages, wire
 
 Outcome = messages.Outcome
 DEADLINE_S = 30.0
@@ -92,6 +94,11 @@
             self.data += message.data
 
 
+def encode_event(n, end=False):
+    event = wire.StreamEvent("r", n, "" if end else f"t{n}", end=end)
+    return b"data: " + msgspec.json.encode(event) + b"\n\n"
+
+
 class AttemptTestCase(unittest.TestCase):
     attempt_class = None
 
@@ -136,5 +143,74 @@
         self.assertEqual(self.backends.outcomes, [Outcome.CRASHED])
 
 
+class StreamAttemptTests(AttemptTestCase):
+    attempt_class = attempts.StreamAttempt
+
+    def setUp(self):
+        super().setUp()
+        self.attempt.send()
+        self.numbers = itertools.count()
+
+    def answer(self, method, suffix, code=200):
+        [call] = self.http.list_open(method, suffix)
+        body = FakeBody(code)
+        call.response.callback(body)
+        return body
+
+    def accept(self):
+        body = self.answer("POST", "/v1/streams")
+        body.write(b": ok\n\n")
+        return body
+
+    def take_up(self, body):
+        """Answers the resumption, if there is one."""
+        if self.http.list_open("GET", "/v1/streams/r"):
+            return self.answer("GET", "/v1/streams/r")
+        return body
+
+    def assert_whole(self, body):
+        body.write(encode_event(next(self.numbers), end=True))
+        self.assertEqual(self.backends.outcomes, [Outcome.WHOLE])
+
+    def test_stream_with_repeated_silences_is_whole(self):
+        body = self.accept()
+        for _ in range(6):
+            body.write(encode_event(next(self.numbers)))
+            self.advance(SILENCE_S + 0.5)
+            self.assertEqual(self.backends.outcomes, [])
+            body = self.take_up(body)
+        self.assert_whole(body)
+
+    def test_engine_that_times_out_between_tokens_has_not_crashed(self):
+        body = self.accept()
+        for _ in range(6):
+            body.write(encode_event(next(self.numbers)))
+            body.end()
+            self.advance(0.15)
+            [call] = self.http.list_open("GET", "/v1/streams/r")
+            call.response.errback(error.TimeoutError())
+            self.assertEqual(self.backends.outcomes, [])
+            self.advance(0.3)
+            body = self.answer("GET", "/v1/streams/r")
+        self.assert_whole(body)
+
+    def test_silent_engine_keeps_a_request_that_may_run_once(self):
+        self.accept()
+        self.advance(DEADLINE_S - 1.0)
+        self.assertEqual(self.backends.outcomes, [])
+
+    def test_silent_engine_loses_a_replaceable_request_after_four_silences(self):
+        self.backends = FakeBackends(self.clock)
+        self.http = self.backends.http
+        effect = msgspec.structs.replace(self.build_effect(), is_replaceable=True)
+        self.attempt = self.attempt_class(self.backends, effect)
+        self.attempt.send()
+        self.accept()
+        self.advance(4 * SILENCE_S - 0.1)
+        self.assertEqual(self.backends.outcomes, [])
+        self.advance(2.0)
+        self.assertEqual(self.backends.outcomes, [Outcome.LOST])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/entry/wasabiknot_entry/attempts.py
+++ b/packages/entry/wasabiknot_entry/attempts.py
@@ -10,12 +10,16 @@
 
 STREAM_STALL_TIMEOUT_S = 2.0
 STALL_CHECK_INTERVAL_S = 0.25
+# Failures to resume a stream, without a new token in between, that end its attempt.
+# Silences end it only if the request may be sent again: a sound engine may be silent
+# for a second or two, many times in one stream.
 MAX_RESUMES = 3
 RESUME_BACKOFF_S = 0.1
 CANCEL_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_S = 1.0
 # A sound server may be silent for a second or two; it answers a later probe.
 MAX_SILENT_PROBES = 3
+FIRST_CONNECTION_ID = 1
 JSON_CONTENT_TYPE = "application/json"
 JSON_HEADERS = {"Content-Type": [JSON_CONTENT_TYPE]}
 
@@ -151,6 +155,8 @@
         self._connection = None
         self._connection_id = 0
         self._resumes = 0
+        self._silences = 0
+        self._is_replaceable = effect.is_replaceable
         self._is_accepted = False
         self._is_cancelled = False
         self._last_activity_s = backends.reactor.seconds()
@@ -222,7 +228,8 @@
         if connection_id != self._connection_id or self._is_finished:
             return
         connect_error = failure.check(error.ConnectError, error.TimeoutError)
-        if connect_error and self._resumes == 0 and not self._is_accepted:
+        is_first = connection_id == FIRST_CONNECTION_ID
+        if connect_error and is_first and not self._is_accepted:
             self.finish(Outcome.NOT_SENT)
             return
         if connect_error and self._resumes >= MAX_RESUMES:
@@ -240,9 +247,12 @@
             self.finish(Outcome.LOST, self._reader.received_tokens)
             return
         self._resumes += 1
+        self._resume_later()
+
+    def _resume_later(self):
         # From here on, data from the old connection is ignored.
         self._connection_id += 1
-        delay_s = RESUME_BACKOFF_S * self._resumes
+        delay_s = RESUME_BACKOFF_S * max(1, self._resumes)
         self._backends.reactor.callLater(delay_s, self._reconnect_unless_finished)
 
     def _reconnect_unless_finished(self):
@@ -258,7 +268,21 @@
         self._connection = None
         if connection is not None:
             connection.close()
-        self._retry_or_finish()
+        self._handle_silence()
+
+    def _handle_silence(self):
+        if self._is_finished:
+            return
+        if self._is_cancelled:
+            self.finish(Outcome.CANCELLED, self._reader.received_tokens)
+            return
+        self._silences += 1
+        has_tokens = self._reader.received_tokens > 0
+        is_replaceable = self._is_replaceable and not has_tokens
+        if is_replaceable and self._silences > MAX_RESUMES:
+            self.finish(Outcome.LOST)
+            return
+        self._resume_later()
 
     def handle_data(self, data, connection_id):
         """Validates and relays data that a connection received.
@@ -274,6 +298,9 @@
         valid_data = self._reader.feed(data)
         if valid_data:
             self._relay(valid_data, tokens_before)
+        if self._reader.received_tokens > tokens_before:
+            self._resumes = 0
+            self._silences = 0
         if self._reader.is_complete:
             self.finish(Outcome.WHOLE, self._reader.received_tokens)
         elif self._reader.is_invalid:
--- a/packages/kernel/tests/test_node.py
+++ b/packages/kernel/tests/test_node.py
@@ -71,6 +71,31 @@
         self.assertEqual(read_answer(copy).ran, Ran.UNKNOWN)
 
 
+class ReplaceableTests(unittest.TestCase):
+    def record_dispatches(self, call):
+        simulation = create_simulation()
+        for worker in simulation.workers.values():
+            worker.fail_fraction = 1.0
+        entry = simulation.entries["entry-0"]
+        dispatch = entry.on_dispatch
+        recorded = []
+
+        def record(effect):
+            recorded.append(effect.is_replaceable)
+            dispatch(effect)
+
+        entry.on_dispatch = record
+        simulation.call("entry-0", call)
+        simulation.advance(5_000)
+        return recorded
+
+    def test_last_attempt_of_a_repeatable_call_is_not_replaceable(self):
+        self.assertEqual(self.record_dispatches("tag"), [True, True, False])
+
+    def test_attempt_of_a_call_that_may_run_once_is_not_replaceable(self):
+        self.assertEqual(self.record_dispatches("check"), [False])
+
+
 class KeyTests(unittest.TestCase):
     rule = services.KeyRule.HOMES
 
--- a/packages/kernel/wasabiknot_kernel/attempts.py
+++ b/packages/kernel/wasabiknot_kernel/attempts.py
@@ -18,7 +18,6 @@
 Kind = exceptions.ErrorKind
 Outcome = messages.Outcome
 Ran = exceptions.Ran
-MAX_DISPATCHES = 3
 
 
 @handlers.handle.register
@@ -146,8 +145,7 @@
 
 
 def _retry_or_refuse(node, request, kind, ran):
-    is_retryable = request.call.repeatable and not request.tokens
-    if is_retryable and request.dispatches < MAX_DISPATCHES:
+    if request.is_replaceable:
         request.lifecycle.retry()
         _requeue(node, request)
         return
--- a/packages/kernel/wasabiknot_kernel/effects.py
+++ b/packages/kernel/wasabiknot_kernel/effects.py
@@ -43,6 +43,8 @@
     :param address: host and port of the backend server.
     :param is_engine: whether the backend server is a model engine.
     :param timeout_s: timeout of the attempt, in seconds.
+    :param is_replaceable: whether the request may be sent again if this attempt ends
+        before the first token.
     """
 
     request_id: identifiers.RequestId
@@ -50,6 +52,7 @@
     address: str
     is_engine: bool
     timeout_s: float
+    is_replaceable: bool = False
 
 
 class Resume(Dispatch, frozen=True):
--- a/packages/kernel/wasabiknot_kernel/requests.py
+++ b/packages/kernel/wasabiknot_kernel/requests.py
@@ -7,6 +7,8 @@
 
 from wasabiknot_kernel import exceptions
 
+MAX_DISPATCHES = 3
+
 
 class RequestState(enum.Enum):
     """States of a request inside one entry."""
@@ -86,6 +88,12 @@
         """Whether an idempotency key protects the request from a second run."""
         return self.message.key is not None and not self.call.repeatable
 
+    @property
+    def is_replaceable(self):
+        """Whether it may be sent again if its present attempt ends."""
+        is_repeatable = self.call.repeatable and not self.tokens
+        return is_repeatable and self.dispatches < MAX_DISPATCHES
+
     @property
     def work(self):
         """Estimated cost in tokens: those of the prompt and the expected output."""
--- a/packages/kernel/wasabiknot_kernel/scheduling.py
+++ b/packages/kernel/wasabiknot_kernel/scheduling.py
@@ -59,6 +59,7 @@
             address=worker.vm.address,
             is_engine=is_engine,
             timeout_s=timeout_ms / 1000,
+            is_replaceable=request.is_replaceable,
         )
     )
 
