Don't lose a request that a silent engine has not read yet

A call that may run once ended with "outcome-unknown" 2 s after it was sent, though its engine was sound: the engine, or its host, had been silent since before it read the request, and answered afterwards.

After 2.0 s StreamAttempt asks for the stream on another connection. If that is read first (the request waits for its retransmission, which the silence puts off to 3 s), the engine doesn't know the stream: 404, taken for the end of the attempt. An answer to the request itself was ignored from then on.

An unknown stream now ends the attempt only if the request itself has been answered or its connection is lost, or if it may be sent again. The answer to the request is accepted until a resumption is; a resumption that is accepted later takes over, as the engine sends to the last connection, and one that is refused by then says nothing.

test_request_that_a_silent_engine_has_not_read_yet_is_not_lost and test_resumption_refused_before_the_request_was_read_is_no_crash failed before.

--- a/packages/entry/tests/test_attempts.py
+++ b/packages/entry/tests/test_attempts.py
@@ -211,6 +211,41 @@
         self.advance(2.0)
         self.assertEqual(self.backends.outcomes, [Outcome.LOST])
 
+    def test_request_that_a_silent_engine_has_not_read_yet_is_not_lost(self):
+        self.advance(SILENCE_S + 0.5)
+        if self.http.list_open("GET", "/v1/streams/r"):
+            self.answer("GET", "/v1/streams/r", code=404)
+        self.assertEqual(self.backends.outcomes, [])
+        body = self.answer("POST", "/v1/streams")
+        body.write(encode_event(next(self.numbers)))
+        self.assert_whole(body)
+
+    def test_unknown_stream_is_lost_once_the_request_has_failed(self):
+        self.advance(SILENCE_S + 0.5)
+        self.answer("GET", "/v1/streams/r", code=404)
+        [call] = self.http.list_open("POST", "/v1/streams")
+        call.response.errback(error.ConnectionLost())
+        self.advance(SILENCE_S + 0.5)
+        self.answer("GET", "/v1/streams/r", code=404)
+        self.assertEqual(self.backends.outcomes, [Outcome.LOST])
+
+    def test_resumption_refused_before_the_request_was_read_is_no_crash(self):
+        self.advance(SILENCE_S + 0.5)
+        body = self.accept()
+        self.answer("GET", "/v1/streams/r", code=404)
+        self.assert_whole(body)
+
+    def test_resumption_after_a_late_answer_takes_over_the_stream(self):
+        self.advance(SILENCE_S + 0.5)
+        self.accept()
+        self.assert_whole(self.answer("GET", "/v1/streams/r"))
+
+    def test_answer_after_an_accepted_resumption_is_ignored(self):
+        self.advance(SILENCE_S + 0.5)
+        body = self.answer("GET", "/v1/streams/r")
+        self.accept()
+        self.assert_whole(body)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/entry/wasabiknot_entry/attempts.py
+++ b/packages/entry/wasabiknot_entry/attempts.py
@@ -157,6 +157,8 @@
         self._resumes = 0
         self._silences = 0
         self._is_replaceable = effect.is_replaceable
+        # Whether the engine hasn't answered the request itself yet.
+        self._is_unanswered = False
         self._is_accepted = False
         self._is_cancelled = False
         self._last_activity_s = backends.reactor.seconds()
@@ -169,6 +171,7 @@
             self.finish(Outcome.NOT_SENT)
             return
         self._start_stall_check()
+        self._is_unanswered = True
         url = f"{self._base_url}/v1/streams"
         self._connect(
             lambda: self._backends.http.post(
@@ -207,25 +210,51 @@
         )
 
     def _handle_response(self, response, connection_id):
-        if connection_id != self._connection_id or self._is_finished:
+        is_expected = self._is_expected(connection_id)
+        self._record_answer(connection_id)
+        if not is_expected:
             response.deliverBody(StreamConnection(self, connection_id))
             return
         self._last_activity_s = self._backends.reactor.seconds()
         if response.code == http.OK:
             self._is_accepted = True
+            self._close_connection()
             self._connection = StreamConnection(self, connection_id)
             response.deliverBody(self._connection)
             return
         response.deliverBody(protocol.Protocol())
+        if self._connection is not None:
+            # The engine has answered the request itself in the meantime.
+            return
         if response.code == http.NOT_FOUND:
-            # An engine that no longer knows an accepted stream has crashed.
-            outcome = Outcome.CRASHED if self._is_accepted else Outcome.LOST
-            self.finish(outcome, self._reader.received_tokens)
+            self._handle_unknown_stream()
             return
         self.finish(map_status(response.code), self._reader.received_tokens)
 
+    def _is_expected(self, connection_id):
+        if self._is_finished:
+            return False
+        is_awaited = self._is_unanswered and not self._is_accepted
+        is_late_answer = is_awaited and connection_id == FIRST_CONNECTION_ID
+        return connection_id == self._connection_id or is_late_answer
+
+    def _record_answer(self, connection_id):
+        if connection_id == FIRST_CONNECTION_ID:
+            self._is_unanswered = False
+
+    def _handle_unknown_stream(self):
+        is_awaited = self._is_unanswered and not self._is_accepted
+        if is_awaited and not self._is_replaceable:
+            # The engine may have fallen silent before it read the request.
+            return
+        # An engine that no longer knows an accepted stream has crashed.
+        outcome = Outcome.CRASHED if self._is_accepted else Outcome.LOST
+        self.finish(outcome, self._reader.received_tokens)
+
     def _handle_failure(self, failure, connection_id):
-        if connection_id != self._connection_id or self._is_finished:
+        self._record_answer(connection_id)
+        is_outdated = connection_id != self._connection_id
+        if is_outdated or self._connection is not None or self._is_finished:
             return
         connect_error = failure.check(error.ConnectError, error.TimeoutError)
         is_first = connection_id == FIRST_CONNECTION_ID
@@ -253,10 +282,10 @@
         # From here on, data from the old connection is ignored.
         self._connection_id += 1
         delay_s = RESUME_BACKOFF_S * max(1, self._resumes)
-        self._backends.reactor.callLater(delay_s, self._reconnect_unless_finished)
+        self._backends.reactor.callLater(delay_s, self._reconnect_if_needed)
 
-    def _reconnect_unless_finished(self):
-        if not self._is_finished:
+    def _reconnect_if_needed(self):
+        if not self._is_finished and self._connection is None:
             self._reconnect()
 
     def _check_stall(self):
@@ -264,11 +293,14 @@
         if idle_s < STREAM_STALL_TIMEOUT_S:
             return
         self._last_activity_s = self._backends.reactor.seconds()
+        self._close_connection()
+        self._handle_silence()
+
+    def _close_connection(self):
         connection = self._connection
         self._connection = None
         if connection is not None:
             connection.close()
-        self._handle_silence()
 
     def _handle_silence(self):
         if self._is_finished:
@@ -291,7 +323,7 @@
         :param connection_id: id of the connection; data of an outdated one is
             ignored.
         """
-        if connection_id != self._connection_id or self._is_finished:
+        if not self._is_open(connection_id):
             return
         self._last_activity_s = self._backends.reactor.seconds()
         tokens_before = self._reader.received_tokens
@@ -306,6 +338,10 @@
         elif self._reader.is_invalid:
             self._handle_invalid_stream()
 
+    def _is_open(self, connection_id):
+        connection = self._connection
+        return connection is not None and connection.connection_id == connection_id
+
     def _relay(self, valid_data, tokens_before):
         if tokens_before == 0 and self._reader.received_tokens:
             self._backends.bus.publish(messages.AttemptStarted(self.request_id))
@@ -316,10 +352,7 @@
         self._backends.bus.publish(chunk)
 
     def _handle_invalid_stream(self):
-        connection = self._connection
-        self._connection = None
-        if connection is not None:
-            connection.close()
+        self._close_connection()
         self._reader = streams.StreamReader(
             self.request_id, self._reader.received_tokens
         )
@@ -330,7 +363,7 @@
 
         :param connection_id: id of the connection; an outdated one is ignored.
         """
-        if connection_id == self._connection_id and not self._is_finished:
+        if self._is_open(connection_id):
             self._connection = None
             self._retry_or_finish()
 
@@ -358,10 +391,9 @@
         """Reports the outcome and closes the connection."""
         if self._stall_check.running:
             self._stall_check.stop()
-        connection = self._connection
-        self._connection = None
-        if connection is not None and outcome is not Outcome.WHOLE:
-            connection.close()
+        if outcome is Outcome.WHOLE:
+            self._connection = None
+        self._close_connection()
         super().finish(outcome, tokens)
 
 
@@ -374,15 +406,15 @@
 
     def __init__(self, attempt, connection_id):
         self._attempt = attempt
-        self._connection_id = connection_id
+        self.connection_id = connection_id
 
     def dataReceived(self, data):  # noqa: N802
         """Passes received data to the attempt."""
-        self._attempt.handle_data(data, self._connection_id)
+        self._attempt.handle_data(data, self.connection_id)
 
     def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
         """Notifies the attempt that the response ended or the connection closed."""
-        self._attempt.handle_end(self._connection_id)
+        self._attempt.handle_end(self.connection_id)
 
     def close(self):
         """Closes the connection."""
