--- a/packages/entry/wasabiknot_entry/attempts.py
+++ b/packages/entry/wasabiknot_entry/attempts.py
@@ -10,10 +10,16 @@
 
 STREAM_STALL_TIMEOUT_S = 2.0
 STALL_CHECK_INTERVAL_S = 0.25
+# Failures to resume a stream, without a new token in between, that end its attempt.
+# Silences end it only if the request may be sent again: a sound engine may be silent
+# for a second or two, many times in one stream.
 MAX_RESUMES = 3
 RESUME_BACKOFF_S = 0.1
 CANCEL_TIMEOUT_S = 1.0
 PROBE_TIMEOUT_S = 1.0
+# A sound server may be silent for a second or two; it answers a later probe.
+MAX_SILENT_PROBES = 3
+FIRST_CONNECTION_ID = 1
 JSON_CONTENT_TYPE = "application/json"
 JSON_HEADERS = {"Content-Type": [JSON_CONTENT_TYPE]}
 
@@ -70,6 +76,10 @@
 class PlainAttempt(Attempt):
     """An attempt on a plain service, which responds with one JSON document."""
 
+    def __init__(self, backends, effect):
+        super().__init__(backends, effect)
+        self._probes = 0
+
     def send(self):
         """Sends the request."""
         if self._exchange is None:
@@ -107,15 +117,32 @@
             self.finish(Outcome.NOT_SENT)
             return None
         # The server may have run the request. It counts as crashed if it does not
-        # respond to the probe either.
+        # respond to the probes either.
+        self._probe()
+        return None
+
+    def _probe(self):
+        self._probes += 1
+        started_s = self._backends.reactor.seconds()
         probe = self._backends.http.get(
             f"{self._base_url}/load", timeout=PROBE_TIMEOUT_S
         )
         probe.addCallback(treq.content)
         probe.addCallbacks(
-            lambda _: self.finish(Outcome.LOST), lambda _: self.finish(Outcome.CRASHED)
+            lambda _: self.finish(Outcome.LOST),
+            lambda _: self._handle_failed_probe(started_s),
         )
-        return probe
+        probe.addErrback(journal.log_failure, "probe")
+
+    def _handle_failed_probe(self, started_s):
+        if self._is_finished:
+            return
+        waited_s = self._backends.reactor.seconds() - started_s
+        is_silent = waited_s >= PROBE_TIMEOUT_S
+        if is_silent and self._probes < MAX_SILENT_PROBES:
+            self._probe()
+            return
+        self.finish(Outcome.CRASHED)
 
 
 class StreamAttempt(Attempt):
@@ -128,6 +155,10 @@
         self._connection = None
         self._connection_id = 0
         self._resumes = 0
+        self._silences = 0
+        self._is_replaceable = effect.is_replaceable
+        # Whether the engine hasn't answered the request itself yet.
+        self._is_unanswered = False
         self._is_accepted = False
         self._is_cancelled = False
         self._last_activity_s = backends.reactor.seconds()
@@ -140,6 +171,7 @@
             self.finish(Outcome.NOT_SENT)
             return
         self._start_stall_check()
+        self._is_unanswered = True
         url = f"{self._base_url}/v1/streams"
         self._connect(
             lambda: self._backends.http.post(
@@ -178,28 +210,55 @@
         )
 
     def _handle_response(self, response, connection_id):
-        if connection_id != self._connection_id or self._is_finished:
+        is_expected = self._is_expected(connection_id)
+        self._record_answer(connection_id)
+        if not is_expected:
             response.deliverBody(StreamConnection(self, connection_id))
             return
         self._last_activity_s = self._backends.reactor.seconds()
         if response.code == http.OK:
             self._is_accepted = True
+            self._close_connection()
             self._connection = StreamConnection(self, connection_id)
             response.deliverBody(self._connection)
             return
         response.deliverBody(protocol.Protocol())
+        if self._connection is not None:
+            # The engine has answered the request itself in the meantime.
+            return
         if response.code == http.NOT_FOUND:
-            # An engine that no longer knows an accepted stream has crashed.
-            outcome = Outcome.CRASHED if self._is_accepted else Outcome.LOST
-            self.finish(outcome, self._reader.received_tokens)
+            self._handle_unknown_stream()
             return
         self.finish(map_status(response.code), self._reader.received_tokens)
 
+    def _is_expected(self, connection_id):
+        if self._is_finished:
+            return False
+        is_awaited = self._is_unanswered and not self._is_accepted
+        is_late_answer = is_awaited and connection_id == FIRST_CONNECTION_ID
+        return connection_id == self._connection_id or is_late_answer
+
+    def _record_answer(self, connection_id):
+        if connection_id == FIRST_CONNECTION_ID:
+            self._is_unanswered = False
+
+    def _handle_unknown_stream(self):
+        is_awaited = self._is_unanswered and not self._is_accepted
+        if is_awaited and not self._is_replaceable:
+            # The engine may have fallen silent before it read the request.
+            return
+        # An engine that no longer knows an accepted stream has crashed.
+        outcome = Outcome.CRASHED if self._is_accepted else Outcome.LOST
+        self.finish(outcome, self._reader.received_tokens)
+
     def _handle_failure(self, failure, connection_id):
-        if connection_id != self._connection_id or self._is_finished:
+        self._record_answer(connection_id)
+        is_outdated = connection_id != self._connection_id
+        if is_outdated or self._connection is not None or self._is_finished:
             return
         connect_error = failure.check(error.ConnectError, error.TimeoutError)
-        if connect_error and self._resumes == 0 and not self._is_accepted:
+        is_first = connection_id == FIRST_CONNECTION_ID
+        if connect_error and is_first and not self._is_accepted:
             self.finish(Outcome.NOT_SENT)
             return
         if connect_error and self._resumes >= MAX_RESUMES:
@@ -217,13 +276,16 @@
             self.finish(Outcome.LOST, self._reader.received_tokens)
             return
         self._resumes += 1
+        self._resume_later()
+
+    def _resume_later(self):
         # From here on, data from the old connection is ignored.
         self._connection_id += 1
-        delay_s = RESUME_BACKOFF_S * self._resumes
-        self._backends.reactor.callLater(delay_s, self._reconnect_unless_finished)
+        delay_s = RESUME_BACKOFF_S * max(1, self._resumes)
+        self._backends.reactor.callLater(delay_s, self._reconnect_if_needed)
 
-    def _reconnect_unless_finished(self):
-        if not self._is_finished:
+    def _reconnect_if_needed(self):
+        if not self._is_finished and self._connection is None:
             self._reconnect()
 
     def _check_stall(self):
@@ -231,11 +293,28 @@
         if idle_s < STREAM_STALL_TIMEOUT_S:
             return
         self._last_activity_s = self._backends.reactor.seconds()
+        self._close_connection()
+        self._handle_silence()
+
+    def _close_connection(self):
         connection = self._connection
         self._connection = None
         if connection is not None:
             connection.close()
-        self._retry_or_finish()
+
+    def _handle_silence(self):
+        if self._is_finished:
+            return
+        if self._is_cancelled:
+            self.finish(Outcome.CANCELLED, self._reader.received_tokens)
+            return
+        self._silences += 1
+        has_tokens = self._reader.received_tokens > 0
+        is_replaceable = self._is_replaceable and not has_tokens
+        if is_replaceable and self._silences > MAX_RESUMES:
+            self.finish(Outcome.LOST)
+            return
+        self._resume_later()
 
     def handle_data(self, data, connection_id):
         """Validates and relays data that a connection received.
@@ -244,18 +323,25 @@
         :param connection_id: id of the connection; data of an outdated one is
             ignored.
         """
-        if connection_id != self._connection_id or self._is_finished:
+        if not self._is_open(connection_id):
             return
         self._last_activity_s = self._backends.reactor.seconds()
         tokens_before = self._reader.received_tokens
         valid_data = self._reader.feed(data)
         if valid_data:
             self._relay(valid_data, tokens_before)
+        if self._reader.received_tokens > tokens_before:
+            self._resumes = 0
+            self._silences = 0
         if self._reader.is_complete:
             self.finish(Outcome.WHOLE, self._reader.received_tokens)
         elif self._reader.is_invalid:
             self._handle_invalid_stream()
 
+    def _is_open(self, connection_id):
+        connection = self._connection
+        return connection is not None and connection.connection_id == connection_id
+
     def _relay(self, valid_data, tokens_before):
         if tokens_before == 0 and self._reader.received_tokens:
             self._backends.bus.publish(messages.AttemptStarted(self.request_id))
@@ -266,10 +352,7 @@
         self._backends.bus.publish(chunk)
 
     def _handle_invalid_stream(self):
-        connection = self._connection
-        self._connection = None
-        if connection is not None:
-            connection.close()
+        self._close_connection()
         self._reader = streams.StreamReader(
             self.request_id, self._reader.received_tokens
         )
@@ -280,7 +363,7 @@
 
         :param connection_id: id of the connection; an outdated one is ignored.
         """
-        if connection_id == self._connection_id and not self._is_finished:
+        if self._is_open(connection_id):
             self._connection = None
             self._retry_or_finish()
 
@@ -308,10 +391,9 @@
         """Reports the outcome and closes the connection."""
         if self._stall_check.running:
             self._stall_check.stop()
-        connection = self._connection
-        self._connection = None
-        if connection is not None and outcome is not Outcome.WHOLE:
-            connection.close()
+        if outcome is Outcome.WHOLE:
+            self._connection = None
+        self._close_connection()
         super().finish(outcome, tokens)
 
 
@@ -324,15 +406,15 @@
 
     def __init__(self, attempt, connection_id):
         self._attempt = attempt
-        self._connection_id = connection_id
+        self.connection_id = connection_id
 
     def dataReceived(self, data):  # noqa: N802
         """Passes received data to the attempt."""
-        self._attempt.handle_data(data, self._connection_id)
+        self._attempt.handle_data(data, self.connection_id)
 
     def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
         """Notifies the attempt that the response ended or the connection closed."""
-        self._attempt.handle_end(self._connection_id)
+        self._attempt.handle_end(self.connection_id)
 
     def close(self):
         """Closes the connection."""
