--- a/packages/standins/tests/test_limitchecks.py
+++ b/packages/standins/tests/test_limitchecks.py
@@ -1,3 +1,4 @@
+import math
 import unittest
 
 import msgspec
@@ -14,6 +15,31 @@
     ]
 
 
+class SilentServerTests(unittest.TestCase):
+    def test_limit_binds_from_the_end_of_the_silence_in_which_it_was_stated(self):
+        contacts = build_contacts(120, 0.1, 1.0)
+        for contact in contacts:
+            contact.answered_s = max(contact.at_s, 6.0)
+        peaks = limitchecks.find_peaks(contacts, lambda contact: 0)
+        self.assertEqual([peak.count for peak in peaks], [30])
+
+    def test_server_that_never_got_to_say_that_it_leaves_has_told_nobody(self):
+        contacts = [
+            platformworkers.Contact("q", "w1", at_s, None, True, answered_s=math.inf)
+            for at_s in (0.0, 3.0)
+        ]
+        count = limitchecks.count_after_leaving(contacts, lambda contact: 0)
+        self.assertEqual(count, 0)
+
+    def test_time_that_a_rejection_names_begins_when_it_is_sent(self):
+        contacts = [
+            platformworkers.Contact("q", "w1", at_s, None, False, after_s, False, told)
+            for at_s, after_s, told in ((0.0, 3.0, 1.5), (1.9, None, 1.9), (4.0,) * 3)
+        ]
+        count = limitchecks.find_most_deferred(contacts, lambda contact: 0)
+        self.assertEqual(count, 1)
+
+
 class StatementTests(unittest.TestCase):
     def build(self, at_s, is_leaving=False, retry_after_s=None, server_id="w1"):
         return platformworkers.Contact(
--- a/packages/standins/wasabiknot_standins/floodingworkers.py
+++ b/packages/standins/wasabiknot_standins/floodingworkers.py
@@ -91,7 +91,20 @@
             return
         request_id = request.getHeader("x-wasabiknot-attempt-id") or ""
         self._record_flooded_run(request_id)
-        start, block = build_flood(self.flood, request_id)
+        disconnects = []
+        request.notifyFinish().addErrback(disconnects.append)
+        self._start_flood(request, request_id, self.flood, disconnects)
+
+    def _start_flood(self, request, request_id, flood, disconnects):
+        if disconnects:
+            return
+        if self.is_silent:
+            arguments = (request, request_id, flood, disconnects)
+            reactor.callLater(
+                platformworkers.SILENCE_CHECK_S, self._start_flood, *arguments
+            )
+            return
+        start, block = build_flood(flood, request_id)
         transport = request.channel.transport
         request.channel.unregisterProducer()
         transport.unregisterProducer()
