--- a/packages/standins/tests/test_soakchecks.py
+++ b/packages/standins/tests/test_soakchecks.py
@@ -77,6 +77,15 @@
         self.respond("q2")
         self.assertEqual(self.list_violations(), [])
 
+    def test_404_for_a_route_that_all_versions_have(self):
+        self.respond(status=404, runs=0)
+        self.check("rejected with 404")
+
+    def test_404_for_a_route_that_a_version_lacks(self):
+        self.respond(route="visit", status=404, runs=0, may_lack_route=True)
+        self.respond("q2")
+        self.assertEqual(self.list_violations(), [])
+
     def test_events_out_of_order(self):
         body = b"id: 2\ndata: q1/2\n\n"
         self.fault_times_s.append(9.0)
