Count requests of the soak that get a closed connection and no answer

The soak only counted responses that had begun. A request that was passed on, or waited longer than 0.2 s, and whose connection closes with no fault near is now a violation as well; one that crosses the close of its connection is not.

As the users' rules have it, a silence excuses nothing but a request that has used seven tenths of its time, or whose entry must end. Without a silence a response that has begun has no excuse but a fault, as before.

--- a/packages/standins/tests/test_soakchecks.py
+++ b/packages/standins/tests/test_soakchecks.py
@@ -13,6 +13,7 @@
         self.fault_times_s = []
         self.revoked_s = {}
         self.published_s = collections.defaultdict(float)
+        self.stops = []
 
     def respond(self, request_id="q1", route="cash", runs=1, **changes):
         fields = {
@@ -36,6 +37,7 @@
             self.fault_times_s,
             self.revoked_s,
             self.published_s,
+            self.stops,
         )
         return checker.list_violations()
 
@@ -77,6 +79,78 @@
         self.respond("q2")
         self.assertEqual(self.list_violations(), [])
 
+    def reach(self, request_id="q1"):
+        contact = platformworkers.Contact(request_id, "i-1", 10.0, None)
+        self.recorder.contacts.append(contact)
+
+    def fall_silent(self, start_s, end_s):
+        silence = platformworkers.Silence("i-1", start_s, end_s)
+        self.recorder.silences.append(silence)
+
+    def close(self, whole_s=10.0, **changes):
+        fields = {"status": 0, "headers": {}, "body": b"", "is_complete": False}
+        self.respond(whole_s=whole_s, runs=0, **{**fields, **changes})
+
+    def cut(self, **changes):
+        self.respond(route="summary", is_complete=False, body=b"", **changes)
+
+    def test_request_that_was_passed_on_ends_without_an_answer(self):
+        self.reach()
+        self.close()
+        self.check("incomplete without a fault")
+
+    def test_request_that_no_server_got_ends_late_without_an_answer(self):
+        self.close(ended_s=10.3)
+        self.check("incomplete without a fault")
+
+    def test_request_that_crosses_the_close_of_its_connection(self):
+        self.close()
+        self.close(whole_s=None, ended_s=11.0)
+        self.respond("q2")
+        self.respond("q3")
+        self.assertEqual(self.list_violations(), [])
+
+    def test_request_without_an_answer_during_a_fault(self):
+        self.fault_times_s.append(9.0)
+        self.reach()
+        self.close()
+        self.respond("q2")
+        self.assertEqual(self.list_violations(), [])
+
+    def test_silence_excuses_no_stream_that_is_cut(self):
+        self.fall_silent(10.0, 11.6)
+        self.cut(ended_s=11.3)
+        self.check("incomplete without a fault")
+
+    def test_stream_that_has_used_its_time_in_a_silence(self):
+        self.fall_silent(11.0, 12.6)
+        self.cut(ended_s=12.8, timeout_s=4.0)
+        self.respond("q2")
+        self.assertEqual(self.list_violations(), [])
+
+    def test_stream_that_has_used_its_time_without_a_silence(self):
+        self.fall_silent(7.0, 8.6)
+        self.cut(ended_s=12.8, timeout_s=4.0)
+        self.check("incomplete without a fault")
+
+    def test_request_that_its_server_holds_until_its_entry_must_end(self):
+        self.stops.append((0, 8.0))
+        self.reach()
+        self.close(ended_s=11.4)
+        self.respond("q2")
+        self.assertEqual(self.list_violations(), [])
+
+    def test_request_that_ends_before_its_entry_must_end(self):
+        self.stops += [(0, 8.0), (1, 7.0)]
+        self.reach()
+        self.close(ended_s=11.2)
+        self.check("incomplete without a fault")
+
+    def test_stop_excuses_no_stream_that_no_silence_has_delayed(self):
+        self.stops.append((0, 8.0))
+        self.cut(ended_s=11.4)
+        self.check("incomplete without a fault")
+
     def test_404_for_a_route_that_all_versions_have(self):
         self.respond(status=404, runs=0)
         self.check("rejected with 404")
--- a/packages/standins/wasabiknot_standins/soakchecks.py
+++ b/packages/standins/wasabiknot_standins/soakchecks.py
@@ -5,19 +5,29 @@
 
 import msgspec
 
-from wasabiknot_standins import platformworkers
+from wasabiknot_standins import entryprocesses, platformworkers
 
 # A fault accounts for an incomplete response if it occurred while the request was in
 # flight or up to this long before it was sent.
 FAULT_WINDOW_S = 3.0
+# Time after which a request without any answer counts though no server got it.
+LOSS_SLACK_S = 0.2
+# Share of its time after which a request may end during or after a silence.
+USED_SHARE = 0.7
+# A request that was sent no later than this after a SIGTERM may end without an answer
+# in the last sixth of the grace period, if its server is slow or silent.
+STOP_ADMISSION_S = 3.0
+STOP_SHARE = 5 / 6
 # Time within which a revocation is in force everywhere. The bound of the settings is
 # 2 s; the rest is for overlapping faults.
 MAX_REVOCATION_S = 6.0
 MIN_SERVED_SHARE = 0.3
+OK = 200
 UNAUTHORIZED = 401
 NOT_FOUND = 404
 RUN_ONCE_ROUTES = ("cash", "draft")
 STREAM_ROUTES = ("draft", "summary", "recap")
+REPEATABLE_ROUTES = ("lookup", "visit", "summary", "recap")
 
 
 class Response(msgspec.Struct):
@@ -34,6 +44,9 @@
     :param ended_s: time in seconds at which the request ended.
     :param revoked_key: key that was revoked before the request; empty for a valid one.
     :param process_id: id of the process that the request was sent to.
+    :param whole_s: time in seconds at which the last byte of the request was written;
+        ``None`` if there was no connection.
+    :param timeout_s: time in seconds that the request has.
     :param may_lack_route: whether a version that may be in force lacks its route.
     """
 
@@ -48,6 +61,8 @@
     ended_s: float = 0.0
     revoked_key: str = ""
     process_id: int = 0
+    whole_s: float | None = None
+    timeout_s: float = 4.0
     may_lack_route: bool = False
 
 
@@ -60,14 +75,20 @@
     :param revoked_s: times in seconds at which keys were revoked, by key and in the
         order of their configurations.
     :param published_s: times in seconds at which keys were first published, by key.
+    :param stops: pairs of the number of an entry and the time in seconds of a SIGTERM
+        to it.
     """
 
-    def __init__(self, recorder, responses, fault_times_s, revoked_s, published_s):
+    def __init__(
+        self, recorder, responses, fault_times_s, revoked_s, published_s, stops=()
+    ):
         self._recorder = recorder
         self._responses = responses
         self._fault_times_s = fault_times_s
         self._revoked_s = revoked_s
         self._published_s = published_s
+        self._stops = stops
+        self._reached_ids = {item.request_id for item in recorder.contacts}
         self._violations = []
 
     def list_violations(self):
@@ -156,14 +177,54 @@
         start_s = response.sent_s - FAULT_WINDOW_S
         return any(start_s <= at_s <= response.ended_s for at_s in self._fault_times_s)
 
+    def list_lost(self):
+        """Lists the requests that ended without a complete response and an excuse.
+
+        :return: list of ``Response``.
+        """
+        return [item for item in self._responses if self._is_lost(item)]
+
+    def _is_lost(self, response):
+        if response.is_complete or self._overlaps_fault(response):
+            return False
+        if not response.status and not self._was_read(response):
+            return False
+        return not self._is_excused(response)
+
+    def _was_read(self, response):
+        # A request that crosses the close of its connection is not read.
+        if response.whole_s is None:
+            return False
+        is_late = response.ended_s > response.whole_s + LOSS_SLACK_S
+        return is_late or response.request_id in self._reached_ids
+
+    def _is_excused(self, response):
+        # A silence alone excuses nothing, but its end may come too late. Streams
+        # without a silence are short, so nothing excuses them.
+        overlaps_silence = any(
+            item.start_s <= response.ended_s and response.sent_s <= item.end_s
+            for item in self._recorder.silences
+        )
+        used_s = response.ended_s - response.sent_s
+        if overlaps_silence and used_s >= USED_SHARE * response.timeout_s:
+            return True
+        may_be_slow = overlaps_silence or not response.status
+        return may_be_slow and self._ends_with_its_entry(response)
+
+    def _ends_with_its_entry(self, response):
+        return any(
+            number == response.entry
+            and response.sent_s <= at_s + STOP_ADMISSION_S
+            and response.ended_s >= at_s + STOP_SHARE * entryprocesses.SHUTDOWN_GRACE_S
+            for number, at_s in self._stops
+        )
+
     def _check_failed_response(self, response):
-        if (
-            response.status
-            and not response.is_complete
-            and not self._overlaps_fault(response)
-        ):
+        if self._is_lost(response):
+            took_s = response.ended_s - response.sent_s
             self._violations.append(
-                f"{response.request_id}: incomplete without a fault"
+                f"{response.request_id} ({response.route}, {response.status}):"
+                f" incomplete without a fault, after {took_s:.2f} s"
             )
         events = response.body.split(b"\n\n")[:-1]
         is_stream = response.route in STREAM_ROUTES
--- a/packages/standins/wasabiknot_standins/soakfaults.py
+++ b/packages/standins/wasabiknot_standins/soakfaults.py
@@ -35,6 +35,8 @@
         self.times_s = []
         # Pairs of the number of an entry and the time in seconds of a signal to it.
         self.signals = []
+        # The same for each SIGTERM.
+        self.stops = []
         self.violations = []
         self.actions = collections.Counter()
         self.is_over = False
@@ -42,10 +44,10 @@
     def run_random_action(self):
         """Draws an action and carries it out."""
         actions = (
-            self._stop_entry,
+            self.stop_entry,
             self._kill_entry,
             self._pause_entry,
-            self._send_sighup,
+            self.send_sighup,
             self._start_proxy_fault,
             self._start_worker_fault,
             self._crash_worker,
@@ -59,7 +61,7 @@
         action = self._rng.choice(actions)
         self.actions[action.__name__.strip("_")] += 1
         # Planned operations must not interrupt any response.
-        if action not in (self._publish, self._send_sighup, self._stop_entry):
+        if action not in (self._publish, self.send_sighup, self.stop_entry):
             self.record_fault()
         action()
 
@@ -70,10 +72,12 @@
     def _record_signal(self, entry):
         self.signals.append((entry.number, reactor.seconds()))
 
-    def _stop_entry(self):
+    def stop_entry(self):
+        """Sends SIGTERM to an entry and starts it again once it has ended."""
         entry = self._rng.choice(self.entries)
         self._record_signal(entry)
         entry.stopped_s = reactor.seconds()
+        self.stops.append((entry.number, entry.stopped_s))
         entry.send_signal(signal.SIGTERM)
         self.restart(entry)
 
@@ -126,7 +130,8 @@
         entry.is_paused = False
         entry.send_signal(signal.SIGCONT)
 
-    def _send_sighup(self):
+    def send_sighup(self):
+        """Sends SIGHUP to an entry."""
         self._rng.choice(self.entries).send_signal(signal.SIGHUP)
 
     def _start_proxy_fault(self):
--- a/packages/standins/wasabiknot_standins/soaks.py
+++ b/packages/standins/wasabiknot_standins/soaks.py
@@ -47,6 +47,7 @@
         self._connection = connection
         self._timer = reactor.callLater(CALL_TIMEOUT_S, self._handle_timeout)
         connection.send(request, self)
+        response.whole_s = reactor.seconds()
 
     def handle_head(self, head):
         """Records the status code and the headers."""
@@ -252,8 +253,10 @@
             f"{prefix}x", response.request_id, b"ok", key
         )
         yield self._send_request(entry.caller_address, request, response)
+        sent_s = response.sent_s
+        response.timeout_s = self._configurations.find_timeout_s(name, sent_s)
         response.may_lack_route = self._configurations.may_lack(
-            name, response.sent_s, response.ended_s
+            name, sent_s, response.ended_s
         )
         self._record_response(response)
         self._in_flight -= 1
@@ -332,14 +335,18 @@
                 f" {len(caller.list_runs())} in all"
             )
 
-    def _check_results(self):
-        checker = soakchecks.Checker(
+    def _build_checker(self):
+        return soakchecks.Checker(
             self._recorder,
             self._responses,
             self._faults.times_s,
             self._configurations.revoked_s,
             self._configurations.published_s,
+            self._faults.stops,
         )
+
+    def _check_results(self):
+        checker = self._build_checker()
         self.violations.extend(checker.list_violations())
         self.violations.extend(
             self._statements.list_violations(
