Let servers of the soak fall silent, and begin long soaks without faults

Faults are so frequent that their windows excuse nearly all responses. A soak of 15 s and more therefore begins with 4 to 8 s in which only planned operations, statements and silences take place; shorter ones have the draws that they had.

--- a/packages/standins/wasabiknot_standins/soakfaults.py
+++ b/packages/standins/wasabiknot_standins/soakfaults.py
@@ -1,6 +1,7 @@
 """Random faults and planned operations in a soak test."""
 
 import collections
+import math
 import signal
 
 from twisted.internet import defer, reactor, task
@@ -37,6 +38,8 @@
         self.signals = []
         # The same for each SIGTERM.
         self.stops = []
+        # Time in seconds until which only planned operations take place.
+        self.calm_until_s = -math.inf
         self.violations = []
         self.actions = collections.Counter()
         self.is_over = False
@@ -59,10 +62,12 @@
             self._publish,
         )
         action = self._rng.choice(actions)
-        self.actions[action.__name__.strip("_")] += 1
         # Planned operations must not interrupt any response.
         if action not in (self._publish, self.send_sighup, self.stop_entry):
+            if reactor.seconds() < self.calm_until_s:
+                return
             self.record_fault()
+        self.actions[action.__name__.strip("_")] += 1
         action()
 
     def record_fault(self):
--- a/packages/standins/wasabiknot_standins/soaks.py
+++ b/packages/standins/wasabiknot_standins/soaks.py
@@ -21,6 +21,7 @@
     soakchecks,
     soakconfigurations,
     soakfaults,
+    soaksilences,
     soakstatements,
 )
 
@@ -36,6 +37,9 @@
 RECENT_KEYS = 5
 # Fraction of the requests that go to a route that versions add and drop.
 OPTIONAL_SHARE = 0.2
+# A long soak begins with a time in which only planned operations take place.
+MIN_DURATION_WITH_CALM_S = 15.0
+CALM_S = (4.0, 8.0)
 
 
 class _ResponseHandler:
@@ -94,6 +98,7 @@
         self._rng = random.Random(seed)
         # Drawn apart, so that a seed keeps its other draws.
         self._harm = random.Random(f"harm/{seed}").choice(list(harmfulcallers.Harm))
+        self._seed = seed
         self._optional_rng = random.Random(f"optional/{seed}")
         self._duration_s = duration_s
         self._store = keyedlogs.Store()
@@ -115,6 +120,7 @@
         )
         # Servers of the services that the first configuration sends nothing to.
         self._more_workers = []
+        self._silences = soaksilences.Silences(seed, self._list_workers)
         self._harmful_caller = None
         self._entry_count = entry_count
         self._directory = directory
@@ -125,7 +131,8 @@
     @property
     def actions(self):
         """Counts of the faults and statements that were drawn."""
-        return self._faults.actions + self._statements.actions
+        actions = self._faults.actions + self._statements.actions
+        return actions + self._silences.actions
 
     @defer.inlineCallbacks
     def run(self):
@@ -278,6 +285,8 @@
         next_fault_s = reactor.seconds() + 0.5
         self._start_more_services()
         self._statements.draw()
+        self._silences.draw(self._duration_s)
+        self._draw_calm()
         while reactor.seconds() < end_s:
             self._send_random_request().addErrback(self._record_internal_error)
             if reactor.seconds() >= next_fault_s:
@@ -286,6 +295,11 @@
             yield sleep(self._rng.expovariate(40.0))
         yield self._wait_for_responses()
 
+    def _draw_calm(self):
+        if self._duration_s >= MIN_DURATION_WITH_CALM_S:
+            calm_s = random.Random(f"calm/{self._seed}").uniform(*CALM_S)
+            self._faults.calm_until_s = reactor.seconds() + calm_s
+
     @defer.inlineCallbacks
     def _send_requests(self, end_s, load_per_s):
         while reactor.seconds() < end_s:
