--- a/packages/standins/wasabiknot_standins/soakfaults.py
+++ b/packages/standins/wasabiknot_standins/soakfaults.py
@@ -1,6 +1,7 @@
 """Random faults and planned operations in a soak test."""
 
 import collections
+import math
 import signal
 
 from twisted.internet import defer, reactor, task
@@ -35,6 +36,10 @@
         self.times_s = []
         # Pairs of the number of an entry and the time in seconds of a signal to it.
         self.signals = []
+        # The same for each SIGTERM.
+        self.stops = []
+        # Time in seconds until which only planned operations take place.
+        self.calm_until_s = -math.inf
         self.violations = []
         self.actions = collections.Counter()
         self.is_over = False
@@ -42,10 +47,10 @@
     def run_random_action(self):
         """Draws an action and carries it out."""
         actions = (
-            self._stop_entry,
+            self.stop_entry,
             self._kill_entry,
             self._pause_entry,
-            self._send_sighup,
+            self.send_sighup,
             self._start_proxy_fault,
             self._start_worker_fault,
             self._crash_worker,
@@ -57,10 +62,12 @@
             self._publish,
         )
         action = self._rng.choice(actions)
-        self.actions[action.__name__.strip("_")] += 1
         # Planned operations must not interrupt any response.
-        if action not in (self._publish, self._send_sighup, self._stop_entry):
+        if action not in (self._publish, self.send_sighup, self.stop_entry):
+            if reactor.seconds() < self.calm_until_s:
+                return
             self.record_fault()
+        self.actions[action.__name__.strip("_")] += 1
         action()
 
     def record_fault(self):
@@ -70,10 +77,12 @@
     def _record_signal(self, entry):
         self.signals.append((entry.number, reactor.seconds()))
 
-    def _stop_entry(self):
+    def stop_entry(self):
+        """Sends SIGTERM to an entry and starts it again once it has ended."""
         entry = self._rng.choice(self.entries)
         self._record_signal(entry)
         entry.stopped_s = reactor.seconds()
+        self.stops.append((entry.number, entry.stopped_s))
         entry.send_signal(signal.SIGTERM)
         self.restart(entry)
 
@@ -126,7 +135,8 @@
         entry.is_paused = False
         entry.send_signal(signal.SIGCONT)
 
-    def _send_sighup(self):
+    def send_sighup(self):
+        """Sends SIGHUP to an entry."""
         self._rng.choice(self.entries).send_signal(signal.SIGHUP)
 
     def _start_proxy_fault(self):
--- a/packages/standins/wasabiknot_standins/soaks.py
+++ b/packages/standins/wasabiknot_standins/soaks.py
@@ -21,6 +21,7 @@
     soakchecks,
     soakconfigurations,
     soakfaults,
+    soaksilences,
     soakstatements,
 )
 
@@ -34,6 +35,11 @@
 REVOKED_SHARE = 0.15
 # Number of newest revoked keys that are used.
 RECENT_KEYS = 5
+# Fraction of the requests that go to a route that versions add and drop.
+OPTIONAL_SHARE = 0.2
+# A long soak begins with a time in which only planned operations take place.
+MIN_DURATION_WITH_CALM_S = 15.0
+CALM_S = (4.0, 8.0)
 
 
 class _ResponseHandler:
@@ -45,6 +51,7 @@
         self._connection = connection
         self._timer = reactor.callLater(CALL_TIMEOUT_S, self._handle_timeout)
         connection.send(request, self)
+        response.whole_s = reactor.seconds()
 
     def handle_head(self, head):
         """Records the status code and the headers."""
@@ -91,6 +98,8 @@
         self._rng = random.Random(seed)
         # Drawn apart, so that a seed keeps its other draws.
         self._harm = random.Random(f"harm/{seed}").choice(list(harmfulcallers.Harm))
+        self._seed = seed
+        self._optional_rng = random.Random(f"optional/{seed}")
         self._duration_s = duration_s
         self._store = keyedlogs.Store()
         self._recorder = platformworkers.RunRecorder()
@@ -98,7 +107,9 @@
         self._responses = []
         self._in_flight = 0
         self._request_count = 0
-        self._configurations = soakconfigurations.Configurations(self._store, self._rng)
+        self._configurations = soakconfigurations.Configurations(
+            self._store, self._rng, seed
+        )
         self._faults = soakfaults.Faults(
             self._rng, self._store, self._configurations, self._start_harmful_caller
         )
@@ -107,6 +118,9 @@
         self._statements = soakstatements.Statements(
             seed, duration_s, self._workers, self._faults.record_fault
         )
+        # Servers of the services that the first configuration sends nothing to.
+        self._more_workers = []
+        self._silences = soaksilences.Silences(seed, self._list_workers)
         self._harmful_caller = None
         self._entry_count = entry_count
         self._directory = directory
@@ -117,7 +131,8 @@
     @property
     def actions(self):
         """Counts of the faults and statements that were drawn."""
-        return self._faults.actions + self._statements.actions
+        actions = self._faults.actions + self._statements.actions
+        return actions + self._silences.actions
 
     @defer.inlineCallbacks
     def run(self):
@@ -173,13 +188,27 @@
         self._workers.append(worker)
         return worker
 
+    def _start_more_services(self):
+        # They have no proxies and no faults, so that a seed keeps its other draws.
+        for kind, services in soakconfigurations.SERVICES.items():
+            for service in services[1:]:
+                for _ in range(2):
+                    worker = platformworkers.Worker(
+                        self._store, self._recorder, service, kind == "pool"
+                    )
+                    worker.start()
+                    self._more_workers.append(worker)
+
     def _add_proxy(self, target):
         proxy = proxies.Proxy(target)
         self._faults.proxies.append(proxy)
         return proxy
 
+    def _list_workers(self):
+        return [*self._workers, *self._more_workers]
+
     def _send_heartbeats(self):
-        for worker in self._workers:
+        for worker in self._list_workers():
             if worker.listener.connected:
                 worker.send_heartbeat()
 
@@ -217,7 +246,7 @@
     def _send_random_request(self):
         self._request_count += 1
         self._in_flight += 1
-        name, prefix, *_ = self._rng.choice(soakconfigurations.ROUTES)
+        name, prefix = self._choose_route()
         entry = self._choose_entry()
         response = soakchecks.Response(
             f"q{self._request_count:06}", name, entry.number, reactor.seconds()
@@ -231,9 +260,22 @@
             f"{prefix}x", response.request_id, b"ok", key
         )
         yield self._send_request(entry.caller_address, request, response)
+        sent_s = response.sent_s
+        response.timeout_s = self._configurations.find_timeout_s(name, sent_s)
+        response.may_lack_route = self._configurations.may_lack(
+            name, sent_s, response.ended_s
+        )
         self._record_response(response)
         self._in_flight -= 1
 
+    def _choose_route(self):
+        name, prefix, *_ = self._rng.choice(soakconfigurations.ROUTES)
+        optional = soakconfigurations.OPTIONAL_ROUTES.get(name)
+        is_known = optional and self._configurations.has_had(optional[0])
+        if is_known and self._optional_rng.random() < OPTIONAL_SHARE:
+            name, prefix, *_ = optional
+        return name, prefix
+
     def _record_response(self, response):
         self._responses.append(response)
 
@@ -241,7 +283,10 @@
     def _generate_load(self):
         end_s = reactor.seconds() + self._duration_s
         next_fault_s = reactor.seconds() + 0.5
+        self._start_more_services()
         self._statements.draw()
+        self._silences.draw(self._duration_s)
+        self._draw_calm()
         while reactor.seconds() < end_s:
             self._send_random_request().addErrback(self._record_internal_error)
             if reactor.seconds() >= next_fault_s:
@@ -250,6 +295,11 @@
             yield sleep(self._rng.expovariate(40.0))
         yield self._wait_for_responses()
 
+    def _draw_calm(self):
+        if self._duration_s >= MIN_DURATION_WITH_CALM_S:
+            calm_s = random.Random(f"calm/{self._seed}").uniform(*CALM_S)
+            self._faults.calm_until_s = reactor.seconds() + calm_s
+
     @defer.inlineCallbacks
     def _send_requests(self, end_s, load_per_s):
         while reactor.seconds() < end_s:
@@ -299,14 +349,18 @@
                 f" {len(caller.list_runs())} in all"
             )
 
-    def _check_results(self):
-        checker = soakchecks.Checker(
+    def _build_checker(self):
+        return soakchecks.Checker(
             self._recorder,
             self._responses,
             self._faults.times_s,
             self._configurations.revoked_s,
             self._configurations.published_s,
+            self._faults.stops,
         )
+
+    def _check_results(self):
+        checker = self._build_checker()
         self.violations.extend(checker.list_violations())
         self.violations.extend(
             self._statements.list_violations(
