--- a/packages/kernel/tests/builders.py
+++ b/packages/kernel/tests/builders.py
@@ -10,8 +10,10 @@
     members,
     registrations,
     routes,
+    summaries,
 )
 
+ALL_SUMMARIES = summaries.Due(group=True, remote=True)
 TOLERANCE = allowances.Tolerance(window_s=8.0, ratio=0.1, slack_tokens=140_000)
 POLICY = deployments.Policy(
     retry_ratio=0.2,
@@ -117,3 +119,29 @@
     for entry in entries:
         for other in entries:
             entry.roster.apply_member(other.member, now_s)
+
+
+def list_datagrams(entry, now_s, due=ALL_SUMMARIES):
+    """Lists what an entry sends, as pairs of digests and peers that receive them."""
+    roster = entry.roster
+    digests = [entry.build_digest(now_s)]
+    datagrams = []
+    if roster.has_several_groups and roster.is_leader(now_s):
+        if due.group:
+            summary = [entry.build_group_summary(now_s)]
+            for group in roster.list_other_groups():
+                recipients = roster.list_summary_recipients(group, now_s)
+                datagrams.append((summary, recipients))
+        if due.remote:
+            digests.append(entry.build_remote_summary(now_s))
+    datagrams.append((digests, roster.list_group_peers()))
+    return datagrams
+
+
+def deliver(digests, peers, entries, now_s):
+    """Delivers digests to peers that are among the entries, given by their names."""
+    for peer in peers:
+        entry = entries.get(peer.member.name)
+        if entry is not None:
+            for digest in digests:
+                entry.apply_digest(digest, now_s)
--- a/packages/kernel/tests/test_members.py
+++ b/packages/kernel/tests/test_members.py
@@ -17,23 +17,8 @@
     running = [entry for entry in entries if entry not in stopped]
     by_name = {entry.member.name: entry for entry in running}
     for entry in running:
-        digest = entry.build_digest(now_s)
-        for peer in entry.roster.list_group_peers():
-            if peer.member.name in by_name:
-                by_name[peer.member.name].apply_digest(digest, now_s)
-    leaders = [
-        entry
-        for entry in running
-        if entry.roster.has_several_groups and entry.roster.is_leader(now_s)
-    ]
-    for summary in [entry.build_group_summary(now_s) for entry in leaders]:
-        for entry in running:
-            entry.apply_digest(summary, now_s)
-    for leader in leaders:
-        remote_summary = leader.build_remote_summary(now_s)
-        for peer in leader.roster.list_group_peers():
-            if peer.member.name in by_name:
-                by_name[peer.member.name].apply_digest(remote_summary, now_s)
+        for digests, peers in builders.list_datagrams(entry, now_s):
+            builders.deliver(digests, peers, by_name, now_s)
     for entry in running:
         entry.tick(now_s)
 
--- a/packages/kernel/tests/test_summaries.py
+++ b/packages/kernel/tests/test_summaries.py
@@ -34,30 +34,23 @@
     def count_groups(self):
         return len(self.list()[0].roster.list_other_groups()) + 1
 
-    def deliver(self, digests, peers):
-        for peer in peers:
-            for digest in digests:
-                self.entries[peer.member.name].apply_digest(digest, self.now_s)
-
     def advance(self):
         self.now_s += DIGEST_INTERVAL_S
         self.intervals += 1
         for name, entry in self.entries.items():
-            roster = entry.roster
-            digests = [entry.build_digest(self.now_s)]
-            if roster.is_leader(self.now_s):
-                is_regular = self.intervals % roster.digests_per_summary == 0
-                changed_s = entry.eligibility.changed_s
-                due = self.schedules[name].advance(is_regular, changed_s, self.now_s)
-                if due.group:
-                    self.group_summaries += 1
-                    summary = [entry.build_group_summary(self.now_s)]
-                    for group in roster.list_other_groups():
-                        recipients = roster.list_summary_recipients(group, self.now_s)
-                        self.deliver(summary, recipients)
-                if due.remote:
-                    digests.append(entry.build_remote_summary(self.now_s))
-            self.deliver(digests, roster.list_group_peers())
+            due = self.find_due(name, entry)
+            for digests, peers in builders.list_datagrams(entry, self.now_s, due):
+                builders.deliver(digests, peers, self.entries, self.now_s)
+
+    def find_due(self, name, entry):
+        roster = entry.roster
+        if not roster.is_leader(self.now_s):
+            return summaries.Due(group=False, remote=False)
+        is_regular = self.intervals % roster.digests_per_summary == 0
+        changed_s = entry.eligibility.changed_s
+        due = self.schedules[name].advance(is_regular, changed_s, self.now_s)
+        self.group_summaries += due.group
+        return due
 
     def record(self, entry, limit_per_s):
         server = entry.get_dispatcher("pool").servers["w1"]
