Part the play of entries from the test of limits

Leaving and retry times are to be played as limits are; only the servers and the checks differ. plays.World now holds entries, disturbances, load, requests in flight and digests; test_limit_load.World adds the limit and its bound. Ruled out: a second copy of the play.

--- a/packages/kernel/tests/test_limit_load.py
+++ b/packages/kernel/tests/test_limit_load.py
@@ -1,21 +1,14 @@
 """Plays servers that state limits on the decisions of entries, without a network."""
 
 import collections
-import random
 import unittest
 
 import builders
-import hypothesis
-from hypothesis import given, settings, strategies
+import plays
+from hypothesis import given, strategies
 
-from wasabiknot_kernel import dispatch, outcomes, routes, statements
+from wasabiknot_kernel import statements
 
-STEP_S = 0.05
-DIGEST_STEPS = 2
-DURATION_S = 30.0
-RESPONSE_S = 0.1
-ENTRY_RESTART_S = 1.0
-DIGEST_LOSS = 0.1
 SERVERS = 3
 URGENT = 0
 ORDINARY = 1
@@ -26,22 +19,18 @@
 WINDOW_S = 4.0
 TOLERANCE = 1.5
 SLACK = 5
-# Time in which a disturbance excuses an entry.
-EXCUSE_S = 4.0
 
 
-class World:
+class World(plays.World):
     """Entries before one limited server and others without a limit.
 
     :param seed: seed of the load.
     :param count: number of entries.
     :param limits: pairs of times in seconds and limits from then on.
     :param disturbances: triples of time in seconds, kind and duration in seconds.
-    :param load_per_s: requests a second.
-    :param uneven_share: share of the requests that the first entry gets.
     :param servers: number of servers; the first one states the limits.
-    :param has_engines: whether the servers are model engines.
     :param urgent_share: share of the requests that are urgent.
+    :param options: as for ``plays.World``.
     """
 
     def __init__(
@@ -50,108 +39,27 @@
         count,
         limits,
         disturbances=(),
-        load_per_s=60.0,
-        uneven_share=0.0,
         servers=SERVERS,
-        has_engines=False,
         urgent_share=0.0,
+        **options,
     ):
+        self.limits = limits
         self.urgent_share = urgent_share
         # Requests that arrived and that were sent after the limit has settled, by rank.
         self.arrived = collections.Counter()
         self.served = collections.Counter()
-        self.has_engines = has_engines
-        self.rng = random.Random(seed)
-        self.count = count
-        self.limits = limits
-        self.disturbances = sorted(disturbances)
-        self.load_per_s = load_per_s
-        self.uneven_share = uneven_share
-        self.servers = [f"w{number}" for number in range(servers)]
-        self.now_s = 1_000.0
-        self.start_s = self.now_s
-        self.cut_until_s = [0.0] * count
-        self.frozen_until_s = [0.0] * count
-        self.excused_until_s = [0.0] * count
-        self.down_until_s = [0.0] * count
-        self.in_flight = []
         self.contacts = []
-        self.told_s = {}
-        self.sent = collections.Counter()
-        self.refused = 0
-        self.requests = 0
-        self.entries = [None] * count
-        for number in range(count):
-            self.start(number)
-
-    def start(self, number):
-        domain = f"domain-{number % 3}"
-        entry = builders.build_deployment(f"e{number:03}", number, domain)
-        self.entries[number] = entry
-        for other in self.entries:
-            if other is not None and other is not entry:
-                builders.connect_entries([entry, other], self.now_s)
-        if self.has_engines:
-            table = routes.RouteTable(builders.build_configuration())
-            entry.apply_configuration(table, self.now_s)
-        for server_id in self.servers:
-            registration = builders.build_registration(server_id, slots=40)
-            entry.apply_registration(registration, self.now_s)
+        super().__init__(seed, count, servers, disturbances, **options)
 
     def find_limit(self):
-        elapsed_s = self.now_s - self.start_s
-        passed = [limit for at_s, limit in self.limits if at_s <= elapsed_s]
+        passed = [limit for at_s, limit in self.limits if at_s <= self.elapsed_s]
         return passed[-1] if passed else None
 
-    def is_up(self, number):
-        entry = self.entries[number]
-        return entry is not None and self.now_s >= self.frozen_until_s[number]
-
-    def disturb(self, kind, duration_s):
-        number = self.rng.randrange(self.count)
-        if kind == "restart":
-            self.entries[number] = None
-            self.down_until_s[number] = self.now_s + ENTRY_RESTART_S
-            duration_s = ENTRY_RESTART_S
-        elif kind == "cut":
-            self.cut_until_s[number] = self.now_s + duration_s
-        else:
-            self.frozen_until_s[number] = self.now_s + duration_s
-        self.excused_until_s[number] = self.now_s + duration_s + EXCUSE_S
-        self.told_s.pop(number, None)
-
-    def play(self):
-        steps = 0
-        while self.now_s < self.start_s + DURATION_S:
-            self.now_s += STEP_S
-            steps += 1
-            elapsed_s = self.now_s - self.start_s
-            while self.disturbances and self.disturbances[0][0] <= elapsed_s:
-                self.disturb(*self.disturbances.pop(0)[1:])
-            for number in range(self.count):
-                due_s = self.down_until_s[number]
-                if self.entries[number] is None and self.now_s >= due_s:
-                    self.start(number)
-            self.end_requests()
-            self.arrive()
-            for number in range(self.count):
-                if self.is_up(number):
-                    self.advance(number, steps % DIGEST_STEPS == number % DIGEST_STEPS)
-        return self
-
-    def arrive(self):
-        for _ in range(self.rng.randint(0, round(2 * self.load_per_s * STEP_S))):
-            is_first = self.rng.random() < self.uneven_share
-            number = 0 if is_first else self.rng.randrange(self.count)
-            if not self.is_up(number):
-                continue
-            self.requests += 1
-            ticket = builders.build_ticket(
-                f"q{self.requests}", self.now_s, rank=self.draw_rank()
-            )
-            self.count_ticket(self.arrived, ticket)
-            dispatcher = self.entries[number].get_dispatcher("pool")
-            self.apply(number, dispatcher.submit(ticket, self.now_s))
+    def create_ticket(self, number, request_id):
+        rank = self.draw_rank()
+        ticket = builders.build_ticket(request_id, self.now_s, rank=rank)
+        self.count_ticket(self.arrived, ticket)
+        return ticket
 
     def draw_rank(self):
         # Nothing is drawn without urgent requests, so that the other tests keep theirs.
@@ -159,75 +67,19 @@
         return URGENT if is_urgent else ORDINARY
 
     def count_ticket(self, counter, ticket):
-        if self.now_s > self.start_s + COUNTED_AFTER_S:
+        if self.elapsed_s > COUNTED_AFTER_S:
             counter[ticket.rank] += 1
 
     def find_served_share(self, rank):
         return self.served[rank] / self.arrived[rank]
 
-    def apply(self, number, decisions):
-        for decision in decisions:
-            if isinstance(decision, dispatch.Refusal):
-                self.refused += 1
-                continue
-            server_id = decision.server.server_id
-            self.count_ticket(self.served, decision.ticket)
-            self.sent[server_id] += 1
-            limit = self.find_limit() if server_id == "w0" else None
-            if server_id == "w0":
-                self.contacts.append((self.now_s, number, limit))
-            due_s = self.now_s + RESPONSE_S
-            statement = statements.Statement(limit)
-            self.in_flight.append(
-                (due_s, number, self.entries[number], decision, statement, self.now_s)
-            )
-
-    def end_requests(self):
-        remaining = []
-        for item in self.in_flight:
-            due_s, number, entry, decision, statement, sent_s = item
-            if self.now_s < due_s or self.now_s < self.frozen_until_s[number]:
-                remaining.append(item)
-                continue
-            if entry is not self.entries[number]:
-                continue
-            server = decision.server
-            entry.record_statement(server, statement, sent_s, self.now_s)
-            if statement.limit_per_s is not None:
-                self.told_s.setdefault(number, self.now_s)
-            entry.get_dispatcher("pool").record_end(
-                decision.ticket, server, outcomes.Outcome.COMPLETE, self.now_s
-            )
-        self.in_flight = remaining
-
-    def advance(self, number, sends_digest):
-        entry = self.entries[number]
-        entry.tick(self.now_s)
-        dispatcher = entry.get_dispatcher("pool")
-        self.apply(number, dispatcher.refuse_expired(self.now_s))
-        self.apply(number, dispatcher.dispatch_waiting(self.now_s))
-        if sends_digest and self.now_s >= self.cut_until_s[number]:
-            self.send_digests(entry)
-
-    def send_digests(self, entry):
-        roster = entry.roster
-        digests = [entry.build_digest(self.now_s)]
-        if roster.has_several_groups and roster.is_leader(self.now_s):
-            digests.append(entry.build_remote_summary(self.now_s))
-            summary = [entry.build_group_summary(self.now_s)]
-            for group in roster.list_other_groups():
-                recipients = roster.list_summary_recipients(group, self.now_s)
-                self.deliver(summary, recipients)
-        self.deliver(digests, roster.list_group_peers())
-
-    def deliver(self, digests, peers):
-        for peer in peers:
-            number = int(peer.member.name[1:])
-            if not self.is_up(number) or self.now_s < self.cut_until_s[number]:
-                continue
-            if self.rng.random() >= DIGEST_LOSS:
-                for digest in digests:
-                    self.entries[number].apply_digest(digest, self.now_s)
+    def respond(self, number, decision):
+        self.count_ticket(self.served, decision.ticket)
+        limit = None
+        if decision.server.server_id == "w0":
+            limit = self.find_limit()
+            self.contacts.append((self.now_s, number, limit))
+        return plays.Response(statements.Statement(limit))
 
     def list_excesses(self):
         stated_s = None
@@ -240,7 +92,7 @@
                 told_s.clear()
                 continue
             stated_s = at_s if stated_s is None else stated_s
-            since_s = told_s.setdefault(number, at_s + RESPONSE_S)
+            since_s = told_s.setdefault(number, at_s + plays.RESPONSE_S)
             if at_s < self.excused_until_s[number]:
                 continue
             if at_s < max(since_s + HEARING_S, stated_s + SETTLING_S):
@@ -259,20 +111,6 @@
         )
 
 
-SETTINGS = settings(
-    derandomize=True,
-    max_examples=25,
-    deadline=None,
-    phases=(hypothesis.Phase.explicit, hypothesis.Phase.generate),
-)
-DISTURBANCES = strategies.lists(
-    strategies.tuples(
-        strategies.floats(2, 25),
-        strategies.sampled_from(["restart", "cut", "freeze"]),
-        strategies.floats(0.3, 8.0),
-    ),
-    max_size=4,
-)
 LIMITS = strategies.lists(
     strategies.tuples(
         strategies.floats(1, 25),
@@ -284,12 +122,12 @@
 
 
 class LimitLoadTests(unittest.TestCase):
-    @SETTINGS
+    @plays.SETTINGS
     @given(
         strategies.integers(0, 1_000),
         strategies.integers(1, 12),
         LIMITS,
-        DISTURBANCES,
+        plays.DISTURBANCES,
         strategies.floats(0.0, 0.9),
     )
     def test_limit_holds_in_drawn_mixes(self, seed, count, limits, mishaps, uneven):
