Keep the leaving of a start when an earlier start's is reported late

Per server only one leaving was held, with its start. A report of an earlier start, which peers pass on for a second, replaced that of the present one, and the entry sent to a leaving server again.

Leaving is now held by id and start.

--- a/packages/kernel/tests/test_eligibility.py
+++ b/packages/kernel/tests/test_eligibility.py
@@ -23,6 +23,23 @@
         self.eligibility.record("w1", 1, LEAVING, 0.0, 0.1)
         self.assertFalse(self.eligibility.is_leaving("w1", 2))
 
+    def test_late_report_of_an_earlier_start_ended_the_leaving_of_the_next(self):
+        report = statements.LeavingReport("w1", 1)
+        self.eligibility.record("w1", 2, LEAVING, 0.0, 0.1)
+        self.eligibility.apply_reports((), (report,), statements.Channel.GROUP, 0.2)
+        self.assertTrue(self.eligibility.is_leaving("w1", 2))
+
+    def test_leaving_of_earlier_starts_is_not_kept_for_good(self):
+        for started_ms in range(1, 100):
+            now_s = 10.0 * started_ms
+            self.eligibility.apply_start("w1", started_ms)
+            self.eligibility.record("w1", started_ms, LEAVING, now_s, now_s)
+            self.eligibility.tick(now_s, {"w1": "pool"})
+        reports = self.eligibility.list_leaving_reports(now_s, statements.Channel)
+        self.assertEqual(reports, (statements.LeavingReport("w1", 99),))
+        kept = [self.eligibility.is_leaving("w1", number) for number in range(1, 100)]
+        self.assertLessEqual(sum(kept), 1 + eligibility.LEAVING_MEMORY_S / 10.0)
+
     def test_lapse_of_the_registration_changes_nothing(self):
         self.eligibility.record("w1", 1, LEAVING, 0.0, 0.1)
         self.eligibility.apply_start("w1", 1)
--- a/packages/kernel/wasabiknot_kernel/eligibility.py
+++ b/packages/kernel/wasabiknot_kernel/eligibility.py
@@ -21,14 +21,12 @@
 
 
 class Leaving(msgspec.Struct):
-    """A backend server that has stated that it is leaving.
+    """The statement of one start of a backend server that it is leaving.
 
-    :param started_ms: start of the server, in Unix milliseconds; 0 if unknown.
     :param stated_s: time in seconds at which this entry learned it.
     :param source: ``statements.Channel``.
     """
 
-    started_ms: int
     stated_s: float
     source: statements.Channel
 
@@ -45,6 +43,7 @@
         self.changed_s = dict.fromkeys(statements.Channel, NEVER_S)
         self.limits = limits.LimitTable(name, self._changes)
         self._deferrals = deferrals.DeferralTable()
+        # By the server's id and its start: peers may still report an earlier start.
         self._leaving = {}
         # Starts of the servers in Unix milliseconds, and since when those that aren't
         # registered have been away, by id.
@@ -92,7 +91,7 @@
     def _record_leaving(self, server_id, started_ms, source, now_s):
         if self.is_leaving(server_id, started_ms):
             return
-        self._leaving[server_id] = Leaving(started_ms, now_s, source)
+        self._leaving[server_id, started_ms] = Leaving(now_s, source)
         kind = statements.ChangeKind.LEAVING
         self._changes.append(statements.Change(server_id, kind, None, source))
 
@@ -120,8 +119,8 @@
         :return: tuple of ``statements.LeavingReport``.
         """
         return tuple(
-            statements.LeavingReport(server_id, leaving.started_ms)
-            for server_id, leaving in self._leaving.items()
+            statements.LeavingReport(server_id, started_ms)
+            for (server_id, started_ms), leaving in self._leaving.items()
             if statements.is_reported(leaving.source, leaving.stated_s, channels, now_s)
         )
 
@@ -132,8 +131,7 @@
         :param started_ms: start of the server, in Unix milliseconds; 0 if unknown.
         :return: ``True`` if this start of the server has said so.
         """
-        leaving = self._leaving.get(server_id)
-        return leaving is not None and leaving.started_ms == started_ms
+        return (server_id, started_ms) in self._leaving
 
     @property
     def has_waits(self):
@@ -195,10 +193,14 @@
         """
         self.limits.tick(now_s, known_ids)
         self._forget_unregistered(now_s, known_ids)
-        for server_id, leaving in list(self._leaving.items()):
+        for key, leaving in list(self._leaving.items()):
             is_old = now_s - leaving.stated_s > LEAVING_MEMORY_S
-            if is_old and server_id not in known_ids:
-                del self._leaving[server_id]
+            if is_old and not self._is_registered(*key, known_ids):
+                del self._leaving[key]
+
+    def _is_registered(self, server_id, started_ms, known_ids):
+        is_current = self._starts.get(server_id, started_ms) == started_ms
+        return server_id in known_ids and is_current
 
     def _forget_unregistered(self, now_s, known_ids):
         away_ids = self._starts.keys() - known_ids
@@ -229,8 +231,8 @@
         """
         leaving_ids = [
             server_id
-            for server_id, leaving in self._leaving.items()
-            if self._starts.get(server_id) == leaving.started_ms
+            for server_id, started_ms in self._leaving
+            if self._starts.get(server_id) == started_ms
         ]
         listed = {
             *self.limits.list_ids(),
