Try a restarted server one request at a time if it named a time before

The news of a restart forgot the time that a server had named, also if its new start had named it before its registration was known here.

Ruled out: forgetting the time but trying one request at a time. Now a restart lets one request at a time try the server; if it is rejected, times named within the last 2 s hold, as they may be the new start's word.

--- a/packages/entry/tests/test_server_metrics.py
+++ b/packages/entry/tests/test_server_metrics.py
@@ -13,7 +13,7 @@
     def setUp(self):
         self.clock = task.Clock()
         self.eligibility = eligibility.Eligibility("e1")
-        self.eligibility.apply_start("w1", 1)
+        self.eligibility.apply_start("w1", 1, 0.0)
         self.servers = server_metrics.ServerMetrics(self.clock, self.eligibility)
         self.metrics = request_metrics.RequestMetrics()
         self.metrics.add_collector(self.servers)
--- a/packages/kernel/tests/test_eligibility.py
+++ b/packages/kernel/tests/test_eligibility.py
@@ -32,7 +32,7 @@
     def test_leaving_of_earlier_starts_is_not_kept_for_good(self):
         for started_ms in range(1, 100):
             now_s = 10.0 * started_ms
-            self.eligibility.apply_start("w1", started_ms)
+            self.eligibility.apply_start("w1", started_ms, now_s)
             self.eligibility.record("w1", started_ms, LEAVING, now_s, now_s)
             self.eligibility.tick(now_s, {"w1": "pool"})
         reports = self.eligibility.list_leaving_reports(now_s, statements.Channel)
@@ -42,7 +42,7 @@
 
     def test_lapse_of_the_registration_changes_nothing(self):
         self.eligibility.record("w1", 1, LEAVING, 0.0, 0.1)
-        self.eligibility.apply_start("w1", 1)
+        self.eligibility.apply_start("w1", 1, 0.2)
         self.eligibility.tick(10.0, {})
         self.assertTrue(self.eligibility.is_leaving("w1", 1))
         self.eligibility.tick(1.0 + eligibility.LEAVING_MEMORY_S, {})
@@ -193,6 +193,18 @@
         self.assertIsInstance(refusal, dispatch.Refusal)
         self.assertGreaterEqual(refusal.retry_after_s, 3.0)
 
+    def test_restart_that_was_learned_late_opened_a_server_that_rejects_again(self):
+        self.defer("w1", 5.0, 0.0)
+        self.record("w2", LEAVING, 0.0, 0.0)
+        registration = builders.build_registration("w1", started_ms=2)
+        self.entry.apply_registration(registration, 0.5)
+        (trial,) = self.submit(0.6)
+        self.assertEqual(self.submit(0.6), [])
+        self.record("w1", statements.Statement(retry_after_s=1.0), 0.6, 0.7)
+        rejected = outcomes.Outcome.REJECTED
+        self.dispatcher.record_end(trial.ticket, trial.server, rejected, 0.7)
+        self.assertEqual(self.dispatcher.dispatch_waiting(4.9), [])
+
     def test_restarted_server_gets_requests_again(self):
         self.defer("w1", 30.0, 0.0)
         self.record("w2", LEAVING, 0.0, 0.0)
--- a/packages/kernel/wasabiknot_kernel/deferrals.py
+++ b/packages/kernel/wasabiknot_kernel/deferrals.py
@@ -4,21 +4,30 @@
 | --- | --- | --- |
 | open | the server's start | a rejection that names a time |
 | closed | that rejection; no request is sent | the end of the time |
-| trying | the end of the time; one request at a time | a response that names none |
+| trying | that end, or a restart; one request at a time | a response that names none |
 """
 
 import msgspec
 
+# Time within which entries learn that a server has restarted. What it has stated since
+# then may be the word of its new start.
+RESTART_NEWS_S = 2.0
+
 
 class Deferral(msgspec.Struct):
     """The time for which a backend server wants no request.
 
     :param until_s: end of the time, in seconds.
+    :param named_s: time in seconds at which this entry last read one.
+    :param opens_s: time in seconds from which requests try the server: the end, or
+        when its restart became known.
     :param trial_id: id of the request that tries the server after that; ``None`` while
         there is none.
     """
 
     until_s: float
+    named_s: float
+    opens_s: float
     trial_id: str | None = None
 
 
@@ -43,15 +52,17 @@
         """
         deferral = self._deferrals.get(server_id)
         if retry_after_s is None:
-            if deferral is not None and sent_s >= deferral.until_s:
+            if deferral is not None and sent_s >= deferral.opens_s:
                 del self._deferrals[server_id]
             return False
         until_s = now_s + retry_after_s
         if deferral is None:
-            self._deferrals[server_id] = Deferral(until_s)
+            self._deferrals[server_id] = Deferral(until_s, now_s, until_s)
             return True
-        is_new = now_s >= deferral.until_s
+        is_new = now_s >= deferral.opens_s
         deferral.until_s = max(deferral.until_s, until_s)
+        deferral.named_s = now_s
+        deferral.opens_s = deferral.until_s
         return is_new
 
     def may_send(self, server_id, now_s):
@@ -64,7 +75,7 @@
         deferral = self._deferrals.get(server_id)
         if deferral is None:
             return True
-        return now_s >= deferral.until_s and deferral.trial_id is None
+        return now_s >= deferral.opens_s and deferral.trial_id is None
 
     def record_send(self, server_id, request_id):
         """Records that a request is sent.
@@ -94,7 +105,7 @@
         :return: seconds, 0 if requests may be sent.
         """
         deferral = self._deferrals.get(server_id)
-        return max(0.0, deferral.until_s - now_s) if deferral is not None else 0.0
+        return max(0.0, deferral.opens_s - now_s) if deferral is not None else 0.0
 
     def list_ids(self):
         """Lists the backend servers that have named a time and not yet recovered.
@@ -103,8 +114,25 @@
         """
         return list(self._deferrals)
 
+    def apply_restart(self, server_id, now_s):
+        """Lets requests try a backend server that has restarted, one at a time.
+
+        The new start may have rejected requests before its registration was known
+        here. If it rejects the next one as well, the times named lately hold.
+
+        :param server_id: id of the server.
+        :param now_s: current time in seconds.
+        """
+        deferral = self._deferrals.get(server_id)
+        if deferral is None:
+            return
+        deferral.opens_s = min(deferral.opens_s, now_s)
+        deferral.trial_id = None
+        if now_s - deferral.named_s > RESTART_NEWS_S:
+            deferral.until_s = deferral.opens_s
+
     def forget(self, server_id):
-        """Forgets a backend server that has ended or restarted.
+        """Forgets a backend server that has ended.
 
         :param server_id: id of the server.
         """
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -223,7 +223,7 @@
             and known_server.registration.started_ms != registration.started_ms
         ):
             self.crash_monitor.record_restart(known_server, now_s)
-        self.eligibility.apply_start(server_id, registration.started_ms)
+        self.eligibility.apply_start(server_id, registration.started_ms, now_s)
         dispatcher.register(registration)
         server = dispatcher.servers[server_id]
         if server is not known_server:
--- a/packages/kernel/wasabiknot_kernel/eligibility.py
+++ b/packages/kernel/wasabiknot_kernel/eligibility.py
@@ -50,19 +50,21 @@
         self._starts = {}
         self._away_since_s = {}
 
-    def apply_start(self, server_id, started_ms):
+    def apply_start(self, server_id, started_ms, now_s):
         """Applies that a backend server is registered, maybe after a restart.
 
         What it stated before a restart is forgotten, but for its leaving, which holds
-        for one start anyway.
+        for one start anyway. A time that it named ends.
 
         :param server_id: id of the backend server.
         :param started_ms: start of the server, in Unix milliseconds; 0 if unknown.
+        :param now_s: current time in seconds.
         """
         previous_ms = self._starts.get(server_id, started_ms)
         self._starts[server_id] = started_ms
         if previous_ms != started_ms:
-            self._forget(server_id)
+            self.limits.forget(server_id)
+            self._deferrals.apply_restart(server_id, now_s)
 
     def record(self, server_id, started_ms, statement, sent_s, now_s):
         """Records what a response to this entry states.
@@ -210,11 +212,8 @@
             away_s = now_s - self._away_since_s.setdefault(server_id, now_s)
             if away_s > statements.UNREGISTERED_MEMORY_S:
                 del self._starts[server_id], self._away_since_s[server_id]
-                self._forget(server_id)
-
-    def _forget(self, server_id):
-        self.limits.forget(server_id)
-        self._deferrals.forget(server_id)
+                self.limits.forget(server_id)
+                self._deferrals.forget(server_id)
 
     def count_remembered(self):
         """Counts the backend servers whose starts are remembered.
