Go on with periodic tasks after a failure

A periodic task of an entry ended for good at its first exception: without the review, for example, group shares, pending removals and budgets stayed as they were until a restart. The failure is logged as before (WK1901).

No such exception is known. The test fails if the failure is passed on, as it was before: one call instead of three.

--- a/packages/entry/tests/test_edge.py
+++ b/packages/entry/tests/test_edge.py
@@ -7,9 +7,11 @@
 import tempfile
 import time
 import unittest
+from unittest import mock
 
 import msgspec
 import test_edge_settings
+from twisted.internet import task
 
 from wasabiknot_entry import edge
 
@@ -62,6 +64,20 @@
         return None
 
 
+class PeriodicTaskTests(unittest.TestCase):
+    def test_periodic_task_ends_at_its_first_failure(self):
+        clock = task.Clock()
+        run = mock.Mock(side_effect=[RuntimeError("odd"), None, None])
+        loop = task.LoopingCall(edge.run_logged, run, "review")
+        loop.clock = clock
+        ended = loop.start(0.1, now=False)
+        with mock.patch.object(edge.journal, "log_failure") as log_failure:
+            clock.pump([0.1] * 3)
+        self.assertEqual(run.call_count, 3)
+        self.assertFalse(ended.called)
+        log_failure.assert_called_once()
+
+
 class EntryProcessTests(unittest.TestCase):
     def start(self, ports=None):
         folder = tempfile.TemporaryDirectory()
--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -12,6 +12,7 @@
 import msgspec
 from returns import pipeline
 from twisted.internet import error, reactor, task
+from twisted.python import failure
 
 from wasabiknot_entry import (
     addresses,
@@ -218,7 +219,7 @@
         )
 
     def _start_loop(self, function, interval_s, name):
-        loop = task.LoopingCall(function)
+        loop = task.LoopingCall(run_logged, function, name)
         loop.clock = reactor
         loop.start(interval_s, now=False).addErrback(journal.log_failure, name)
 
@@ -461,6 +462,20 @@
         return delayed.addCallback(lambda _: self._wait_until_flushed(deadline_s))
 
 
+def run_logged(function, name):
+    """Runs a periodic task; a failure is logged and doesn't end the task.
+
+    :param function: function of the task.
+    :param name: name of the task, for the log.
+    :return: what the function returns; ``None`` if it has failed.
+    """
+    try:
+        return function()
+    except Exception:
+        journal.log_failure(failure.Failure(), name)
+        return None
+
+
 def _log_change(change):
     source = change.source.value
     if change.kind is statements.ChangeKind.LIMITED:
