--- a/packages/entry/tests/test_gateway_faults.py
+++ b/packages/entry/tests/test_gateway_faults.py
@@ -200,6 +200,17 @@
                 self.advance(11.0)
                 self.assert_failed(channel, status)
 
+    def test_failure_when_the_process_ends_leaves_the_other_requests(self):
+        channels = [self.send(f"q{number}") for number in range(5)]
+        for number in range(2):
+            self.accept(number)
+        self.gateway.stop(2.7, 4.0)
+        self.break_step(self.gateway, "_record_error", 2)
+        self.gateway.end_requests()
+        statuses = [self.read_answer(channel).status for channel in channels]
+        self.assertEqual(statuses, [502, 502, 503, 503, 503])
+        self.assert_logged()
+
     def test_failure_in_a_stream_leaves_it_open(self):
         stream = gatewaycases.build_route(retry_rule=routes.RetryRule.STREAM)
         self.configure(gatewaycases.build_configuration(2, routes=(stream,)))
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -705,9 +705,10 @@
         """
         for dispatcher in self._deployment.list_dispatchers():
             for ticket in dispatcher.list_waiting():
-                self._refuse_for_stop(self._flows[id(ticket)])
+                flow = self._flows[id(ticket)]
+                self.run_step(flow.request, self._refuse_for_stop, flow)
         for flow in list(self._flows.values()):
-            flow.drop(STOPPING, Kind.STOPPING)
+            self.run_step(flow.request, flow.drop, STOPPING, Kind.STOPPING)
         for channel in list(self._channels):
             channel.end()
 
