Test that a request on a reused connection isn't closed with idle ones

No test said that close_expired, close_idle and a server's idle timeout leave a connection alone while a silent server has a request on it. They do: the tests passed on the unchanged code as well.

--- a/packages/entry/tests/test_connections.py
+++ b/packages/entry/tests/test_connections.py
@@ -167,6 +167,33 @@
         disconnect(self.connection, error.ConnectionDone())
         self.assertIsNone(self.pop_idle())
 
+    def test_reused_connection_of_a_silent_server_stays_open_until_its_response(self):
+        self.send()
+        self.connection.set_idle_timeout(2.0)
+        self.connection.dataReceived(RESPONSE)
+        self.clock.advance(1.0)
+        self.assertIs(self.pop_idle(), self.connection)
+        self.send()
+        for _ in range(20):
+            self.clock.advance(0.2)
+            self.pool.close_expired()
+            self.pool.close_idle("10.0.0.1:80")
+        self.assertFalse(self.transport.disconnecting)
+        self.connection.dataReceived(RESPONSE)
+        self.assertEqual(self.handler.received[-3:], [200, b"ok", "end"])
+
+    def test_idle_connection_is_closed_once_its_time_has_passed(self):
+        self.send()
+        self.connection.set_idle_timeout(2.0)
+        self.connection.dataReceived(RESPONSE)
+        self.clock.advance(1.1)
+        self.pool.close_expired()
+        self.assertFalse(self.transport.disconnecting)
+        self.clock.advance(0.2)
+        self.pool.close_expired()
+        self.assertTrue(self.transport.disconnecting)
+        self.assertIsNone(self.pop_idle())
+
 
 class SilenceTests(unittest.TestCase):
     def setUp(self):
