Append a crash again until it has been read from the log

A crash that an entry reported while the log said nothing for 2 s, or could not be reached, was missing from the log. Entries that missed the datagram, or started later, counted a crash too few: a harmful content crashed one more server before its requests were refused.

The node now keeps its crash records and appends each again every second until it reads it.

test_crash_while_the_log_is_silent_is_written_afterwards failed before.

--- a/packages/kernel/tests/test_node.py
+++ b/packages/kernel/tests/test_node.py
@@ -436,6 +436,20 @@
             copy = simulation.call(name, "tag", content="poison")
             self.assertEqual(read_answer(copy).kind, Kind.QUARANTINED)
 
+    def test_crash_while_the_log_is_silent_is_written_afterwards(self):
+        simulation = create_simulation()
+        simulation.log.is_unavailable = True
+        simulation.call("entry-0", "ledger", content="poison")
+        simulation.advance(2_000)
+        simulation.log.is_unavailable = False
+        simulation.advance(3_000)
+        written = [
+            item.record.contents
+            for item in simulation.log.records
+            if isinstance(item.record, records.Crash)
+        ]
+        self.assertEqual(written, [("poison",)])
+
     def test_harmless_contents_are_not_quarantined(self):
         simulation = create_simulation()
         for number in range(4):
--- a/packages/kernel/wasabiknot_kernel/attempts.py
+++ b/packages/kernel/wasabiknot_kernel/attempts.py
@@ -129,7 +129,7 @@
         crash=crash,
     )
     node.log_event(events.Event.WORKER_CRASHED, worker=request.worker, crash=crash)
-    node.crashes.add(record)
+    node.crashes.add_own(record)
     node.emit(effects.SendCrash(record))
     node.emit(effects.Append(record))
 
--- a/packages/kernel/wasabiknot_kernel/following.py
+++ b/packages/kernel/wasabiknot_kernel/following.py
@@ -38,6 +38,7 @@
         _log_quarantine(node, record)
     if isinstance(record, records.MoveEnd):
         _log_move_end(node, record)
+    node.crashes.confirm(record)
     for claim in node.claims.confirm(record):
         calls.resolve_claim(node, claim)
 
--- a/packages/kernel/wasabiknot_kernel/poison.py
+++ b/packages/kernel/wasabiknot_kernel/poison.py
@@ -12,6 +12,8 @@
     def __init__(self):
         self._pending = {}
         self._reported = set()
+        # Records of this entry that it has not read from the log yet, by record id.
+        self._unwritten = {}
 
     def mark_reported(self, crash):
         """Marks a crash as reported by this entry.
@@ -35,6 +37,28 @@
         while len(self._pending) > MAX_PENDING_CONTENTS:
             del self._pending[next(iter(self._pending))]
 
+    def add_own(self, record):
+        """Adds a crash that this entry reports.
+
+        :param record: the ``Crash`` record.
+        """
+        self.add(record)
+        self._unwritten[record.record_id] = record
+
+    def confirm(self, record):
+        """Ends the appends of a record that has been read from the log.
+
+        :param record: record of any type.
+        """
+        self._unwritten.pop(record.record_id, None)
+
+    def list_unwritten(self):
+        """Lists the records of this entry that it has not read from the log yet.
+
+        :return: list of ``Crash`` records.
+        """
+        return list(self._unwritten.values())
+
     def count(self, content, state):
         """Counts the crashes during which a content was in flight.
 
--- a/packages/kernel/wasabiknot_kernel/upkeep.py
+++ b/packages/kernel/wasabiknot_kernel/upkeep.py
@@ -28,6 +28,8 @@
 def _(message: messages.Tick, node):
     for record in node.claims.flush(node.now_ms):
         node.emit(effects.Append(record))
+    for record in node.crashes.list_unwritten():
+        _append_after_delay(node, record, APPEND_RETRY_INTERVAL_MS)
     _time_out_claims(node)
     _expire_keys(node)
     admission.refuse_infeasible(node)
