Don't take a failed resumption of a stream for "not run"

A stream that a silent engine held could run twice: when the engine answered its resumption with 503, as one that leaves may, the attempt ended as rejected, the node took the request for not run and queued it again, also a call that may run once, and a stream whose first tokens the caller had.

The status of a resumption was read like that of the request. It says nothing of whether the request has run: the stream is now resumed again, and the attempt is lost after MAX_RESUMES failures in a row. Found while reading what a silence leads to, in a fake; no engine of the stand-ins answers so.

test_resumption_answered_503_does_not_mean_that_the_request_did_not_run failed before.

--- a/packages/entry/tests/test_attempts.py
+++ b/packages/entry/tests/test_attempts.py
@@ -194,6 +194,15 @@
             body = self.answer("GET", "/v1/streams/r")
         self.assert_whole(body)
 
+    def test_resumption_answered_503_does_not_mean_that_the_request_did_not_run(self):
+        body = self.accept()
+        body.write(encode_event(next(self.numbers)))
+        self.advance(SILENCE_S + 0.5)
+        self.answer("GET", "/v1/streams/r", code=503)
+        self.advance(0.5)
+        self.assertEqual(self.backends.outcomes, [])
+        self.assert_whole(self.answer("GET", "/v1/streams/r"))
+
     def test_silent_engine_keeps_a_request_that_may_run_once(self):
         self.accept()
         self.advance(DEADLINE_S - 1.0)
--- a/packages/entry/wasabiknot_entry/attempts.py
+++ b/packages/entry/wasabiknot_entry/attempts.py
@@ -210,6 +210,7 @@
         )
 
     def _handle_response(self, response, connection_id):
+        is_request = self._is_unanswered and connection_id == FIRST_CONNECTION_ID
         is_expected = self._is_expected(connection_id)
         self._record_answer(connection_id)
         if not is_expected:
@@ -223,13 +224,19 @@
             response.deliverBody(self._connection)
             return
         response.deliverBody(protocol.Protocol())
+        self._handle_error(response.code, is_request)
+
+    def _handle_error(self, code, is_request):
         if self._connection is not None:
             # The engine has answered the request itself in the meantime.
             return
-        if response.code == http.NOT_FOUND:
+        if code == http.NOT_FOUND:
             self._handle_unknown_stream()
-            return
-        self.finish(map_status(response.code), self._reader.received_tokens)
+        elif is_request:
+            self.finish(map_status(code), self._reader.received_tokens)
+        else:
+            # A failed resumption says nothing about the request.
+            self._retry_or_finish()
 
     def _is_expected(self, connection_id):
         if self._is_finished:
