Let a restarted entry of a play be a new run

A play restarted entries under the same run. Peers then ignored its digests, as older than those of before, and counted it as out of reach for the rest of the play: entries of several groups could use a part of each engine only.

--- a/packages/kernel/tests/builders.py
+++ b/packages/kernel/tests/builders.py
@@ -108,9 +108,9 @@
     )
 
 
-def build_deployment(name="e1", seed=1, domain="graz"):
-    """Builds the state of an entry."""
-    member = members.Member(name, f"run-{name}", "10.0.0.1", 7000, domain)
+def build_deployment(name="e1", seed=1, domain="graz", run=0):
+    """Builds the state of a run of an entry."""
+    member = members.Member(name, f"run-{name}-{run}", "10.0.0.1", 7000, domain)
     return deployments.Deployment(member, POLICY, random.Random(seed))
 
 
--- a/packages/kernel/tests/plays.py
+++ b/packages/kernel/tests/plays.py
@@ -107,13 +107,16 @@
         self.flights = []
         self.refused = 0
         self.requests = 0
+        self.runs = [0] * count
         self.entries = [None] * count
         for number in range(count):
             self.start(number)
 
     def start(self, number):
         domain = f"domain-{number % 3}"
-        entry = builders.build_deployment(f"e{number:03}", number, domain)
+        self.runs[number] += 1
+        run = self.runs[number]
+        entry = builders.build_deployment(f"e{number:03}", number, domain, run)
         self.entries[number] = entry
         for other in self.entries:
             if other is not None and other is not entry:
--- a/packages/kernel/tests/test_statement_load.py
+++ b/packages/kernel/tests/test_statement_load.py
@@ -88,7 +88,6 @@
         self.mishaps = sorted(mishaps, key=lambda item: item[0])
         self.states = {f"w{number}": Server() for number in range(SERVERS)}
         self.news = []
-        self.runs = collections.Counter()
         # When an entry has passed on that a start of a server leaves: by the start
         # that answered, and by the start that the entry took it for.
         self.told_s = {}
@@ -99,10 +98,6 @@
         self.contacts = []
         super().__init__(seed, count, SERVERS, disturbances, **options)
 
-    def start(self, number):
-        self.runs[number] += 1
-        super().start(number)
-
     def register(self, entry, server_id):
         state = self.states[server_id]
         if self.now_s < state.registered_s:
