Derive which entry asks about a silent limit when that is asked

Limit held a number among those that are no senders and their count, both written at each tick and read only after 30 s of silence. The place of an entry among those that may send is a value now, looked up where it is needed; the silence is checked first, so that a limited server costs no more a request.

--- a/packages/kernel/wasabiknot_kernel/limits.py
+++ b/packages/kernel/wasabiknot_kernel/limits.py
@@ -51,17 +51,41 @@
     :param stated_s: time in seconds at which an entry last read this.
     :param source: ``statements.Channel`` of the newest statement.
     :param pace: ``paces.Pace`` of this entry; its rate is 0 if it is no sender.
-    :param turn: number of this entry among those that are no senders; negative for a
-        sender.
-    :param turns: number of entries that are no senders.
     """
 
     rate_per_s: float | None
     stated_s: float
     source: statements.Channel
     pace: paces.Pace
-    turn: int = -1
-    turns: int = 1
+
+
+class Place(msgspec.Struct, frozen=True):
+    """The place of an entry among those that may send to a limited backend server.
+
+    :param rank: number of entries before it.
+    :param senders: number of entries that are senders, the first ones.
+    :param entries: number of all.
+    """
+
+    rank: int
+    senders: int
+    entries: int
+
+    @property
+    def is_sender(self):
+        """Whether the entry gets a part of the limit."""
+        return self.rank < self.senders
+
+    def has_turn(self, silence_s):
+        """Tells whether the entry is to find out whether the limit still holds.
+
+        :param silence_s: time in seconds since the limit was last stated, at least
+            ``SILENCE_S``.
+        :return: ``True`` for one of the entries that are no senders at a time.
+        """
+        turns = max(1, self.entries - self.senders)
+        turn = int(silence_s / TURN_S) % turns
+        return turn == self.rank - self.senders
 
 
 class LimitTable:
@@ -135,17 +159,20 @@
     def _update_pace(self, server_id, limit, now_s):
         if limit.rate_per_s is None:
             return
-        candidates = self.find_candidates(server_id, now_s)
-        count = len(candidates.preferred)
-        count = min(count, int(limit.rate_per_s) + SPARE_REQUESTS)
-        ranking = _rank(server_id, candidates)
-        own_rank = ranking.index(self._name) if self._name in ranking else len(ranking)
+        place = self._find_place(server_id, limit, now_s)
         rate_per_s = 0.0
-        if own_rank < count:
-            rate_per_s = max(limit.rate_per_s, MIN_RATE_PER_S) * self.share / count
+        if place.is_sender:
+            rate_per_s = max(limit.rate_per_s, MIN_RATE_PER_S) * self.share
+            rate_per_s /= place.senders
         limit.pace.set_rate(rate_per_s, now_s)
-        limit.turn = own_rank - count
-        limit.turns = max(1, len(ranking) - count)
+
+    def _find_place(self, server_id, limit, now_s):
+        candidates = self.find_candidates(server_id, now_s)
+        max_senders = int(limit.rate_per_s) + SPARE_REQUESTS
+        senders = min(len(candidates.preferred), max_senders)
+        ranking = _rank(server_id, candidates)
+        rank = ranking.index(self._name) if self._name in ranking else len(ranking)
+        return Place(rank, senders, len(ranking))
 
     def tick(self, now_s, known_ids):
         """Chooses the senders again, and drops what no longer matters.
@@ -201,8 +228,9 @@
             return True
         if limit.pace.rate_per_s <= 0.0:
             silence_s = now_s - limit.stated_s
-            turn = int(silence_s / TURN_S) % limit.turns
-            return silence_s >= SILENCE_S and turn == limit.turn
+            if silence_s < SILENCE_S:
+                return False
+            return self._find_place(server_id, limit, now_s).has_turn(silence_s)
         return limit.pace.may_send(now_s)
 
     def record_send(self, server_id, now_s):
