Take no answer to a connection for no end of a backend server

What callers saw: requests that are sound and popular refused as harmful (503 with kind quarantined) after their servers had been silent for a second or so.

Cause: a connection that was not opened within 0.4 s counted as the end of the server, and all responses that it had lost within 10 s as crashes by their requests. A sound server may say nothing for two seconds, its host may take no connections meanwhile, and then it goes on. When several were silent at once, a request in flight on three of them was refused everywhere, and a server that went on counted as started again, so the next silence counted anew.

Why this works: what shows an end is said by the host or the registry: refused connections, another start, a removal, another server at the address. Silence says nothing, however long. A server whose host is gone without a word is removed from the registry after three missed heartbeats, within the 10 s for which losses are kept.

Where connections are refused, nothing changes.

--- a/packages/kernel/wasabiknot_kernel/attribution.py
+++ b/packages/kernel/wasabiknot_kernel/attribution.py
@@ -2,7 +2,8 @@
 
 A response can be lost without a crash. It counts as one when the backend server is seen
 to have ended: it refuses connections, at this entry or at a peer, starts again, is no
-longer registered, or its address belongs to another one.
+longer registered, or its address belongs to another one. That it does not respond shows
+no end: a sound one may be silent for a second or so, and then goes on.
 """
 
 import collections
--- a/packages/kernel/wasabiknot_kernel/crash_monitors.py
+++ b/packages/kernel/wasabiknot_kernel/crash_monitors.py
@@ -46,19 +46,19 @@
     def record_failed_connection(self, server, is_refused, now_s):
         """Records that a connection to a backend server could not be opened.
 
-        Requests whose responses it lost shortly before count as having crashed it.
+        If it refused the connection, requests whose responses it lost shortly before
+        count as having crashed it. If it did not respond, it may be silent for a while
+        or unreachable for this entry alone: that shows no end.
 
         :param server: ``servers.Server``.
-        :param is_refused: whether it refused the connection. Otherwise it may be
-            unreachable for this entry alone, so peers are not told.
+        :param is_refused: whether it refused the connection.
         :param now_s: current time in Unix seconds.
         """
-        evidence = crashes.Evidence.UNREACHABLE
-        if is_refused:
-            server_key = self._attribution.get_server_key(server.registration)
-            self._attribution.record_refusal(server_key, now_s)
-            evidence = crashes.Evidence.REFUSED
-        self._record_end(server.registration, now_s, evidence)
+        if not is_refused:
+            return
+        server_key = self._attribution.get_server_key(server.registration)
+        self._attribution.record_refusal(server_key, now_s)
+        self._record_end(server.registration, now_s, crashes.Evidence.REFUSED)
 
     def record_response(self, ticket, server, is_success, now_s):
         """Records bytes of a response.
--- a/packages/kernel/wasabiknot_kernel/crashes.py
+++ b/packages/kernel/wasabiknot_kernel/crashes.py
@@ -49,7 +49,6 @@
     """Why a lost response counts as a crash. The values appear in logs."""
 
     REFUSED = "refused"
-    UNREACHABLE = "unreachable"
     RESTARTED = "restarted"
     REMOVED = "removed"
     REPLACED = "replaced"
