Hold timeouts back while nobody hears from their backend server

What callers saw: a release of a sound version taken back, and its new servers left, after these had been silent for a second or so.

Cause: each request that timed out at a silent server counted as a failure of its version, at each entry, so a single cause counted as often as requests were in flight. Five failures suffice, and promoted versions are watched as well.

Why this works: entries tell each other in digests, during a release, when they last heard from each new or old server and how many requests wait there. While nobody hears from a server at which several requests wait, timeouts are held back. They are dropped if it goes on within 2.8 s (what had been observed of the silence counts, not the time in which nobody tried it), and count if it does not, or if any entry has heard from it within the time of the request. A request that waits alone counts at once, as before.

--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -87,6 +87,7 @@
         self.crashes = deployment.crashes
         self.crash_monitor = deployment.crash_monitor
         self.record_evidence = deployment.record_evidence
+        self.record_response = deployment.record_response
         self.try_start_trial = deployment.try_start_trial
         self.record_statement = deployment.record_statement
 
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -475,7 +475,7 @@
             is_success = (
                 result.outcome is Outcome.COMPLETE and result.head.status < SUCCESS_END
             )
-            monitor.record_response(ticket, server, is_success, now_s)
+            self._deployment.record_response(ticket, server, is_success, now_s)
         self._metrics.count_attempt(result.outcome)
 
     def record_cancel(self, ticket, server, now_s):
@@ -509,7 +509,7 @@
         :param server: ``servers.Server``.
         :param now_s: current reactor time in seconds.
         """
-        self._deployment.crash_monitor.record_response(ticket, server, False, now_s)
+        self._deployment.record_response(ticket, server, False, now_s)
 
     def _check_server(self, server, now_s):
         # Shows at once whether the server has ended, also without other requests to it.
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -20,6 +20,7 @@
     releases,
     servers,
     service_times,
+    silences,
     statements,
 )
 
@@ -81,6 +82,7 @@
         self.crashes = crashes.CrashRegister()
         self.crash_monitor = crash_monitors.CrashMonitor(self.crashes)
         self.releases = releases.Releases(policy.canary_share, rng)
+        self.silences = silences.SilenceTracker()
         self.eligibility = eligibility.Eligibility(member.name)
         self.eligibility.limits.find_candidates = self._find_candidates
         # Candidates for the limits of servers that all entries use, of those that this
@@ -326,15 +328,28 @@
         :param sent_s: time in seconds at which the request was sent.
         :param now_s: current time in seconds.
         """
+        self.silences.record_bytes(server.server_id, now_s)
         registration = server.registration
         self.eligibility.record(
             server.server_id, registration.started_ms, statement, sent_s, now_s
         )
 
+    def record_response(self, ticket, server, is_success, now_s):
+        """Records bytes of a response.
+
+        :param ticket: ``arrivals.Ticket``.
+        :param server: ``servers.Server``.
+        :param is_success: whether the response is complete and a success.
+        :param now_s: current time in seconds.
+        """
+        self.silences.record_bytes(server.server_id, now_s)
+        self.crash_monitor.record_response(ticket, server, is_success, now_s)
+
     def record_evidence(self, ticket, server, outcome, elapsed_s, event_count, now_s):
         """Records the outcome of an attempt as evidence about a release.
 
-        Requests that are suspected to crash backend servers are not counted.
+        Requests that are suspected to crash backend servers are not counted, and
+        timeouts while a sound backend server is silent are no evidence.
 
         :param ticket: ``arrivals.Ticket``.
         :param server: ``servers.Server``.
@@ -345,6 +360,9 @@
         """
         if self.crashes.is_suspected(ticket.fingerprint):
             return
+        is_timeout = outcome is outcomes.Outcome.TIMED_OUT
+        if is_timeout and self.silences.hold(ticket, server, elapsed_s, now_s):
+            return
         duration_ratio = None
         # Latency during warm-up says nothing about the speed of the version.
         is_warm = now_s - elapsed_s >= server.warm_until_s
@@ -403,6 +421,7 @@
             self.allowances.used,
             self.crashes.list_responses(),
             OWN_CHANNELS,
+            self._list_silences(now_s),
         )
         waiting = {}
         faulty_servers = []
@@ -431,7 +450,10 @@
             responses.update(digest.responses)
         count = self.roster.count_group(now_s)
         used = self.allowances.group_used
-        built = self._build_digest(now_s, loads, used, responses, GROUP_CHANNELS)
+        silent = self.silences.merge_reports(digests, self._list_silences(now_s), now_s)
+        built = self._build_digest(
+            now_s, loads, used, responses, GROUP_CHANNELS, silent
+        )
         return msgspec.structs.replace(
             built,
             group=self.roster.group.name,
@@ -458,7 +480,10 @@
             responses.update(digest.responses)
         count = self.roster.count_other_groups(now_s)
         used = self.allowances.remote_used
-        built = self._build_digest(now_s, loads, used, responses, REMOTE_CHANNELS)
+        silent = self.silences.merge_reports(summaries, {}, now_s)
+        built = self._build_digest(
+            now_s, loads, used, responses, REMOTE_CHANNELS, silent
+        )
         return msgspec.structs.replace(
             built,
             group=members.REMOTE_GROUPS,
@@ -467,7 +492,18 @@
             members=count.members,
         )
 
-    def _build_digest(self, now_s, loads, used, responses, channels):
+    def _list_silences(self, now_s):
+        return self.silences.list_reports(self._list_released_servers(), now_s)
+
+    def _list_released_servers(self):
+        services = {order.service for order in self.releases.list_active()}
+        return [
+            server
+            for service in services
+            for server in self.get_dispatcher(service).servers.values()
+        ]
+
+    def _build_digest(self, now_s, loads, used, responses, channels, silent):
         self._sequence += 1
         return members.Digest(
             name=self.member.name,
@@ -486,6 +522,7 @@
             responses=dict(responses),
             limits=self.eligibility.limits.list_reports(now_s, channels),
             leaving_servers=self.eligibility.list_leaving_reports(now_s, channels),
+            silence_reports=silent,
         )
 
     def _list_loads(self):
@@ -521,6 +558,7 @@
             counter = self.allowances.remote_used
         self.allowances.charge_peer_use(source, digest.run, digest.used, now_s, counter)
         self.releases.apply_evidence(source, digest.evidence)
+        self.silences.apply_reports(source, digest.silence_reports, now_s)
         self.crash_monitor.apply_digest(source, digest, now_s)
         channel = (
             statements.Channel.REMOTE if digest.group else statements.Channel.GROUP
@@ -663,6 +701,11 @@
             for server in dispatcher.servers.values():
                 server.is_faulty_at_peer = server.server_id in faulty_servers
 
+    def _record_due_timeouts(self, now_s):
+        timed_out = outcomes.Outcome.TIMED_OUT
+        for held in self.silences.tick(self._list_released_servers(), now_s):
+            self.releases.record_outcome(held.ticket, held.server, timed_out, None)
+
     def tick(self, now_s):
         """Updates the state that depends on time.
 
@@ -683,6 +726,7 @@
             )
         self._assign_servers()
         self._apply_group_digests(now_s)
+        self._record_due_timeouts(now_s)
         peak = self._peak_members.record(count.members, now_s)
         self._update_limits(count.reachable, peak, now_s)
         has_slack = now_s - self._started_s > self.policy.retry_window_s
@@ -698,6 +742,7 @@
         for source in self._peer_loads.keys() - sources:
             self._apply_peer_loads(source, {})
             del self._peer_loads[source]
+            self.silences.forget(source)
         for server_id, due_s in list(self._pending_removals.items()):
             if now_s >= due_s and not self.is_store_unavailable(now_s):
                 del self._pending_removals[server_id]
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from wasabiknot_kernel import crashes, releases, servers, statements
+from wasabiknot_kernel import crashes, releases, servers, silences, statements
 
 # Time without a digest after which the load of a peer is no longer counted.
 UNREACHABLE_AFTER_S = 1.0
@@ -81,6 +81,7 @@
         fingerprint.
     :param limits: limits that backend servers have stated lately.
     :param leaving_servers: backend servers that have lately stated that they leave.
+    :param silence_reports: whether backend servers of services with a release respond.
     """
 
     name: str
@@ -103,6 +104,7 @@
     responses: dict[str, int] = {}
     limits: tuple[statements.LimitReport, ...] = ()
     leaving_servers: tuple[statements.LeavingReport, ...] = ()
+    silence_reports: dict[str, silences.SilenceReport] = {}
 
 
 class Bundle(msgspec.Struct, frozen=True, array_like=True):
