Take no duration of a response for the version if its server was silent

What callers saw: a release of a sound version taken back as "1.6 times slower" after its servers had been silent for a second or so, all together, and had gone on with their streams.

Cause: the duration of each response that had waited through the silence counted as a sample of the version's speed. As attempts that no other server can take stay where they are, more of them wait through a silence.

Why this works: a silence is known from the time in which several requests, at one entry or at several, wait at a server that nobody hears from. A response that was under way in it gives no duration.

--- a/packages/kernel/tests/test_silent_rollouts.py
+++ b/packages/kernel/tests/test_silent_rollouts.py
@@ -32,10 +32,19 @@
         silences = [(3, 1.4, {0}), (6, 1.4, {1}), (9, 1.4, {2})]
         self.check(seed=1, load_per_s=120.0, silences=silences)
 
+    def test_version_whose_servers_are_all_silent_several_times_is_kept(self):
+        silences = [(at_s, 1.6, set(ALL)) for at_s in (3, 6, 9)]
+        for is_plain in (False, True):
+            self.check(seed=1, silences=silences, is_plain=is_plain)
+
     def test_version_that_is_silent_after_its_promotion_is_kept(self):
         silences = [(11, 1.4, {0}), (13, 1.4, {1})]
         self.check(seed=1, silences=silences)
 
+    def test_single_waiting_requests_of_many_entries_do_not_end_a_release(self):
+        silences = [(at_s, 1.6, set(ALL)) for at_s in (3, 6, 9)]
+        self.check(seed=1, entries=10, silences=silences)
+
     @SETTINGS
     @given(
         strategies.integers(0, 1_000),
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -348,8 +348,8 @@
     def record_evidence(self, ticket, server, outcome, elapsed_s, event_count, now_s):
         """Records the outcome of an attempt as evidence about a release.
 
-        Requests that are suspected to crash backend servers are not counted, and
-        timeouts while a sound backend server is silent are no evidence.
+        Requests that are suspected to crash backend servers are not counted, and what
+        happens while a sound backend server is silent is no evidence.
 
         :param ticket: ``arrivals.Ticket``.
         :param server: ``servers.Server``.
@@ -364,9 +364,12 @@
         if is_timeout and self.silences.hold(ticket, server, elapsed_s, now_s):
             return
         duration_ratio = None
-        # Latency during warm-up says nothing about the speed of the version.
-        is_warm = now_s - elapsed_s >= server.warm_until_s
-        if outcome is outcomes.Outcome.COMPLETE and is_warm:
+        sent_s = now_s - elapsed_s
+        # Latency during warm-up or a silence says nothing of the speed of the version.
+        is_timed = sent_s >= server.warm_until_s and not self.silences.was_silent(
+            server.server_id, sent_s
+        )
+        if outcome is outcomes.Outcome.COMPLETE and is_timed:
             duration_ratio = (
                 elapsed_s
                 * 1_000
--- a/packages/kernel/wasabiknot_kernel/silences.py
+++ b/packages/kernel/wasabiknot_kernel/silences.py
@@ -150,6 +150,17 @@
         held = self._held.get(server.server_id, ())
         return waiting + sum(now_s - item.ended_s < MIN_WAIT_S for item in held)
 
+    def was_silent(self, server_id, sent_s):
+        """Tells whether a backend server was silent while a request was there.
+
+        :param server_id: id of the backend server.
+        :param sent_s: time in seconds at which the request was sent.
+        """
+        return any(
+            item.until_s - max(item.since_s, sent_s) >= MIN_WAIT_S
+            for item in self._silences.get(server_id, ())
+        )
+
     def tick(self, all_servers, now_s):
         """Updates the silences, and decides on the timeouts that were held back.
 
