Give a new service its part of the retry slack with its first request

What callers saw: nothing that was measured. The first request to a service that an entry had not used before could not be sent once more (502 if it may have run) when its server lost it within a tenth of a second, as after a change of the configuration that moves a route.

Cause: the retry budget of a service begins with no slack, and got it with the next tick, 0.1 s later at most, however long the entry had run.

Why this works: whether the entry may use the slack, and among how many entries it is divided, is known since the last tick and holds for all services. An entry within its first window, or before its first tick, still has none.

One test failed before; the other one guards the start.

--- a/packages/kernel/tests/test_budgets.py
+++ b/packages/kernel/tests/test_budgets.py
@@ -46,6 +46,23 @@
         self.assertFalse(budget.try_acquire(0.0))
 
 
+class NewServiceTests(unittest.TestCase):
+    def test_first_request_to_a_service_may_be_retried_at_once(self):
+        entries = [builders.build_deployment(name) for name in ("e1", "e2")]
+        builders.connect_entries(entries, 100.0)
+        for tenth in range(1_000, 1_110):
+            entries[0].tick(tenth / 10)
+        budget = entries[0].get_budget("new")
+        granted = sum(budget.try_acquire(111.0) for _ in range(100))
+        self.assertEqual(granted, int(54 / 2 * budgets.SAFETY_FACTOR))
+
+    def test_entry_that_has_just_started_has_no_slack_for_a_new_service(self):
+        entry = builders.build_deployment()
+        self.assertFalse(entry.get_budget("first").try_acquire(100.0))
+        entry.tick(100.0)
+        self.assertFalse(entry.get_budget("second").try_acquire(100.0))
+
+
 class RestartTests(unittest.TestCase):
     def test_entries_that_are_cut_off_from_each_other_share_the_slack(self):
         entries = [builders.build_deployment(name) for name in ("e1", "e2", "e3")]
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -104,6 +104,9 @@
         self._store_recovered_s = None
         self._sequence = 0
         self._peak_members = budgets.PeakCount()
+        # What holds for the retry budgets of all services since the last tick.
+        self._peak_member_count = 1
+        self._has_retry_slack = False
         # Time of the first tick.
         self._started_s = None
         self.is_stopping = False
@@ -198,12 +201,14 @@
         :return: ``budgets.RetryBudget``.
         """
         if service not in self._budgets:
-            self._budgets[service] = budgets.RetryBudget(
+            budget = budgets.RetryBudget(
                 self.policy.retry_ratio,
                 self.policy.retry_window_s,
                 self.policy.retry_slack,
             )
-            self._budgets[service].has_slack = False
+            budget.entry_count = self._peak_member_count
+            budget.has_slack = self._has_retry_slack
+            self._budgets[service] = budget
         return self._budgets[service]
 
     def apply_registration(self, registration, now_s):
@@ -732,10 +737,11 @@
         self._record_due_timeouts(now_s)
         peak = self._peak_members.record(count.members, now_s)
         self._update_limits(count.reachable, peak, now_s)
-        has_slack = now_s - self._started_s > self.policy.retry_window_s
+        self._peak_member_count = peak
+        self._has_retry_slack = now_s - self._started_s > self.policy.retry_window_s
         for budget in self._budgets.values():
             budget.entry_count = peak
-            budget.has_slack = has_slack
+            budget.has_slack = self._has_retry_slack
         sources = set(_list_reachable_digests(self.roster.list_group_peers(), now_s))
         sources.update(
             name
