Let a request without a response keep others from a server for 3 s at most

What callers saw: refusals, and one server less, after a backend server had asked for no requests for a time and the first request after it got no response.

Cause: after that time one request tries the server, and no other one was sent there until it had ended. If it may run once only, or no other server can take it, it stays until its route's timeout, although the server may have been silent for a second only, or may answer all requests but this one.

Why this works: the next request may try the server once the one before has waited for 3 s, longer than a sound server is silent. It is still one request in 3 s; the first response that names no time opens the server.

The test failed before.

--- a/packages/kernel/tests/test_eligibility.py
+++ b/packages/kernel/tests/test_eligibility.py
@@ -3,7 +3,13 @@
 
 import builders
 
-from wasabiknot_kernel import dispatch, eligibility, outcomes, statements
+from wasabiknot_kernel import (
+    deferrals,
+    dispatch,
+    eligibility,
+    outcomes,
+    statements,
+)
 
 LEAVING = statements.Statement(is_leaving=True)
 SILENT = statements.Statement()
@@ -169,6 +175,15 @@
         (second,) = self.submit(3.6)
         self.assertEqual(second.server.server_id, "w1")
 
+    def test_trial_without_a_response_keeps_others_away_for_a_while_only(self):
+        self.defer("w1", 3.0, 0.0)
+        self.record("w2", LEAVING, 0.0, 0.0)
+        self.submit(3.1)
+        self.assertEqual(self.submit(3.0 + deferrals.MAX_TRIAL_S), [])
+        (second,) = self.dispatcher.dispatch_waiting(3.2 + deferrals.MAX_TRIAL_S)
+        self.assertEqual(second.server.server_id, "w1")
+        self.assertEqual(self.submit(3.3 + deferrals.MAX_TRIAL_S), [])
+
     def test_callers_are_refused_at_once_with_the_time_that_is_left(self):
         self.defer("w1", 3.5, 0.0)
         self.defer("w2", 3.9, 0.0)
--- a/packages/kernel/wasabiknot_kernel/deferrals.py
+++ b/packages/kernel/wasabiknot_kernel/deferrals.py
@@ -5,10 +5,17 @@
 | open | the server's start | a rejection that names a time |
 | closed | that rejection; no request is sent | the end of the time |
 | trying | the end of the time; one request at a time | a response that names none |
+
+A request that has got no response for a while keeps no other one away: the server may
+be silent for a second or so, or answer all requests but this one.
 """
 
 import msgspec
 
+# Time for which a request that tries a server keeps other ones away; longer than a
+# sound server is silent.
+MAX_TRIAL_S = 3.0
+
 
 class Deferral(msgspec.Struct):
     """The time for which a backend server wants no request.
@@ -16,10 +23,12 @@
     :param until_s: end of the time, in seconds.
     :param trial_id: id of the request that tries the server after that; ``None`` while
         there is none.
+    :param trial_sent_s: time in seconds at which that request was sent.
     """
 
     until_s: float
     trial_id: str | None = None
+    trial_sent_s: float = 0.0
 
 
 class DeferralTable:
@@ -59,22 +68,28 @@
 
         :param server_id: id of the server.
         :param now_s: current time in seconds.
-        :return: ``False`` within the time, and while another request tries the server.
+        :return: ``False`` within the time, and while another request tries the server,
+            for ``MAX_TRIAL_S`` at most.
         """
         deferral = self._deferrals.get(server_id)
         if deferral is None:
             return True
-        return now_s >= deferral.until_s and deferral.trial_id is None
+        if now_s < deferral.until_s:
+            return False
+        is_tried = deferral.trial_id is not None
+        return not is_tried or now_s - deferral.trial_sent_s >= MAX_TRIAL_S
 
-    def record_send(self, server_id, request_id):
+    def record_send(self, server_id, request_id, now_s):
         """Records that a request is sent.
 
         :param server_id: id of the server.
         :param request_id: id of the request.
+        :param now_s: current time in seconds.
         """
         deferral = self._deferrals.get(server_id)
         if deferral is not None:
             deferral.trial_id = request_id
+            deferral.trial_sent_s = now_s
 
     def record_end(self, server_id, request_id):
         """Records that a request has ended, with a response or without.
--- a/packages/kernel/wasabiknot_kernel/eligibility.py
+++ b/packages/kernel/wasabiknot_kernel/eligibility.py
@@ -158,7 +158,7 @@
         :param now_s: current time in seconds.
         """
         self.limits.record_send(server_id, now_s)
-        self._deferrals.record_send(server_id, request_id)
+        self._deferrals.record_send(server_id, request_id, now_s)
 
     def record_end(self, server_id, request_id):
         """Records that a request at a backend server has ended.
