Note what servers newly state in one place

Both ways in, a response and a digest, counted the changes before and after to tell whether anything was new.

--- a/packages/kernel/wasabiknot_kernel/eligibility.py
+++ b/packages/kernel/wasabiknot_kernel/eligibility.py
@@ -10,6 +10,8 @@
 | no request for a time | ``deferrals`` | a trial after it succeeds | this entry |
 """
 
+import contextlib
+
 import msgspec
 
 from wasabiknot_kernel import deferrals, limits, statements
@@ -75,21 +77,25 @@
         :param sent_s: time in seconds at which the request was sent.
         :param now_s: current time in seconds.
         """
-        known_changes = len(self._changes)
-        if not statement.is_limit_unreadable:
-            self.limits.record(server_id, statement.limit_per_s, sent_s, now_s)
-        if statement.is_leaving:
-            own = statements.Channel.OWN
-            self._record_leaving(server_id, started_ms, own, now_s)
-        if len(self._changes) > known_changes:
-            self.changed_s[statements.Channel.OWN] = now_s
+        own = statements.Channel.OWN
+        with self._note_changes(own, now_s):
+            if not statement.is_limit_unreadable:
+                self.limits.record(server_id, statement.limit_per_s, sent_s, now_s)
+            if statement.is_leaving:
+                self._record_leaving(server_id, started_ms, own, now_s)
         retry_after_s = statement.retry_after_s
         if self._deferrals.record(server_id, retry_after_s, sent_s, now_s):
             kind = statements.ChangeKind.DEFERRING
-            own = statements.Channel.OWN
             change = statements.Change(server_id, kind, retry_after_s, own)
             self._changes.append(change)
 
+    @contextlib.contextmanager
+    def _note_changes(self, channel, now_s):
+        known_changes = len(self._changes)
+        yield
+        if len(self._changes) > known_changes:
+            self.changed_s[channel] = now_s
+
     def _record_leaving(self, server_id, started_ms, source, now_s):
         if self.is_leaving(server_id, started_ms):
             return
@@ -105,12 +111,11 @@
         :param channel: ``statements.Channel`` of the digest.
         :param now_s: current time in seconds.
         """
-        known_changes = len(self._changes)
-        self.limits.apply_reports(limit_reports, channel, now_s)
-        for report in leaving_reports:
-            self._record_leaving(report.server_id, report.started_ms, channel, now_s)
-        if len(self._changes) > known_changes:
-            self.changed_s[channel] = now_s
+        with self._note_changes(channel, now_s):
+            self.limits.apply_reports(limit_reports, channel, now_s)
+            for report in leaving_reports:
+                started_ms = report.started_ms
+                self._record_leaving(report.server_id, started_ms, channel, now_s)
 
     def list_leaving_reports(self, now_s, channels):
         """Lists the servers that have lately stated that they leave, for a digest.
