--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -477,7 +477,7 @@
         intervals = [
             item.service_times.event_interval_ms.value
             for item in self.servers.values()
-            if not item.is_leaving
+            if not item.is_retired
         ]
         if not intervals:
             return service_times.EVENT_INTERVAL_MS
