Recognize a silent server although time passes while an event is read

Callers saw streams of a silent server move to another one that was silent too, and new requests go there: attempts and retry budget were used up for nothing, and what was left couldn't move again. The attempt and its server each read the clock for one event, the server later by some microseconds. The silence was counted from the earlier time, so the server always seemed to have answered since. Clocks of tests stand still meanwhile.

The request keeps the time that its server has recorded.

--- a/packages/entry/tests/test_silent_servers.py
+++ b/packages/entry/tests/test_silent_servers.py
@@ -339,6 +339,29 @@
         moved = [item for item in self.pool.opened if item.request_id == b"q1"]
         self.assertEqual(moved[-1].address, elsewhere.address)
 
+    def test_server_is_not_seen_as_silent_as_time_passes_while_an_event_is_read(self):
+        self.register("pool", 2)
+        self.allow_retries("pool", 0)
+        self.request(b"summary")
+        now_s = self.clock.seconds()
+        step_s = 1e-5
+
+        def read_clock():
+            nonlocal now_s
+            now_s += step_s
+            return now_s
+
+        with mock.patch.object(self.clock, "seconds", read_clock):
+            connection = self.start_stream()
+            now_s += send_attempts.STREAM_STALL_TIMEOUT_S
+            step_s = 1e-6
+            connection.handler.check_silence()
+            servers = self.deployment.get_dispatcher("pool").servers.values()
+            (server,) = (item for item in servers if item.sends)
+            self.assertTrue(server.is_avoided(now_s))
+            connection.deliver(build_event(3))
+            self.assertFalse(server.is_avoided(now_s))
+
     def fill_queue(self):
         for number in range(3):
             self.request(b"summary", b"other-%d" % number)
--- a/packages/entry/wasabiknot_entry/flows.py
+++ b/packages/entry/wasabiknot_entry/flows.py
@@ -45,6 +45,8 @@
         # Decision on the silence of the backend server, if it is silent.
         self._silence_decision = None
         self._sent_s = 0.0
+        # Time of the send or of the newest event, as the server has it, in seconds.
+        self._heard_s = 0.0
         self._received_count = 0
         self.first_event_s = None
         self.last_event_id = ticket.arrival.last_event_id
@@ -71,6 +73,7 @@
         self._assignment = assignment
         self._silence_decision = None
         self._sent_s = self._gateway.reactor.seconds()
+        self._heard_s = self._sent_s
         self._received_count = 0
         ticket = self.ticket
         ticket.sends += 1
@@ -135,6 +138,7 @@
         self._gateway.silent_flows.discard(self)
         self._silence_decision = None
         server.record_life(now_s)
+        self._heard_s = now_s
         self.dispatcher.record_first_event(self.ticket, server, now_s)
         self.dispatcher.record_progress(
             self.ticket, server, self._received_count, now_s
@@ -164,7 +168,7 @@
         ticket = self.ticket
         now_s = gateway.reactor.seconds()
         previous = self._silence_decision
-        self._assignment.server.record_silence(now_s - silent_s)
+        self._assignment.server.record_silence(max(self._heard_s, now_s - silent_s))
         decision = self.dispatcher.replace_silent_server(
             ticket,
             gateway.get_budget(ticket.service),
