Don't let an older silence hide a newer one of the same server

Callers saw requests go to a silent server although it was known to be silent: whenever several requests waited there. Each check recorded the time since which its own request had got nothing, and replaced that of another one. If it was older than the newest bytes from the server, the server seemed to have answered since.

The test failed before.

--- a/packages/kernel/tests/test_dispatch.py
+++ b/packages/kernel/tests/test_dispatch.py
@@ -479,6 +479,12 @@
         self.assertTrue(self.server.is_avoided(1.9))
         self.assertFalse(self.server.is_avoided(2.1))
 
+    def test_older_silence_does_not_hide_a_newer_one_of_the_same_server(self):
+        self.server.record_life(0.5)
+        self.server.record_silence(0.5)
+        self.server.record_silence(0.3)
+        self.assertTrue(self.server.is_avoided(0.9))
+
     def test_server_that_answers_others_is_not_silent(self):
         self.server.record_life(0.5)
         self.server.record_silence(0.0)
--- a/packages/kernel/wasabiknot_kernel/servers.py
+++ b/packages/kernel/wasabiknot_kernel/servers.py
@@ -77,10 +77,10 @@
         self.consecutive_failures = 0
         self.avoid_until_s = 0.0
         self.cached_parts = {}
-        # Time of the newest bytes from it, and time since which a request that has
-        # waited too long has got nothing.
+        # Time of the newest bytes from it, and newest time since which a request that
+        # has waited too long has got nothing.
         self._heard_s = -math.inf
-        self._silent_since_s = None
+        self._silent_since_s = -math.inf
         # Address at which another backend server has answered for this one.
         self.lost_address = None
         # Running and waiting requests, as stated in its newest response.
@@ -170,7 +170,7 @@
 
     def _is_silent(self, now_s):
         # A server that answers others meanwhile has lost that one request.
-        if self._silent_since_s is None or not self.sends:
+        if not self.sends:
             return False
         is_recent = now_s - self._silent_since_s < MAX_SILENCE_S
         return is_recent and self._heard_s <= self._silent_since_s
@@ -180,7 +180,7 @@
 
         :param since_s: time of its send or of its newest event, in seconds.
         """
-        self._silent_since_s = since_s
+        self._silent_since_s = max(self._silent_since_s, since_s)
 
     def record_life(self, now_s):
         """Records bytes of a response.
