Let a stream return to its server as the one it was moved to rejects it

Callers got a part of a resumable stream and then a closed connection, though their server was sound and only silent for a second: the request was moved to a server that seemed to have room and rejected it as full. That was its last attempt, so the response was cut.

With two attempts on the route (trial), silence of 1.2 s and then one 503 with X-Wasabiknot-Not-Executed ended the stream at once. Now a response that has begun may go back to a server that it was sent to and that hasn't rejected it, if the retry budget allows. It reaches no further server, and each server rejects it once at most. The test failed before.

--- a/packages/entry/tests/test_silent_servers.py
+++ b/packages/entry/tests/test_silent_servers.py
@@ -39,6 +39,12 @@
         self.request_id = headers[b"x-wasabiknot-attempt-id"]
         self.next_event = int(headers.get(b"last-event-id", b"0"))
 
+    def reject(self):
+        extra = ((b"x-wasabiknot-attempt-id", self.request_id),)
+        head = (*extra, (b"x-wasabiknot-not-executed", b"1"))
+        self.handler.handle_head(connections.Head(503, head))
+        self.end()
+
     def step(self, event_count):
         """Delivers the head, one more event or the end."""
         if self.is_aborted or self.is_ended:
@@ -339,6 +345,37 @@
         moved = [item for item in self.pool.opened if item.request_id == b"q1"]
         self.assertEqual(moved[-1].address, elsewhere.address)
 
+    def move_stream(self):
+        transport = self.request(b"summary")
+        self.start_stream()
+        self.wait(SILENCE_S)
+        return transport, self.pool.opened[1]
+
+    def test_moved_stream_is_cut_as_its_last_attempt_is_rejected(self):
+        self.register("pool", 3)
+        self.allow_retries("pool", 5)
+        transport, second = self.move_stream()
+        second.reject()
+        self.wait(0.5)
+        self.assertEqual(len(self.pool.opened), 3)
+        first, _, third = self.pool.opened
+        self.assertEqual(third.address, first.address)
+        third.respond()
+        self.finish_stream(third)
+        self.check_whole_stream(transport)
+
+    def test_moved_stream_that_all_reject_asks_each_server_once(self):
+        self.register("pool", 3)
+        self.allow_retries("pool", 50)
+        transport, second = self.move_stream()
+        second.reject()
+        self.wait(0.5)
+        self.pool.opened[2].reject()
+        self.wait(0.5)
+        self.assertEqual(len(self.pool.opened), 3)
+        self.assertTrue(transport.disconnecting)
+        self.assertEqual(len(self.gateway), 0)
+
     def test_server_is_not_seen_as_silent_as_time_passes_while_an_event_is_read(self):
         self.register("pool", 2)
         self.allow_retries("pool", 0)
--- a/packages/kernel/wasabiknot_kernel/arrivals.py
+++ b/packages/kernel/wasabiknot_kernel/arrivals.py
@@ -77,6 +77,7 @@
     :param fingerprint: hash of path, caller and body.
     :param sends: number of sends to backend servers.
     :param tried: ids of the backend servers that it was sent to.
+    :param rejected_by: ids of those that have rejected it.
     :param may_have_run: whether a backend server may have run the request.
     :param is_begun: whether the caller has got a part of the response, which another
         server must complete.
@@ -97,6 +98,7 @@
     fingerprint: str = ""
     sends: int = 0
     tried: set[str] = msgspec.field(default_factory=set)
+    rejected_by: set[str] = msgspec.field(default_factory=set)
     may_have_run: bool = False
     is_begun: bool = False
     charge: float = 0.0
@@ -108,6 +110,14 @@
         """Id of the request."""
         return self.arrival.request_id
 
+    @property
+    def returnable_to(self):
+        """Ids of the backend servers that may complete the response it has begun.
+
+        They are known, so the request reaches no further server.
+        """
+        return self.tried - self.rejected_by if self.is_begun else set()
+
     @property
     def prompt_tokens(self):
         """Length of the prompt, in tokens."""
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -578,6 +578,8 @@
         usable = [item for item in self.servers.values() if not item.is_leaving]
         if self.select is not None:
             usable = self.select(ticket, usable, now_s)
+        if ticket.sends >= ticket.route.attempts:
+            return [item for item in usable if item.server_id in ticket.returnable_to]
         untried = [item for item in usable if item.server_id not in ticket.tried]
         return untried or usable
 
@@ -740,6 +742,7 @@
             self._durations.add(ticket.route.name, duration_s)
             self._record_complete(server, duration_s)
         elif outcome is outcomes.Outcome.REJECTED:
+            ticket.rejected_by.add(server.server_id)
             server.record_rejection(now_s)
         elif outcome is not outcomes.Outcome.CANCELLED:
             is_unresponsive = outcome in (
--- a/packages/kernel/wasabiknot_kernel/outcomes.py
+++ b/packages/kernel/wasabiknot_kernel/outcomes.py
@@ -25,7 +25,8 @@
 
 # Outcomes after which the backend server certainly did not run the request.
 NOT_EXECUTED = frozenset({Outcome.REJECTED, Outcome.UNREACHABLE})
-# Obstacle to another send, for the log.
+# Obstacles to another send, for the log.
+NO_ATTEMPTS = "no attempts left"
 NO_BUDGET = "no retry budget left"
 
 
@@ -56,7 +57,8 @@
 
     A request that must not run twice is retried only if it certainly did not run.
     Attempts and the retry budget bound the extra load while backend servers crash,
-    reject requests or lose responses.
+    reject requests or lose responses. A response that has begun may return to an
+    earlier server after the last attempt was rejected.
 
     :param ticket: ``arrivals.Ticket``; its sends include the one that ended.
     :param outcome: ``Outcome``.
@@ -74,7 +76,8 @@
         return _end_not_run(ticket, "no time left")
     if outcome is not Outcome.REJECTED and not ticket.route.is_repeatable:
         return _end_possibly_run(outcome, "may run once")
-    obstacle = _find_retry_obstacle(ticket, has_time, now_s, budget)
+    may_return = outcome is Outcome.REJECTED and bool(ticket.returnable_to)
+    obstacle = _find_retry_obstacle(ticket, has_time, may_return, now_s, budget)
     if not obstacle:
         return RetryDecision(Step.RESEND, reason=outcome.value)
     if outcome is Outcome.REJECTED:
@@ -92,12 +95,14 @@
     if not has_time:
         return "no time left"
     if ticket.sends >= ticket.route.attempts:
-        return "no attempts left"
+        return NO_ATTEMPTS
     return ""
 
 
-def _find_retry_obstacle(ticket, has_time, now_s, budget):
+def _find_retry_obstacle(ticket, has_time, may_return, now_s, budget):
     obstacle = find_resend_obstacle(ticket, has_time)
+    if may_return and obstacle == NO_ATTEMPTS:
+        obstacle = ""
     if not obstacle and not budget.try_acquire(now_s):
         return NO_BUDGET
     return obstacle
