End the checks of a silence with the attempt that has failed in one

A failed check has no result, which was taken for a request that stays. Now the check ends if the attempt has. The test failed before.

--- a/packages/entry/tests/test_silent_servers.py
+++ b/packages/entry/tests/test_silent_servers.py
@@ -5,11 +5,12 @@
 from hypothesis import given, settings, strategies
 from twisted.internet import defer, task, testing
 
-from wasabiknot_entry import buffers, connections, gateways, send_attempts
+from wasabiknot_entry import buffers, connections, gateways, journal, send_attempts
 from wasabiknot_kernel import (
     allowances,
     budgets,
     deployments,
+    events,
     members,
     registrations,
     routes,
@@ -376,6 +377,23 @@
         self.assertTrue(transport.disconnecting)
         self.assertEqual(len(self.gateway), 0)
 
+    def test_failed_check_of_a_silence_is_repeated_for_ever(self):
+        self.register("pool", 2)
+        self.allow_retries("pool", 5)
+        transport = self.request(b"summary")
+        self.start_stream()
+        dispatcher = self.deployment.get_dispatcher("pool")
+        failing = mock.Mock(side_effect=RuntimeError)
+        with (
+            mock.patch.object(dispatcher, "replace_silent_server", failing),
+            mock.patch.object(journal, "write") as write,
+        ):
+            self.wait(5.0)
+        logged = [item.args[0] for item in write.call_args_list]
+        self.assertEqual(logged.count(events.Event.REQUEST_FAILED), 1)
+        self.assertEqual(self.clock.getDelayedCalls(), [])
+        self.assertTrue(transport.disconnecting)
+
     def test_server_is_not_seen_as_silent_as_time_passes_while_an_event_is_read(self):
         self.register("pool", 2)
         self.allow_retries("pool", 0)
--- a/packages/entry/wasabiknot_entry/send_attempts.py
+++ b/packages/entry/wasabiknot_entry/send_attempts.py
@@ -142,7 +142,10 @@
         Otherwise the server may go on.
         """
         silent_s = self._reactor.seconds() - self._heard_s
-        if not self._receiver.handle_silence(silent_s):
+        is_replaced = self._receiver.handle_silence(silent_s)
+        if self.phase is Phase.ENDED:
+            return
+        if not is_replaced:
             self._start_timer(SILENCE_CHECK_INTERVAL_S)
             return
         self._abort_connection()
