Free the slot of the other server as the move of a request fails

Callers waited for a slot that nobody used: if a step failed unexpectedly after another server had been assigned to a silent request, the request ended and was taken off its old server only. The new one counted it as in flight for good, and reported that to the other entries.

A request that ends now also gives back a server that it hasn't been sent to yet.

--- a/packages/entry/tests/test_silent_servers.py
+++ b/packages/entry/tests/test_silent_servers.py
@@ -394,6 +394,22 @@
         self.assertEqual(self.clock.getDelayedCalls(), [])
         self.assertTrue(transport.disconnecting)
 
+    def test_failure_during_a_move_keeps_the_slot_of_the_other_server(self):
+        for name in ("record_evidence", "record_result", "write"):
+            with self.subTest(name=name):
+                self.setUp()
+                self.register("pool", 2)
+                self.allow_retries("pool", 5)
+                transport = self.request(b"summary")
+                self.start_stream()
+                owner = journal if name == "write" else self.gateway
+                failing = mock.Mock(side_effect=[RuntimeError] + [None] * 9)
+                with mock.patch.object(owner, name, failing):
+                    self.wait(SILENCE_S)
+                self.assertTrue(transport.disconnecting)
+                servers = self.deployment.get_dispatcher("pool").servers.values()
+                self.assertFalse(any(item.sends for item in servers))
+
     def test_server_is_not_seen_as_silent_as_time_passes_while_an_event_is_read(self):
         self.register("pool", 2)
         self.allow_retries("pool", 0)
--- a/packages/entry/wasabiknot_entry/flows.py
+++ b/packages/entry/wasabiknot_entry/flows.py
@@ -326,7 +326,15 @@
         self._gateway.fail_request(self, kind, reason)
         self._gateway.dispatch_waiting(self.ticket.service)
 
+    def _release_substitute(self):
+        decision, self._silence_decision = self._silence_decision, None
+        if isinstance(decision, dispatch.Assignment):
+            now_s = self._gateway.reactor.seconds()
+            cancelled = Outcome.CANCELLED
+            self.dispatcher.record_end(self.ticket, decision.server, cancelled, now_s)
+
     def _cancel_attempt(self, is_timed_out):
+        self._release_substitute()
         attempt, self._attempt = self._attempt, None
         assignment, self._assignment = self._assignment, None
         if assignment is None:
