Give a free place to a stream without a server before one at a silent server

Callers got no more of a stream that its server had broken off, and left it after two seconds: it waited for a place, and each one that became free went to a request of the same rank whose server was merely silent and would have gone on. Since requests at silent servers are asked first, they were before the responses that have begun and wait in the queue.

In a run with two servers, one of them silent (trial), the place went to the silent stream and the broken one stayed in the queue; now it is the other way round. The test failed before.

--- a/packages/entry/tests/test_silent_servers.py
+++ b/packages/entry/tests/test_silent_servers.py
@@ -433,6 +433,26 @@
             connection.deliver(build_event(3))
             self.assertFalse(server.is_avoided(now_s))
 
+    def test_silent_stream_takes_the_place_of_one_that_was_broken_off(self):
+        self.register("pool", 2)
+        self.allow_retries("pool", 50)
+        started = {"10.0.1.0:80": [], "10.0.1.1:80": []}
+        for number in range(8):
+            self.request(b"summary", b"q%d" % number)
+            connection = self.start_stream()
+            started[connection.address].append(connection)
+        silent, sound = started.values()
+        for step in range(32):
+            self.clock.advance(0.05)
+            for connection in sound:
+                connection.deliver(build_event(3 + step))
+        broken = silent[-1]
+        broken.handler.handle_loss(connections.LossReason.MALFORMED)
+        sound[0].end()
+        newest = self.pool.opened[-1]
+        self.assertEqual(newest.request_id, broken.request_id)
+        self.assertFalse(silent[0].is_aborted)
+
     def fill_queue(self):
         for number in range(3):
             self.request(b"summary", b"other-%d" % number)
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -439,7 +439,7 @@
     def _choose_substitute(self, ticket, now_s):
         if self._is_harmful(ticket, now_s):
             return None
-        if any(item.rank < ticket.rank for item in self._waiting.values()):
+        if any(self._goes_first(item, ticket) for item in self._waiting.values()):
             return None
         usable = self._list_usable(ticket, now_s)
         candidates = [
@@ -449,6 +449,13 @@
         ]
         return self._choose_best(ticket, candidates, now_s)
 
+    @staticmethod
+    def _goes_first(waiting, silent):
+        # The rest of a response that has begun comes from no server while it waits.
+        if waiting.rank == silent.rank:
+            return waiting.is_begun
+        return waiting.rank < silent.rank
+
     def _estimate_first_event_s(self, ticket):
         if not self.is_engine:
             return self._average_first_event.value / 1_000
