--- a/packages/entry/tests/test_silent_servers.py
+++ b/packages/entry/tests/test_silent_servers.py
@@ -5,11 +5,12 @@
 from hypothesis import given, settings, strategies
 from twisted.internet import defer, task, testing
 
-from wasabiknot_entry import buffers, connections, gateways, send_attempts
+from wasabiknot_entry import buffers, connections, gateways, journal, send_attempts
 from wasabiknot_kernel import (
     allowances,
     budgets,
     deployments,
+    events,
     members,
     registrations,
     routes,
@@ -39,6 +40,12 @@
         self.request_id = headers[b"x-wasabiknot-attempt-id"]
         self.next_event = int(headers.get(b"last-event-id", b"0"))
 
+    def reject(self):
+        extra = ((b"x-wasabiknot-attempt-id", self.request_id),)
+        head = (*extra, (b"x-wasabiknot-not-executed", b"1"))
+        self.handler.handle_head(connections.Head(503, head))
+        self.end()
+
     def step(self, event_count):
         """Delivers the head, one more event or the end."""
         if self.is_aborted or self.is_ended:
@@ -160,7 +167,7 @@
         self.gateway = gateways.Gateway(self.clock, random.Random(1), view, mock.Mock())
         self.pool = self.gateway.pool = Pool()
 
-    def register(self, service, count):
+    def register(self, service, count, slots=4):
         for number in range(count):
             registration = registrations.Registration(
                 server_id=f"{service}-{number}",
@@ -168,7 +175,7 @@
                 address=f"10.0.1.{number}:80",
                 domain="d",
                 version="v1",
-                slots=4,
+                slots=slots,
                 state=registrations.ServerState.READY,
             )
             self.deployment.apply_registration(registration, 0.0)
@@ -339,6 +346,128 @@
         moved = [item for item in self.pool.opened if item.request_id == b"q1"]
         self.assertEqual(moved[-1].address, elsewhere.address)
 
+    def move_stream(self):
+        transport = self.request(b"summary")
+        self.start_stream()
+        self.wait(SILENCE_S)
+        return transport, self.pool.opened[1]
+
+    def test_moved_stream_is_cut_as_its_last_attempt_is_rejected(self):
+        self.register("pool", 3)
+        self.allow_retries("pool", 5)
+        transport, second = self.move_stream()
+        second.reject()
+        self.wait(0.5)
+        self.assertEqual(len(self.pool.opened), 3)
+        first, _, third = self.pool.opened
+        self.assertEqual(third.address, first.address)
+        third.respond()
+        self.finish_stream(third)
+        self.check_whole_stream(transport)
+
+    def test_moved_stream_that_all_reject_asks_each_server_once(self):
+        self.register("pool", 3)
+        self.allow_retries("pool", 50)
+        transport, second = self.move_stream()
+        second.reject()
+        self.wait(0.5)
+        self.pool.opened[2].reject()
+        self.wait(0.5)
+        self.assertEqual(len(self.pool.opened), 3)
+        self.assertTrue(transport.disconnecting)
+        self.assertEqual(len(self.gateway), 0)
+
+    def test_failed_check_of_a_silence_is_repeated_for_ever(self):
+        self.register("pool", 2)
+        self.allow_retries("pool", 5)
+        transport = self.request(b"summary")
+        self.start_stream()
+        dispatcher = self.deployment.get_dispatcher("pool")
+        failing = mock.Mock(side_effect=RuntimeError)
+        with (
+            mock.patch.object(dispatcher, "replace_silent_server", failing),
+            mock.patch.object(journal, "write") as write,
+        ):
+            self.wait(5.0)
+        logged = [item.args[0] for item in write.call_args_list]
+        self.assertEqual(logged.count(events.Event.REQUEST_FAILED), 1)
+        self.assertEqual(self.clock.getDelayedCalls(), [])
+        self.assertTrue(transport.disconnecting)
+
+    def test_failure_during_a_move_keeps_the_slot_of_the_other_server(self):
+        for name in ("record_evidence", "record_result", "write"):
+            with self.subTest(name=name):
+                self.setUp()
+                self.register("pool", 2)
+                self.allow_retries("pool", 5)
+                transport = self.request(b"summary")
+                self.start_stream()
+                owner = journal if name == "write" else self.gateway
+                failing = mock.Mock(side_effect=[RuntimeError] + [None] * 9)
+                with mock.patch.object(owner, name, failing):
+                    self.wait(SILENCE_S)
+                self.assertTrue(transport.disconnecting)
+                servers = self.deployment.get_dispatcher("pool").servers.values()
+                self.assertFalse(any(item.sends for item in servers))
+
+    def test_server_is_not_seen_as_silent_as_time_passes_while_an_event_is_read(self):
+        self.register("pool", 2)
+        self.allow_retries("pool", 0)
+        self.request(b"summary")
+        now_s = self.clock.seconds()
+        step_s = 1e-5
+
+        def read_clock():
+            nonlocal now_s
+            now_s += step_s
+            return now_s
+
+        with mock.patch.object(self.clock, "seconds", read_clock):
+            connection = self.start_stream()
+            now_s += send_attempts.STREAM_STALL_TIMEOUT_S
+            step_s = 1e-6
+            connection.handler.check_silence()
+            servers = self.deployment.get_dispatcher("pool").servers.values()
+            (server,) = (item for item in servers if item.sends)
+            self.assertTrue(server.is_avoided(now_s))
+            connection.deliver(build_event(3))
+            self.assertFalse(server.is_avoided(now_s))
+
+    def test_silent_stream_takes_the_place_of_one_that_was_broken_off(self):
+        self.register("pool", 2)
+        self.allow_retries("pool", 50)
+        started = {"10.0.1.0:80": [], "10.0.1.1:80": []}
+        for number in range(8):
+            self.request(b"summary", b"q%d" % number)
+            connection = self.start_stream()
+            started[connection.address].append(connection)
+        silent, sound = started.values()
+        for step in range(32):
+            self.clock.advance(0.05)
+            for connection in sound:
+                connection.deliver(build_event(3 + step))
+        broken = silent[-1]
+        broken.handler.handle_loss(connections.LossReason.MALFORMED)
+        sound[0].end()
+        newest = self.pool.opened[-1]
+        self.assertEqual(newest.request_id, broken.request_id)
+        self.assertFalse(silent[0].is_aborted)
+
+    def test_streams_are_cut_as_very_many_move_at_once(self):
+        self.register("pool", 1, slots=200)
+        self.allow_retries("pool", 300)
+        started = []
+        for number in range(200):
+            transport = self.request(b"summary", b"q%d" % number)
+            started.append((transport, self.start_stream()))
+        self.wait(SILENCE_S)
+        self.register("pool", 2, slots=200)
+        self.gateway.dispatch_waiting("pool")
+        self.assertEqual(len(self.pool.opened), 400)
+        for transport, connection in started:
+            self.assertFalse(transport.disconnecting)
+            self.assertTrue(connection.is_aborted)
+
     def fill_queue(self):
         for number in range(3):
             self.request(b"summary", b"other-%d" % number)
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -439,7 +439,7 @@
     def _choose_substitute(self, ticket, now_s):
         if self._is_harmful(ticket, now_s):
             return None
-        if any(item.rank < ticket.rank for item in self._waiting.values()):
+        if any(self._goes_first(item, ticket) for item in self._waiting.values()):
             return None
         usable = self._list_usable(ticket, now_s)
         candidates = [
@@ -449,6 +449,13 @@
         ]
         return self._choose_best(ticket, candidates, now_s)
 
+    @staticmethod
+    def _goes_first(waiting, silent):
+        # The rest of a response that has begun comes from no server while it waits.
+        if waiting.rank == silent.rank:
+            return waiting.is_begun
+        return waiting.rank < silent.rank
+
     def _estimate_first_event_s(self, ticket):
         if not self.is_engine:
             return self._average_first_event.value / 1_000
@@ -578,6 +585,8 @@
         usable = [item for item in self.servers.values() if not item.is_retired]
         if self.select is not None:
             usable = self.select(ticket, usable, now_s)
+        if ticket.sends >= ticket.route.attempts:
+            return [item for item in usable if item.server_id in ticket.returnable_to]
         untried = [item for item in usable if item.server_id not in ticket.tried]
         return untried or usable
 
@@ -740,6 +749,7 @@
             self._durations.add(ticket.route.name, duration_s)
             self._record_complete(server, duration_s)
         elif outcome is outcomes.Outcome.REJECTED:
+            ticket.rejected_by.add(server.server_id)
             server.record_rejection(now_s)
         elif outcome is not outcomes.Outcome.CANCELLED:
             is_unresponsive = outcome in (
