Don't take new plain servers for silent before their response is due

Beside a configuration that moves a route to a service new to the entries, lookups were sent twice without need, and the retry budget was gone when a server was really silent. A plain server without samples is expected to take 30 ms, so it counted as silent after 0.12 s; and servers that were added later started without the times that the others had shown, as only engines' samples were looked at.

A plain server now starts with the median of those that are measured, and one without samples is silent only after the route's objective. Both tests failed before.

--- a/packages/entry/tests/test_send_attempts.py
+++ b/packages/entry/tests/test_send_attempts.py
@@ -1,6 +1,7 @@
 import random
 import unittest
 
+import msgspec
 from twisted.internet import defer, error, task
 
 from wasabiknot_entry import buffers, connections, send_attempts
@@ -258,6 +259,16 @@
         attempt.handle_end()
         self.assertIs(self.receiver.result.outcome, Outcome.COMPLETE)
 
+    def test_server_without_samples_is_not_silent_before_the_objective(self):
+        idempotent = routes.RetryRule.IDEMPOTENT
+        for is_measured, expected_s in ((False, 0.3), (True, 0.12)):
+            assignment = build_assignment(False, retry_rule=idempotent)
+            assignment = msgspec.structs.replace(assignment, is_measured=is_measured)
+            self.start(assignment)
+            self.clock.pump([0.01] * 40)
+            (silent_s,) = self.receiver.silences_s
+            self.assertAlmostEqual(silent_s, expected_s, 1)
+
     def test_non_repeatable_attempt_has_no_timeout(self):
         self.start(build_assignment(False))
         self.clock.advance(10.0)
--- a/packages/entry/wasabiknot_entry/send_attempts.py
+++ b/packages/entry/wasabiknot_entry/send_attempts.py
@@ -125,6 +125,8 @@
             return
         expected_s = self._assignment.score_ms / 1_000
         min_timeout_s = MIN_STREAM_TIMEOUT_S if route.is_stream else MIN_PLAIN_TIMEOUT_S
+        if not self._assignment.is_measured:
+            min_timeout_s = max(min_timeout_s, route.objective_ms / 1_000)
         self._start_timer(max(min_timeout_s, FIRST_EVENT_TIMEOUT_FACTOR * expected_s))
 
     def _start_timer(self, delay_s):
--- a/packages/kernel/tests/test_dispatch.py
+++ b/packages/kernel/tests/test_dispatch.py
@@ -1,5 +1,6 @@
 import heapq
 import itertools
+import random
 import unittest
 
 import builders
@@ -399,6 +400,20 @@
         self.check_refused(self.dispatcher.submit(self.queued, 0.1))
 
 
+class NewServerTests(unittest.TestCase):
+    def test_new_plain_server_starts_with_the_times_of_the_others(self):
+        dispatcher = dispatch.Dispatcher("desk", random.Random(1))
+        for number in range(3):
+            dispatcher.register(builders.build_registration(f"w{number}"))
+        for server in dispatcher.servers.values():
+            for _ in range(3):
+                server.service_times.plain_ms.add(400.0)
+        dispatcher.register(builders.build_registration("new"))
+        times = dispatcher.servers["new"].service_times
+        self.assertEqual(times.plain_ms.value, 400.0)
+        self.assertFalse(times.is_measured)
+
+
 class SilenceTests(unittest.TestCase):
     def setUp(self):
         self.dispatcher = builders.build_dispatcher(servers=2, slots=2)
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -108,12 +108,14 @@
     :param waited_s: seconds that the request waited in the queue.
     :param score_ms: score of the server: the expected milliseconds to the first
         event, plus penalties.
+    :param is_measured: whether the score follows from responses of the server.
     """
 
     ticket: arrivals.Ticket
     server: servers.Server
     waited_s: float
     score_ms: float
+    is_measured: bool = True
 
 
 class Refusal(msgspec.Struct, frozen=True):
@@ -242,13 +244,12 @@
         measured = [
             item.service_times
             for item in self.servers.values()
-            if item.service_times.first_event_factor.count > 2
+            if item.service_times.is_measured
         ]
         if not measured:
             return service_times.create_service_times()
-        median = sorted(measured, key=lambda item: item.first_event_factor.value)[
-            len(measured) // 2
-        ]
+        measured.sort(key=lambda i: (i.first_event_factor.value, i.plain_ms.value))
+        median = measured[len(measured) // 2]
         return service_times.create_service_times(
             median.first_event_factor.value,
             median.event_interval_ms.value,
@@ -497,7 +498,9 @@
     def _assign(self, ticket, chosen, now_s):
         server, score_ms = chosen
         self.record_send(ticket, server, now_s, score_ms)
-        return Assignment(ticket, server, now_s - ticket.arrived_s, score_ms)
+        waited_s = now_s - ticket.arrived_s
+        is_measured = server.service_times.is_measured
+        return Assignment(ticket, server, waited_s, score_ms, is_measured)
 
     def _has_capacity(self, now_s):
         return any(
--- a/packages/kernel/wasabiknot_kernel/service_times.py
+++ b/packages/kernel/wasabiknot_kernel/service_times.py
@@ -19,6 +19,8 @@
 # Bounds on a sample of the factor. A sample beyond them is due to a fault and says
 # nothing about the engine's speed.
 MAX_FACTOR = 12.0
+# Samples from which an average says how fast a server is.
+MIN_SAMPLES = 3
 MIN_FACTOR = 0.1
 
 
@@ -35,6 +37,12 @@
     event_interval_ms: estimates.MovingAverage
     plain_ms: estimates.MovingAverage
 
+    @property
+    def is_measured(self):
+        """Whether there are enough samples of the time to a first event or response."""
+        count = max(self.first_event_factor.count, self.plain_ms.count)
+        return count >= MIN_SAMPLES
+
 
 def create_service_times(
     first_event_factor=1.0,
