Play the two faults found by plays of statements by seeds that show them

The drawn mixes had them as examples, whose lower load did not bring the faults: with either mended line taken back the file passed. The examples are removed, as these replace them; the drawn mixes are as before.

--- a/packages/kernel/tests/test_statement_load.py
+++ b/packages/kernel/tests/test_statement_load.py
@@ -291,11 +291,6 @@
         self.assertEqual(world.list_missing(), [])
 
     @hypothesis.settings(plays.SETTINGS, max_examples=15)
-    @hypothesis.example(
-        0, 8, [(5, 0, LEAVE, 0), (5.2, 0, RESTART, 0), (5.3, 0, LEAVE, 0)], [], False
-    )
-    @hypothesis.example(7, 8, [(5, 0, RESTART, 0), (5.1, 0, REJECT, 4)], [], False)
-    @hypothesis.example(1, 2, [(5, 0, REJECT, 1), (5.5, 0, LAPSE, 1)], [], False)
     @given(
         strategies.integers(0, 1_000),
         strategies.integers(1, 12),
@@ -311,6 +306,16 @@
         )
         self.check(world.play())
 
+    def test_restarts_that_become_known_late_end_no_statement_of_the_new_start(self):
+        leaving = [(5, 0, LEAVE, 0), (5.2, 0, RESTART, 0), (5.4, 0, LEAVE, 0)]
+        rejecting = [(5, 0, RESTART, 0), (5.1, 0, REJECT, 4)]
+        for seed, mishaps in ((11, leaving), (14, leaving), (0, rejecting)):
+            self.check(World(seed, 8, mishaps).play())
+
+    def test_lapse_of_the_registration_does_not_end_a_time(self):
+        world = World(1, 8, [(5, 0, REJECT, 1.0), (5.5, 0, LAPSE, 1.0)])
+        self.check(world.play())
+
     def test_answers_that_are_late_do_not_end_a_time(self):
         for seed in range(3):
             world = World(seed, 2, [(5, 0, REJECT, 2.0)], load_per_s=200.0)
