Name a server that gets no more requests retired, not leaving

Server.is_leaving was also true of a server that is gone and of one whose address another has; Eligibility.is_leaving means the statement alone.

--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -646,7 +646,7 @@
         locations = [
             _build_location(server)
             for server in dispatcher.servers.values()
-            if not server.is_leaving
+            if not server.is_retired
         ]
         return group_servers.assign_servers(locations, groups)[own_group.name]
 
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -285,12 +285,12 @@
     def _find_refusal(self, ticket, now_s):
         if self._is_harmful(ticket, now_s):
             return create_harmful_refusal(ticket)
-        if not any(not item.is_leaving for item in self.servers.values()):
+        if not any(not item.is_retired for item in self.servers.values()):
             return self._create_refusal(
                 ticket, exceptions.ErrorKind.NO_WORKER, "no server"
             )
         ahead = self._count_ahead(ticket, now_s)
-        open_servers = (item for item in self.servers.values() if not item.is_leaving)
+        open_servers = (item for item in self.servers.values() if not item.is_retired)
         stated_wait_s = self._estimate_stated_wait_s(open_servers, ahead + 1, now_s)
         if stated_wait_s > compute_max_wait_s(ticket):
             reason = f"{ahead} wait, servers take none for {stated_wait_s:.2f} s"
@@ -414,7 +414,7 @@
 
     def _has_capacity(self, now_s):
         return any(
-            not item.is_leaving and self._can_take(item, now_s)
+            not item.is_retired and self._can_take(item, now_s)
             for item in self.servers.values()
         )
 
@@ -427,7 +427,7 @@
         return self._estimate_stated_wait_s([server], 1, now_s) > HELD_S
 
     def _is_available(self, server, now_s):
-        if server.is_leaving or server.is_avoided(now_s):
+        if server.is_retired or server.is_avoided(now_s):
             return False
         return self._can_take(server, now_s)
 
@@ -492,7 +492,7 @@
         return chosen, score(chosen)
 
     def _list_usable(self, ticket, now_s):
-        usable = [item for item in self.servers.values() if not item.is_leaving]
+        usable = [item for item in self.servers.values() if not item.is_retired]
         if self.select is not None:
             usable = self.select(ticket, usable, now_s)
         untried = [item for item in usable if item.server_id not in ticket.tried]
@@ -530,7 +530,7 @@
             return None
         name = parts[-1].name
         return max(
-            (item.server_id for item in self.servers.values() if not item.is_leaving),
+            (item.server_id for item in self.servers.values() if not item.is_retired),
             key=lambda server_id: xxhash.xxh64_intdigest(
                 f"{name}/{server_id}".encode()
             ),
--- a/packages/kernel/wasabiknot_kernel/servers.py
+++ b/packages/kernel/wasabiknot_kernel/servers.py
@@ -93,8 +93,8 @@
         return self.registration.slots
 
     @property
-    def is_leaving(self):
-        """Whether the server accepts no new requests, or can't be reached any more."""
+    def is_retired(self):
+        """Whether the server gets no new requests: it leaves, is gone or replaced."""
         registration = self.registration
         if self.is_gone or self.lost_address == registration.address:
             return True
