Ask requests at silent servers one after the other, not within each other

Callers got streams that were cut if very many moved at once, as a large server came up beside one that was silent.

While the requests of a service are being asked, a move doesn't start another round. The round that is under way reaches all of them, and the queue after them.

--- a/packages/entry/tests/test_silent_servers.py
+++ b/packages/entry/tests/test_silent_servers.py
@@ -167,7 +167,7 @@
         self.gateway = gateways.Gateway(self.clock, random.Random(1), view, mock.Mock())
         self.pool = self.gateway.pool = Pool()
 
-    def register(self, service, count):
+    def register(self, service, count, slots=4):
         for number in range(count):
             registration = registrations.Registration(
                 server_id=f"{service}-{number}",
@@ -175,7 +175,7 @@
                 address=f"10.0.1.{number}:80",
                 domain="d",
                 version="v1",
-                slots=4,
+                slots=slots,
                 state=registrations.ServerState.READY,
             )
             self.deployment.apply_registration(registration, 0.0)
@@ -453,6 +453,21 @@
         self.assertEqual(newest.request_id, broken.request_id)
         self.assertFalse(silent[0].is_aborted)
 
+    def test_streams_are_cut_as_very_many_move_at_once(self):
+        self.register("pool", 1, slots=200)
+        self.allow_retries("pool", 300)
+        started = []
+        for number in range(200):
+            transport = self.request(b"summary", b"q%d" % number)
+            started.append((transport, self.start_stream()))
+        self.wait(SILENCE_S)
+        self.register("pool", 2, slots=200)
+        self.gateway.dispatch_waiting("pool")
+        self.assertEqual(len(self.pool.opened), 400)
+        for transport, connection in started:
+            self.assertFalse(transport.disconnecting)
+            self.assertTrue(connection.is_aborted)
+
     def fill_queue(self):
         for number in range(3):
             self.request(b"summary", b"other-%d" % number)
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -195,6 +195,8 @@
         self._flows = {}
         # Requests whose backend server is silent and that no other one can take yet.
         self.silent_flows = set()
+        # Services whose requests at silent servers are being asked.
+        self._asked_services = set()
         self._channels = set()
         self._stop = None
         self._is_tick_scheduled = False
@@ -477,12 +479,22 @@
 
         :param service: service name.
         """
-        for flow in self._list_silent(service):
-            flow.check_silence()
+        if service in self._asked_services:
+            # A request has moved; the others follow, and then those that wait.
+            return
+        self._ask_silent(service)
         dispatcher = self.get_dispatcher(service)
         if len(dispatcher):
             self._run_queue_step(self._send_waiting, dispatcher)
 
+    def _ask_silent(self, service):
+        self._asked_services.add(service)
+        try:
+            for flow in self._list_silent(service):
+                flow.check_silence()
+        finally:
+            self._asked_services.discard(service)
+
     def _send_waiting(self, dispatcher):
         self._apply_decisions(dispatcher.dispatch_waiting(self.reactor.seconds()))
 
