--- a/packages/entry/tests/test_send_attempts.py
+++ b/packages/entry/tests/test_send_attempts.py
@@ -269,6 +269,14 @@
             (silent_s,) = self.receiver.silences_s
             self.assertAlmostEqual(silent_s, expected_s, 1)
 
+    def test_plain_response_that_has_begun_is_not_given_up(self):
+        idempotent = routes.RetryRule.IDEMPOTENT
+        attempt = self.start(build_assignment(False, retry_rule=idempotent))
+        attempt.handle_head(self.build_head())
+        self.clock.advance(10.0)
+        self.assertEqual(self.receiver.silences_s, [])
+        self.assertIsNone(self.receiver.result)
+
     def test_non_repeatable_attempt_has_no_timeout(self):
         self.start(build_assignment(False))
         self.clock.advance(10.0)
