Test what may end, move or log a request at a silent server

Two checks are made stricter. The one of room for more urgent requests passed whatever the queue held, as the other server counted as stalled by then; it is now asked earlier, and once more without the urgent request. The stream that waits while there is no server waits for longer than a request that hasn't begun may.

--- a/packages/entry/tests/test_channels.py
+++ b/packages/entry/tests/test_channels.py
@@ -127,3 +127,17 @@
         self.answer()
         self.assertFalse(self.transport.disconnecting)
         self.assert_closed_after(10.0 + MARGIN_S)
+
+    def test_last_read_follows_every_idle_time(self):
+        for _ in range(2):
+            self.channel.dataReceived(GET)
+            self.answer()
+            self.clock.advance(30.0)
+            self.assertFalse(self.transport.disconnecting)
+
+    def test_idle_time_starts_with_the_request_instead_of_its_response(self):
+        self.channel.dataReceived(GET)
+        self.advance(20.0)
+        self.answer()
+        self.set_limit(30.0)
+        self.assert_closed_after(30.0 + MARGIN_S)
--- a/packages/entry/tests/test_gateway_stops.py
+++ b/packages/entry/tests/test_gateway_stops.py
@@ -132,3 +132,24 @@
                 self.assertEqual([item.status for item in answers], [200, 200])
                 self.assertNotIn(b"connection", answers[0].head)
                 self.assertEqual(answers[1].head[b"connection"], b"close")
+
+    def test_stream_that_has_begun_at_the_signal_leaves_its_connection_open(self):
+        stream = gatewaycases.build_route(retry_rule=routes.RetryRule.STREAM)
+        self.configure(gatewaycases.build_configuration(2, routes=(stream,)))
+        channel = self.send("q1")
+        connection = self.accept(0)
+        connection.dataReceived(STREAM_HEAD + b"id: 1\ndata: a\n\n")
+        self.gateway.stop(ACCEPT_S, 4.0)
+        connection.connectionLost(gatewaycases.CLOSED)
+        self.assertTrue(channel.transport.value().endswith(b"0\r\n\r\n"))
+        self.assertNotIn(b"close", channel.transport.value())
+        self.assertFalse(channel.transport.disconnecting)
+
+    def test_queued_request_is_sent_as_the_process_ends(self):
+        for request_id in ("q1", "q2", "q3"):
+            self.send(request_id)
+        self.accept(0)
+        self.accept(1)
+        self.gateway.stop(ACCEPT_S, 4.0)
+        self.gateway.end_requests()
+        self.assertEqual(len(self.reactor.tcpClients), 2)
--- a/packages/entry/tests/test_send_attempts.py
+++ b/packages/entry/tests/test_send_attempts.py
@@ -258,6 +258,14 @@
         attempt.handle_end()
         self.assertIs(self.receiver.result.outcome, Outcome.COMPLETE)
 
+    def test_plain_response_that_has_begun_is_not_given_up(self):
+        idempotent = routes.RetryRule.IDEMPOTENT
+        attempt = self.start(build_assignment(False, retry_rule=idempotent))
+        attempt.handle_head(self.build_head())
+        self.clock.advance(10.0)
+        self.assertEqual(self.receiver.silences_s, [])
+        self.assertIsNone(self.receiver.result)
+
     def test_non_repeatable_attempt_has_no_timeout(self):
         self.start(build_assignment(False))
         self.clock.advance(10.0)
--- a/packages/entry/tests/test_silent_servers.py
+++ b/packages/entry/tests/test_silent_servers.py
@@ -468,6 +468,104 @@
             self.assertFalse(transport.disconnecting)
             self.assertTrue(connection.is_aborted)
 
+    def test_stream_that_goes_on_moves_as_a_server_gets_room(self):
+        for step in ("head", "event"):
+            with self.subTest(step=step):
+                self.setUp()
+                self.register("pool", 1)
+                self.allow_retries("pool", 5)
+                transport = self.request(b"summary")
+                (first,) = self.pool.opened
+                if step == "event":
+                    self.start_stream()
+                self.wait(SILENCE_S)
+                self.assertEqual(len(self.gateway.silent_flows), 1)
+                if step == "event":
+                    first.deliver(build_event(3))
+                else:
+                    first.respond()
+                self.register("pool", 2)
+                self.gateway.dispatch_waiting("pool")
+                self.assertFalse(first.is_aborted)
+                self.finish_stream(first, first=4 if step == "event" else 1)
+                self.check_whole_stream(transport)
+
+    def test_request_that_ended_at_a_silent_server_is_asked_again(self):
+        self.register("desk", 1)
+        self.allow_retries("desk", 5)
+        self.request(b"lookup")
+        self.wait(4.1)
+        self.assertEqual(len(self.gateway), 0)
+        self.assertEqual(self.gateway.silent_flows, set())
+        self.register("desk", 2)
+        self.gateway.dispatch_waiting("desk")
+        self.assertEqual(len(self.pool.opened), 1)
+
+    def test_silent_request_is_moved_just_before_its_deadline(self):
+        self.register("desk", 1)
+        self.allow_retries("desk", 5)
+        self.request(b"lookup")
+        self.wait(3.95)
+        self.clock.advance(0.03)
+        self.register("desk", 2)
+        self.gateway.dispatch_waiting("desk")
+        self.assertEqual(len(self.pool.opened), 1)
+
+    def test_most_urgent_of_the_silent_streams_moves_first(self):
+        for urgent in range(8):
+            self.setUp()
+            self.register("pool", 1, slots=8)
+            self.allow_retries("pool", 1)
+            for number in range(8):
+                self.request(b"summary", b"q%d" % number)
+                self.start_stream()
+            self.wait(SILENCE_S)
+            for flow in self.gateway.silent_flows:
+                if flow.ticket.request_id == f"q{urgent}":
+                    flow.ticket.rank = 0
+            self.register("pool", 2, slots=8)
+            self.gateway.dispatch_waiting("pool")
+            moved = [item.request_id for item in self.pool.opened[8:]]
+            self.assertEqual(moved, [b"q%d" % urgent])
+
+    def test_each_silence_is_logged_once(self):
+        self.register("pool", 1)
+        self.allow_retries("pool", 5)
+        self.request(b"summary")
+        connection = self.start_stream()
+        with mock.patch.object(journal, "write") as write:
+            self.wait(4.0)
+            connection.deliver(build_event(3))
+            self.wait(4.0)
+        logged = [item.args[0] for item in write.call_args_list]
+        self.assertEqual(logged.count(events.Event.SERVER_SILENT), 2)
+
+    def test_server_that_answers_with_a_head_is_not_silent(self):
+        self.register("pool", 1)
+        self.allow_retries("pool", 0)
+        self.request(b"summary", b"q1")
+        self.start_stream()
+        self.request(b"summary", b"q2")
+        self.wait(SILENCE_S)
+        server = self.deployment.find_server("pool-0")
+        for send in server.sends.values():
+            send.first_event_s = self.clock.seconds()
+        self.assertTrue(server.is_avoided(self.clock.seconds()))
+        self.pool.opened[1].respond()
+        self.assertFalse(server.is_avoided(self.clock.seconds()))
+
+    def test_begun_stream_is_refused_by_a_stopping_entry(self):
+        self.register("pool", 2)
+        self.allow_retries("pool", 5)
+        transport = self.request(b"summary")
+        first = self.start_stream()
+        self.gateway.stop(2.7, 1.0)
+        first.handler.handle_loss(connections.LossReason.MALFORMED)
+        second = self.pool.opened[1]
+        second.respond()
+        self.finish_stream(second)
+        self.check_whole_stream(transport)
+
     def fill_queue(self):
         for number in range(3):
             self.request(b"summary", b"other-%d" % number)
@@ -495,7 +593,8 @@
         self.deployment.record_read(100.0)
         self.assertTrue(self.deployment.apply_removal("pool-0", 100.0))
         first.handler.handle_loss(connections.LossReason.MALFORMED)
-        self.wait(1.0)
+        # Longer than a request that has not begun may wait.
+        self.wait(1.6)
         self.register("pool", 2)
         self.wait(0.1)
         newest = self.pool.opened[-1]
--- a/packages/kernel/tests/test_dispatch.py
+++ b/packages/kernel/tests/test_dispatch.py
@@ -461,11 +461,29 @@
 
     def test_room_is_left_to_more_urgent_requests_that_wait(self):
         self.fill()
-        self.send("urgent", rank=0)
+        urgent, _ = self.send("urgent", rank=0)
         (other,) = set(self.dispatcher.servers.values()) - {self.server}
         other.sends.popitem()
+        # Before the other server counts as stalled.
+        self.check_stays(self.decide(now_s=0.9))
+        self.dispatcher.withdraw(urgent)
+        self.assertIsInstance(self.decide(now_s=0.9), dispatch.Assignment)
+
+    def test_request_that_may_run_once_stays(self):
+        self.ticket.route = builders.build_route(is_resumable=False)
+        self.check_stays(self.decide())
+
+    def test_request_that_crashes_servers_stays(self):
+        self.dispatcher.is_refused = lambda fingerprint, now_s: True
         self.check_stays(self.decide())
 
+    def test_request_is_not_moved_to_its_own_server_if_that_answers_others(self):
+        (other,) = set(self.dispatcher.servers) - {self.server.server_id}
+        self.dispatcher.remove(other)
+        self.server.record_silence(0.0)
+        self.server.record_life(0.5)
+        self.check_stays(self.decide(now_s=0.9))
+
     def test_silent_server_gets_no_request_until_it_goes_on(self):
         self.server.record_silence(0.0)
         self.assertIsNot(self.send("q2")[1], self.server)
--- a/packages/kernel/tests/test_outcomes.py
+++ b/packages/kernel/tests/test_outcomes.py
@@ -87,3 +87,36 @@
             ticket, Outcome.UNREACHABLE, ticket.deadline_s, 0.02, budget
         )
         self.assertIs(decision.step, Step.REFUSE)
+
+
+class ReturnTests(unittest.TestCase):
+    """A stream whose last attempt was rejected, with an earlier server to return to."""
+
+    def setUp(self):
+        route = builders.build_route(is_resumable=True)
+        self.ticket = builders.build_ticket(route=route)
+        self.ticket.sends = route.attempts
+        self.ticket.tried = {"w1", "w2"}
+        self.ticket.rejected_by = {"w2"}
+        self.ticket.may_have_run = self.ticket.is_begun = True
+
+    def decide(self, outcome=Outcome.REJECTED, slack=100.0):
+        budget = budgets.RetryBudget(0.0, 10.0, slack)
+        return outcomes.decide_next_step(self.ticket, outcome, 0.0, 0.02, budget)
+
+    def test_stream_returns_to_a_server_that_has_not_rejected_it(self):
+        self.assertIs(self.decide().step, Step.RESEND)
+        self.ticket.rejected_by.add("w1")
+        self.assertEqual(self.decide().reason, outcomes.NO_ATTEMPTS)
+
+    def test_return_needs_retry_budget(self):
+        self.assertEqual(self.decide(slack=0.0).reason, outcomes.NO_BUDGET)
+
+    def test_stream_does_not_return_after_another_outcome(self):
+        for outcome in (Outcome.RESPONSE_LOST, Outcome.TIMED_OUT, Outcome.FAILED):
+            decision = self.decide(outcome)
+            self.assertEqual(decision.reason, outcomes.NO_ATTEMPTS)
+
+    def test_response_that_has_not_begun_does_not_return(self):
+        self.ticket.is_begun = False
+        self.assertEqual(self.decide().reason, outcomes.NO_ATTEMPTS)
