Let a stream that was moved and rejected wait for retry budget

Callers got a part of a resumable stream and then a closed connection, as the server that it was moved to rejected it and the move had used the last of the retry budget. Its own server was sound, and the budget comes back with the next requests.

One unit of budget (trial), silence of 1.2 s and one rejection ended the stream at once. It now asks for budget each 0.2 s until its time is over, and then returns to its server. Nothing is sent without budget. The log says "wait" once.

--- a/packages/entry/tests/test_silent_servers.py
+++ b/packages/entry/tests/test_silent_servers.py
@@ -365,6 +365,34 @@
         self.finish_stream(third)
         self.check_whole_stream(transport)
 
+    def test_moved_stream_is_cut_as_its_return_finds_no_retry_budget(self):
+        self.register("pool", 3)
+        self.allow_retries("pool", 1)
+        transport, second = self.move_stream()
+        second.reject()
+        self.wait(0.5)
+        self.assertEqual(len(self.pool.opened), 2)
+        self.allow_retries("pool", 2)
+        self.wait(0.25)
+        first, _, third = self.pool.opened
+        self.assertEqual(third.address, first.address)
+        third.respond()
+        self.finish_stream(third)
+        self.check_whole_stream(transport)
+
+    def test_stream_that_gets_no_retry_budget_is_cut_at_its_deadline(self):
+        self.register("pool", 3)
+        self.allow_retries("pool", 1)
+        transport, second = self.move_stream()
+        second.reject()
+        self.wait(8.2)
+        self.assertFalse(transport.disconnecting)
+        self.wait(0.3)
+        self.assertTrue(transport.disconnecting)
+        self.assertEqual(len(self.pool.opened), 2)
+        self.assertEqual(len(self.gateway), 0)
+        self.assertEqual(self.clock.getDelayedCalls(), [])
+
     def test_moved_stream_that_all_reject_asks_each_server_once(self):
         self.register("pool", 3)
         self.allow_retries("pool", 50)
--- a/packages/entry/wasabiknot_entry/flows.py
+++ b/packages/entry/wasabiknot_entry/flows.py
@@ -12,6 +12,8 @@
 
 # Minimum time that must remain before the deadline for a retry.
 MIN_SEND_S = 0.02
+# Interval in which a response that has begun asks for retry budget.
+BUDGET_CHECK_INTERVAL_S = 0.2
 
 
 def _answer_failures(step):
@@ -54,6 +56,7 @@
         self.is_ended = False
         delay_s = max(0.0, ticket.deadline_s - gateway.reactor.seconds())
         self._timer = gateway.reactor.callLater(delay_s, self._time_out)
+        self._budget_timer = None
 
     @property
     def request(self):
@@ -276,6 +279,13 @@
         decision = outcomes.decide_next_step(
             ticket, result.outcome, now_s, MIN_SEND_S, budget
         )
+        if self._waits_for_budget(result, decision):
+            if self._budget_timer is None:
+                self._log_failed_attempt(result, Step.WAIT_FOR_BUDGET, decision.reason)
+            self._budget_timer = self._gateway.reactor.callLater(
+                BUDGET_CHECK_INTERVAL_S, self._ask_for_budget, result
+            )
+            return
         self._log_failed_attempt(result, decision.step, decision.reason)
         if decision.step is Step.RESEND:
             self._gateway.submit(self)
@@ -284,6 +294,17 @@
         else:
             self._gateway.fail_request(self, decision.kind, decision.reason)
 
+    def _waits_for_budget(self, result, decision):
+        # Its server may be sound: it was left for one that then rejected the request.
+        is_rejected = result.outcome is Outcome.REJECTED
+        has_no_budget = decision.reason == outcomes.NO_BUDGET
+        return is_rejected and has_no_budget and self.ticket.is_begun
+
+    @_answer_failures
+    def _ask_for_budget(self, result):
+        if not self.is_ended:
+            self._handle_failed_attempt(result, self._gateway.reactor.seconds())
+
     def _log_failed_attempt(self, result, step, reason):
         journal.write(
             events.Event.SEND_ENDED,
@@ -402,6 +423,7 @@
         self._gateway.silent_flows.discard(self)
         if self._request.producer is not None and self._request.channel is not None:
             self._request.unregisterProducer()
-        if self._timer.active():
-            self._timer.cancel()
+        for timer in (self._timer, self._budget_timer):
+            if timer is not None and timer.active():
+                timer.cancel()
         self._gateway.finish_request(self, ended)
--- a/packages/kernel/wasabiknot_kernel/outcomes.py
+++ b/packages/kernel/wasabiknot_kernel/outcomes.py
@@ -34,6 +34,7 @@
     """What to do after a send has ended. The values appear in logs."""
 
     RESEND = "resend"
+    WAIT_FOR_BUDGET = "wait"
     FORWARD_RESPONSE = "pass-on"
     REFUSE = "refuse"
     REPORT_UNKNOWN = "give-up"
