Let a stream that waits for its own server hinder no other request

Callers of a service with few requests got 503 although its servers were free, and streams of silent servers didn't move. Since a rejected stream may return to its own server, it can wait for one that is full or gone, as long as its time lasts. It counted as ahead of each new request in the queue, and as one that takes any free place.

With one such stream in the queue (trial), a new request at two idle servers was refused and a silent one stayed. It now is ahead of nobody, and a response that has begun goes before one at a silent server only if some server can take it. Both tests failed before.

--- a/packages/kernel/tests/test_dispatch.py
+++ b/packages/kernel/tests/test_dispatch.py
@@ -484,6 +484,22 @@
         self.dispatcher.withdraw(urgent)
         self.assertIsInstance(self.decide(now_s=0.9), dispatch.Assignment)
 
+    def wait_for_a_server_that_is_gone(self):
+        route = builders.build_route(is_resumable=True)
+        ticket = builders.build_ticket("begun", route=route)
+        ticket.sends = route.attempts
+        ticket.is_begun = True
+        ticket.tried.add("gone")
+        self.assertEqual(self.dispatcher.submit(ticket, 0.0), [])
+
+    def test_stream_that_has_no_server_keeps_silent_ones_from_moving(self):
+        self.wait_for_a_server_that_is_gone()
+        self.assertIsInstance(self.decide(now_s=0.9), dispatch.Assignment)
+
+    def test_request_is_refused_while_a_stream_waits_for_its_own_server(self):
+        self.wait_for_a_server_that_is_gone()
+        self.assertIsNotNone(self.send("q2")[1])
+
     def test_request_that_may_run_once_stays(self):
         self.ticket.route = builders.build_route(is_resumable=False)
         self.check_stays(self.decide())
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -152,6 +152,11 @@
     return Refusal(ticket, kind, HARMFUL_RETRY_AFTER_S, "crashes backend servers")
 
 
+def _is_returning(ticket):
+    # It waits for a server that it was sent to before; others are free for the rest.
+    return ticket.sends >= ticket.route.attempts
+
+
 class Dispatcher:
     """Queues the requests of one service and assigns them to backend servers.
 
@@ -330,7 +335,8 @@
         return sum(
             1
             for item in self._waiting.values()
-            if self._compute_queue_key(item, now_s) < queue_key
+            if not _is_returning(item)
+            and self._compute_queue_key(item, now_s) < queue_key
         )
 
     def _compute_queue_key(self, ticket, now_s):
@@ -440,7 +446,8 @@
     def _choose_substitute(self, ticket, now_s):
         if self._is_harmful(ticket, now_s):
             return None
-        if any(self._goes_first(item, ticket) for item in self._waiting.values()):
+        waiting = self._waiting.values()
+        if any(self._goes_first(item, ticket, now_s) for item in waiting):
             return None
         usable = self._list_usable(ticket, now_s)
         candidates = [
@@ -450,11 +457,10 @@
         ]
         return self._choose_best(ticket, candidates, now_s)
 
-    @staticmethod
-    def _goes_first(waiting, silent):
+    def _goes_first(self, waiting, silent, now_s):
         # The rest of a response that has begun comes from no server while it waits.
         if waiting.rank == silent.rank:
-            return waiting.is_begun
+            return waiting.is_begun and self.choose(waiting, now_s) is not None
         return waiting.rank < silent.rank
 
     def _estimate_first_event_s(self, ticket):
@@ -588,7 +594,7 @@
         usable = [item for item in self.servers.values() if not item.is_retired]
         if self.select is not None:
             usable = self.select(ticket, usable, now_s)
-        if ticket.sends >= ticket.route.attempts:
+        if _is_returning(ticket):
             return [item for item in usable if item.server_id in ticket.returnable_to]
         untried = [item for item in usable if item.server_id not in ticket.tried]
         return untried or usable
