--- a/packages/entry/tests/gatewaycases.py
+++ b/packages/entry/tests/gatewaycases.py
@@ -42,6 +42,18 @@
         return 0
 
 
+def build_deployment():
+    """Builds the state of an entry without a configuration."""
+    member = members.Member("e1", "r1", "10.0.0.1", 7000)
+    return deployments.Deployment(member, POLICY, random.Random(1))
+
+
+def build_gateway(reactor, deployment, metrics=None):
+    """Builds a gateway over the state of an entry."""
+    view = DeploymentView(deployment)
+    return gateways.Gateway(reactor, random.Random(1), view, metrics or mock.Mock())
+
+
 class Transport(testing.StringTransport):
     """A connection in memory."""
 
@@ -107,15 +119,9 @@
 
     def setUp(self):
         self.reactor = testing.MemoryReactorClock()
-        member = members.Member("e1", "r1", "10.0.0.1", 7000)
-        self.deployment = deployments.Deployment(member, POLICY, random.Random(1))
+        self.deployment = build_deployment()
         self.metrics = mock.Mock()
-        self.gateway = gateways.Gateway(
-            self.reactor,
-            random.Random(1),
-            DeploymentView(self.deployment),
-            self.metrics,
-        )
+        self.gateway = build_gateway(self.reactor, self.deployment, self.metrics)
         self.factory = self.gateway.create_factory()
         self.configure(build_configuration())
         self.deployment.has_servers = True
--- a/packages/entry/tests/test_gateways.py
+++ b/packages/entry/tests/test_gateways.py
@@ -1,20 +1,17 @@
-import random
 import unittest
 from unittest import mock
 
+import gatewaycases
 import msgspec
 from twisted.internet import error, task, testing
 from twisted.python import failure
 
 from wasabiknot_entry import gateways, send_attempts
 from wasabiknot_kernel import (
-    allowances,
     arrivals,
     crashes,
-    deployments,
     dispatch,
     exceptions,
-    members,
     outcomes,
     registrations,
     routes,
@@ -23,24 +20,6 @@
 
 Outcome = outcomes.Outcome
 Kind = exceptions.ErrorKind
-POLICY = deployments.Policy(
-    0.2, 10.0, 50.0, allowances.Tolerance(8.0, 0.1, 140_000), 0.1
-)
-
-
-class DeploymentView:
-    """Stands in for ``edge.DeploymentView``."""
-
-    connect_timeout_s = 0.4
-
-    def __init__(self, deployment):
-        self.deployment = deployment
-
-    def __getattr__(self, name):
-        return getattr(self.deployment, name)
-
-    def compute_read_age_ms(self):
-        return 0
 
 
 def build_configuration(rate=0.0):
@@ -68,11 +47,8 @@
 
 class BodyTests(unittest.TestCase):
     def setUp(self):
-        member = members.Member("e1", "r1", "10.0.0.1", 7000)
-        deployment = deployments.Deployment(member, POLICY, random.Random(1))
-        self.gateway = gateways.Gateway(
-            task.Clock(), random.Random(1), DeploymentView(deployment), mock.Mock()
-        )
+        deployment = gatewaycases.build_deployment()
+        self.gateway = gatewaycases.build_gateway(task.Clock(), deployment)
 
     def connect(self):
         channel = self.gateway.create_factory().buildProtocol(None)
@@ -119,11 +95,8 @@
 class AdmissionTests(unittest.TestCase):
     def setUp(self):
         self.clock = task.Clock()
-        member = members.Member("e1", "r1", "10.0.0.1", 7000)
-        self.deployment = deployments.Deployment(member, POLICY, random.Random(1))
-        self.gateway = gateways.Gateway(
-            self.clock, random.Random(1), DeploymentView(self.deployment), mock.Mock()
-        )
+        self.deployment = gatewaycases.build_deployment()
+        self.gateway = gatewaycases.build_gateway(self.clock, self.deployment)
 
     def configure(self, rate=0.0):
         table = routes.RouteTable(build_configuration(rate))
--- a/packages/entry/tests/test_silent_servers.py
+++ b/packages/entry/tests/test_silent_servers.py
@@ -1,17 +1,14 @@
-import random
 import unittest
 from unittest import mock
 
+import gatewaycases
 from hypothesis import given, settings, strategies
 from twisted.internet import defer, task, testing
 
-from wasabiknot_entry import buffers, connections, gateways, journal, send_attempts
+from wasabiknot_entry import buffers, connections, journal, send_attempts
 from wasabiknot_kernel import (
-    allowances,
     budgets,
-    deployments,
     events,
-    members,
     registrations,
     routes,
 )
@@ -97,21 +94,6 @@
         return defer.succeed(self.opened[-1])
 
 
-class DeploymentView:
-    """Stands in for ``edge.DeploymentView``."""
-
-    connect_timeout_s = 0.4
-
-    def __init__(self, deployment):
-        self.deployment = deployment
-
-    def __getattr__(self, name):
-        return getattr(self.deployment, name)
-
-    def compute_read_age_ms(self):
-        return 0
-
-
 def build_route(name, rule, service, timeout_ms, is_resumable=False):
     return routes.Route(
         name=name,
@@ -154,17 +136,12 @@
     def setUp(self):
         self.clock = task.Clock()
         self.clock.advance(100.0)
-        policy = deployments.Policy(
-            0.2, 10.0, 50.0, allowances.Tolerance(8.0, 0.1, 140_000), 0.1
-        )
-        member = members.Member("e1", "r1", "10.0.0.1", 7000)
-        self.deployment = deployments.Deployment(member, policy, random.Random(1))
+        self.deployment = gatewaycases.build_deployment()
         table = routes.RouteTable(build_configuration())
         self.deployment.apply_configuration(table, 0.0)
         self.deployment.has_servers = True
         self.deployment.has_crashes = True
-        view = DeploymentView(self.deployment)
-        self.gateway = gateways.Gateway(self.clock, random.Random(1), view, mock.Mock())
+        self.gateway = gatewaycases.build_gateway(self.clock, self.deployment)
         self.pool = self.gateway.pool = Pool()
 
     def register(self, service, count, slots=4):
