--- a/packages/entry/tests/test_silent_servers.py
+++ b/packages/entry/tests/test_silent_servers.py
@@ -357,6 +357,34 @@
         self.finish_stream(third)
         self.check_whole_stream(transport)
 
+    def test_wait_for_retry_budget_is_logged_once_and_ends_with_the_request(self):
+        self.register("pool", 3)
+        self.allow_retries("pool", 1)
+        with mock.patch.object(journal, "write") as write:
+            _, second = self.move_stream()
+            second.reject()
+            self.wait(1.0)
+        steps = [item.kwargs.get("step") for item in write.call_args_list]
+        self.assertEqual(steps.count("wait"), 1)
+        (flow,) = self.gateway._flows.values()
+        flow.handle_disconnect()
+        self.assertEqual(self.clock.getDelayedCalls(), [])
+
+    def test_request_without_retry_budget_waits_though_it_has_not_begun(self):
+        self.register("desk", 3)
+        self.allow_retries("desk", 0)
+        transport = self.request(b"lookup")
+        self.pool.opened[0].reject()
+        self.assertTrue(transport.value().startswith(b"HTTP/1.1 503 "))
+
+    def test_stream_that_was_broken_off_waits_for_retry_budget(self):
+        self.register("pool", 3)
+        self.allow_retries("pool", 0)
+        transport = self.request(b"summary")
+        connection = self.start_stream()
+        connection.handler.handle_loss(connections.LossReason.MALFORMED)
+        self.assertTrue(transport.disconnecting)
+
     def test_stream_that_gets_no_retry_budget_is_cut_at_its_deadline(self):
         self.register("pool", 3)
         self.allow_retries("pool", 1)
--- a/packages/kernel/tests/test_outcomes.py
+++ b/packages/kernel/tests/test_outcomes.py
@@ -117,6 +117,14 @@
             decision = self.decide(outcome)
             self.assertEqual(decision.reason, outcomes.NO_ATTEMPTS)
 
+    def test_request_that_is_not_sent_again_uses_retry_budget(self):
+        budget = budgets.RetryBudget(0.0, 10.0, 1.01 / budgets.SAFETY_FACTOR)
+        for now_s in (0.0, self.ticket.deadline_s):
+            lost = Outcome.RESPONSE_LOST
+            outcomes.decide_next_step(self.ticket, lost, now_s, 0.02, budget)
+            self.assertTrue(budget.try_acquire(now_s))
+            budget = budgets.RetryBudget(0.0, 10.0, 1.01 / budgets.SAFETY_FACTOR)
+
     def test_response_that_has_not_begun_does_not_return(self):
         self.ticket.is_begun = False
         self.assertEqual(self.decide().reason, outcomes.NO_ATTEMPTS)
