Send the rest of a stream to a server it was at while all others are full

Callers left a stream that had begun after two seconds without a part: its send had ended without a complete response, as its server broke it off or the one it was moved to couldn't be reached, and it waited in the queue for servers that it hadn't been at. They were full, while its first one had room.

It now prefers a server that it hasn't been at only if that one has room. The test failed before.

--- a/packages/entry/tests/test_silent_servers.py
+++ b/packages/entry/tests/test_silent_servers.py
@@ -599,6 +599,23 @@
         self.finish_stream(second)
         self.check_whole_stream(transport)
 
+    def test_begun_stream_waits_for_a_full_server_while_its_own_has_room(self):
+        self.register("pool", 2)
+        self.allow_retries("pool", 5)
+        started = {"10.0.1.0:80": [], "10.0.1.1:80": []}
+        for number in range(8):
+            self.request(b"summary", b"q%d" % number)
+            connection = self.start_stream()
+            started[connection.address].append(connection)
+        broken, ended = started["10.0.1.0:80"][:2]
+        ended.end()
+        broken.handler.handle_loss(connections.LossReason.MALFORMED)
+        self.wait(0.1)
+        newest = self.pool.opened[-1]
+        self.assertIsNot(newest, broken)
+        self.assertEqual(newest.request_id, broken.request_id)
+        self.assertEqual(newest.address, broken.address)
+
     def fill_queue(self):
         for number in range(3):
             self.request(b"summary", b"other-%d" % number)
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -597,6 +597,9 @@
         if _is_returning(ticket):
             return [item for item in usable if item.server_id in ticket.returnable_to]
         untried = [item for item in usable if item.server_id not in ticket.tried]
+        if ticket.is_begun:
+            # Its caller doesn't wait until one of them has room.
+            untried = [item for item in untried if self._can_take(item, now_s)]
         return untried or usable
 
     def _filter_by_group(self, candidates):
