Part the analysis of a release from its orders and phases

releases.py held the orders, records and phases of releases, the statistics of responses, and the checks that find a version bad. The statistics are now in response_stats.py, the checks and the text about them in analyses.py. The text of no assertion, number or log changed.

--- a/packages/kernel/tests/test_releases.py
+++ b/packages/kernel/tests/test_releases.py
@@ -4,7 +4,15 @@
 import builders
 from hypothesis import given, settings, strategies
 
-from wasabiknot_kernel import outcomes, positions, registrations, releases, servers
+from wasabiknot_kernel import (
+    analyses,
+    outcomes,
+    positions,
+    registrations,
+    releases,
+    response_stats,
+    servers,
+)
 
 Outcome = outcomes.Outcome
 ORDER = registrations.ReleaseOrder("pool", "v2", 16.0, 5)
@@ -36,8 +44,8 @@
         tracker = build_releases()
         bad = next(server for server in build_servers() if is_new(server))
         evidence = {
-            "pool/5/new/r/draft": releases.ResponseStats(failures=60),
-            "pool/5/old/r/draft": releases.ResponseStats(successes=600),
+            "pool/5/new/r/draft": response_stats.ResponseStats(failures=60),
+            "pool/5/old/r/draft": response_stats.ResponseStats(successes=600),
         }
         tracker.apply_evidence("e2", evidence)
         tracker.record_outcome(builders.build_ticket(), bad, Outcome.FAILED, None)
@@ -260,7 +268,7 @@
         self.assertFalse(tracker.analyze("pool").is_bad)
 
     def test_evidence_of_peers_is_included(self):
-        trackers = [build_releases(seed) for seed in range(releases.MIN_FAILURES)]
+        trackers = [build_releases(seed) for seed in range(analyses.MIN_FAILURES)]
         new = [item for item in build_servers() if is_new(item)]
         for number, tracker in enumerate(trackers):
             ticket = builders.build_ticket(f"q{number}")
--- a/packages/kernel/tests/test_silences.py
+++ b/packages/kernel/tests/test_silences.py
@@ -2,7 +2,7 @@
 
 import builders
 
-from wasabiknot_kernel import outcomes, registrations, releases, silences
+from wasabiknot_kernel import outcomes, registrations, response_stats, silences
 
 Outcome = outcomes.Outcome
 ORDER = registrations.ReleaseOrder("pool", "v2", 16.0, 5)
@@ -50,7 +50,9 @@
 
     def count_failures(self):
         evidence = self.entry.releases.list_evidence()
-        return evidence.get("pool/5/new/r/draft", releases.ResponseStats()).failures
+        return evidence.get(
+            "pool/5/new/r/draft", response_stats.ResponseStats()
+        ).failures
 
     def fall_silent(self):
         self.hear(101.0)
--- /dev/null
+++ b/packages/kernel/wasabiknot_kernel/analyses.py
@@ -0,0 +1,181 @@
+"""Compares the responses of a new version with those of the old versions.
+
+The evidence of a side maps keys to ``response_stats.ResponseStats``: "r/" and the name
+of a route, or "s/" and the id of a backend server.
+"""
+
+import math
+import statistics
+
+import msgspec
+
+from wasabiknot_kernel import response_stats
+
+# A version is failing if it has this many failures and if its failure rate exceeds
+# that of the old versions by this many standard deviations.
+MIN_FAILURES = 5
+MAX_FAILURE_Z_SCORE = 5.0
+# Lower bound of the failure rate that is expected of any version.
+MIN_BASELINE_FAILURE_RATE = 0.03
+# A version is slow if it has this many timed responses and if they take longer than
+# those of the slowest old backend server by this factor.
+MIN_DURATION_SAMPLES = 5
+MAX_SLOWDOWN = 1.6
+# Backend servers needed on each side to compare the fastest and median servers.
+MIN_SERVERS_PER_SIDE = 3
+# Some responses of a version are slow if it has this many timed responses and if
+# the deviation of their durations exceeds that of the old backend servers by this
+# factor.
+MIN_DEVIATION_SAMPLES = 20
+MAX_DEVIATION_FACTOR = 1.6
+# Lower bound of the expected standard deviation of logarithmic duration ratios.
+MIN_BASELINE_DEVIATION = 0.45
+
+
+class Analysis(msgspec.Struct, frozen=True):
+    """The result of comparing a new version with the old ones.
+
+    :param is_bad: whether the version must get no more traffic.
+    :param successes: complete responses of the version, counted by all entries.
+    :param reason: why the version is bad; empty if it is not.
+    """
+
+    is_bad: bool
+    successes: int
+    reason: str = ""
+
+
+def compare_versions(new, old):
+    """Compares a new version with the old versions.
+
+    :param new: evidence of the new version.
+    :param old: evidence of the old versions.
+    :return: ``Analysis``.
+    """
+    successes = sum(
+        stats.successes for key, stats in new.items() if key.startswith("r/")
+    )
+    reason = (
+        _check_failures(new, old)
+        or _check_durations(new, old)
+        or _check_deviation(new, old)
+    )
+    return Analysis(bool(reason), successes, reason)
+
+
+def describe_durations(stats_list):
+    """Describes the duration ratios of backend servers.
+
+    :param stats_list: ``response_stats.ResponseStats`` of each backend server.
+    :return: text for the log, with ``MEAN~DEVIATIONxSAMPLES`` for each server.
+    """
+    server_rows = sorted(
+        (
+            response_stats.compute_log_deviation([item]),
+            item.samples,
+            item.log_ratio_sum / item.samples,
+        )
+        for item in stats_list
+        if item.samples
+    )
+    texts = [f"{math.exp(row[2]):.2f}~{row[0]:.2f}x{row[1]}" for row in server_rows]
+    return " ".join(texts)
+
+
+def _check_failures(new, old):
+    servers = {key: item for key, item in new.items() if key.startswith("s/")}
+    busy = [
+        item
+        for item in servers.values()
+        if item.successes + item.failures >= MIN_FAILURES
+    ]
+    failing = [item for item in servers.values() if item.failures]
+    if len(busy) > 1 and len(failing) == 1:
+        # A single failing backend server indicates a fault of that server, not of
+        # the version.
+        return ""
+    for key, stats in new.items():
+        if not key.startswith("r/"):
+            continue
+        old_stats = old.get(key, response_stats.ResponseStats())
+        rate = stats.failures / max(1, stats.successes + stats.failures)
+        old_rate = old_stats.failures / max(1, old_stats.successes + old_stats.failures)
+        if stats.failures < MIN_FAILURES:
+            continue
+        expected_rate = min(max(old_rate, MIN_BASELINE_FAILURE_RATE), 0.5)
+        deviation = math.sqrt(
+            expected_rate * (1 - expected_rate) / (stats.successes + stats.failures)
+        )
+        if (rate - expected_rate) / deviation > MAX_FAILURE_Z_SCORE:
+            return (
+                f"{key[2:]}: {stats.failures} failed, {rate:.0%} against {old_rate:.0%}"
+            )
+    return ""
+
+
+def _check_durations(new, old):
+    old_means = _list_log_means(old)
+    if not old_means:
+        return ""
+    samples = sum(item.samples for key, item in new.items() if key.startswith("r/"))
+    if samples < MIN_DURATION_SAMPLES:
+        return ""
+    total = sum(item.log_ratio_sum for key, item in new.items() if key.startswith("r/"))
+    excess = total / samples - old_means[-1]
+    if excess > math.log(MAX_SLOWDOWN):
+        return f"{math.exp(excess):.1f} times slower than the slowest beside it"
+    return _compare_servers(_list_log_means(new), old_means)
+
+
+def _compare_servers(new, old):
+    if min(len(new), len(old)) < MIN_SERVERS_PER_SIDE:
+        return ""
+    # Single backend servers may differ in speed. The version itself is slow only if
+    # both its fastest and its median server are slower than those of the old side.
+    fastest = new[0] - old[0]
+    median = statistics.median(new) - statistics.median(old)
+    if min(fastest, median) > math.log(MAX_SLOWDOWN):
+        return f"{math.exp(median):.1f} times slower than the middle one beside it"
+    return ""
+
+
+def _list_log_means(stats_list):
+    return sorted(
+        item.log_ratio_sum / item.samples
+        for key, item in stats_list.items()
+        if key.startswith("s/") and item.samples >= MIN_DURATION_SAMPLES
+    )
+
+
+def _check_deviation(new, old):
+    baseline_deviations = [
+        response_stats.compute_log_deviation([item])
+        for key, item in old.items()
+        if key.startswith("s/") and item.samples >= MIN_DEVIATION_SAMPLES
+    ]
+    if not baseline_deviations:
+        return ""
+    new_stats = [
+        item for key, item in new.items() if key.startswith("s/") and item.samples
+    ]
+    samples = sum(item.samples for item in new_stats)
+    if samples < MIN_DEVIATION_SAMPLES:
+        return ""
+    baseline_deviation = max(MIN_BASELINE_DEVIATION, *baseline_deviations)
+    deviation = response_stats.compute_log_deviation(new_stats)
+    slow_log_ratio = sum(item.log_ratio_sum for item in new_stats) / samples + deviation
+    # A larger deviation is accepted if even the slow responses, one deviation above
+    # the mean, are faster than the old mean.
+    is_slower = slow_log_ratio > _compute_log_mean(old)
+    if is_slower and deviation > MAX_DEVIATION_FACTOR * baseline_deviation:
+        return (
+            f"paces spread {deviation:.2f} against {baseline_deviation:.2f} beside it"
+        )
+    return ""
+
+
+def _compute_log_mean(stats_list):
+    route_stats = [item for key, item in stats_list.items() if key.startswith("r/")]
+    return sum(item.log_ratio_sum for item in route_stats) / max(
+        1, sum(item.samples for item in route_stats)
+    )
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from wasabiknot_kernel import crashes, releases, servers, silences, statements
+from wasabiknot_kernel import crashes, response_stats, servers, silences, statements
 
 # Time without a digest after which the load of a peer is no longer counted.
 UNREACHABLE_AFTER_S = 1.0
@@ -96,7 +96,7 @@
     group: str = ""
     reachable: int = 1
     members: int = 1
-    evidence: dict[str, releases.ResponseStats] = {}
+    evidence: dict[str, response_stats.ResponseStats] = {}
     waiting: dict[str, int] = {}
     faulty_servers: tuple[str, ...] = ()
     refused_servers: tuple[str, ...] = ()
--- a/packages/kernel/wasabiknot_kernel/releases.py
+++ b/packages/kernel/wasabiknot_kernel/releases.py
@@ -8,12 +8,16 @@
 """
 
 import enum
-import math
-import statistics
 
 import msgspec
 
-from wasabiknot_kernel import outcomes, positions, registrations
+from wasabiknot_kernel import (
+    analyses,
+    outcomes,
+    positions,
+    registrations,
+    response_stats,
+)
 
 Outcome = outcomes.Outcome
 
@@ -26,25 +30,6 @@
 FINISH_FRACTION = 0.93
 # Shortest time that old backend servers get to finish their requests.
 MIN_DRAIN_S = 1.0
-# A version is failing if it has this many failures and if its failure rate exceeds
-# that of the old versions by this many standard deviations.
-MIN_FAILURES = 5
-MAX_FAILURE_Z_SCORE = 5.0
-# Lower bound of the failure rate that is expected of any version.
-MIN_BASELINE_FAILURE_RATE = 0.03
-# A version is slow if it has this many timed responses and if they take longer than
-# those of the slowest old backend server by this factor.
-MIN_DURATION_SAMPLES = 5
-MAX_SLOWDOWN = 1.6
-# Backend servers needed on each side to compare the fastest and median servers.
-MIN_SERVERS_PER_SIDE = 3
-# Some responses of a version are slow if it has this many timed responses and if
-# the deviation of their durations exceeds that of the old backend servers by this
-# factor.
-MIN_DEVIATION_SAMPLES = 20
-MAX_DEVIATION_FACTOR = 1.6
-# Lower bound of the expected standard deviation of logarithmic duration ratios.
-MIN_BASELINE_DEVIATION = 0.45
 # Complete responses that a version needs to be promoted.
 MIN_SUCCESSES = 10
 # A caller that leaves after this time without any event counts as a failure of the
@@ -128,70 +113,6 @@
 }
 
 
-class ResponseStats(msgspec.Struct, array_like=True):
-    """Counts and durations of responses.
-
-    A duration ratio is the duration of a response divided by its predicted duration.
-
-    :param successes: complete responses.
-    :param failures: responses that failed or did not arrive.
-    :param samples: responses with a known duration ratio.
-    :param log_ratio_sum: sum of the logarithms of the duration ratios.
-    :param log_ratio_square_sum: sum of the squares of these logarithms.
-    """
-
-    successes: int = 0
-    failures: int = 0
-    samples: int = 0
-    log_ratio_sum: float = 0.0
-    log_ratio_square_sum: float = 0.0
-
-    def add_duration_ratio(self, duration_ratio):
-        """Adds the duration ratio of a response.
-
-        :param duration_ratio: actual divided by predicted duration.
-        """
-        logarithm = math.log(duration_ratio)
-        self.samples += 1
-        self.log_ratio_sum += logarithm
-        self.log_ratio_square_sum += logarithm * logarithm
-
-    def sum_squared_deviations(self):
-        """Sums the squared deviations of the logarithmic ratios from their mean.
-
-        :return: sum of squares; 0 without samples.
-        """
-        if not self.samples:
-            return 0.0
-        return max(
-            0.0, self.log_ratio_square_sum - self.log_ratio_sum**2 / self.samples
-        )
-
-    def add(self, other):
-        """Adds the counts and sums of other statistics.
-
-        :param other: ``ResponseStats``.
-        """
-        self.successes += other.successes
-        self.failures += other.failures
-        self.samples += other.samples
-        self.log_ratio_sum += other.log_ratio_sum
-        self.log_ratio_square_sum += other.log_ratio_square_sum
-
-
-class Analysis(msgspec.Struct, frozen=True):
-    """The result of comparing a new version with the old ones.
-
-    :param is_bad: whether the version must get no more traffic.
-    :param successes: complete responses of the version, counted by all entries.
-    :param reason: why the version is bad; empty if it is not.
-    """
-
-    is_bad: bool
-    successes: int
-    reason: str = ""
-
-
 class _TrackedOrder(msgspec.Struct):
     order: registrations.ReleaseOrder
     started_s: float
@@ -380,7 +301,7 @@
         # Results are counted by route and by backend server: "r/" and "s/" in the keys.
         for subject in (f"r/{ticket.route.name}", f"s/{server.server_id}"):
             key = f"{ticket.service}/{tracked.order.offset}/{side}/{subject}"
-            stats = self._own_evidence.setdefault(key, ResponseStats())
+            stats = self._own_evidence.setdefault(key, response_stats.ResponseStats())
             if is_good:
                 stats.successes += 1
             else:
@@ -391,7 +312,7 @@
     def list_evidence(self):
         """Lists the evidence of this entry about active releases.
 
-        :return: mapping of keys to ``ResponseStats``.
+        :return: mapping of keys to ``response_stats.ResponseStats``.
         """
         active_prefixes = {
             f"{item.service}/{item.offset}/" for item in self.list_active()
@@ -407,20 +328,20 @@
 
         :param sources: names of the peers or groups.
         :param include_own: whether to include the evidence of this entry.
-        :return: mapping of keys to ``ResponseStats``.
+        :return: mapping of keys to ``response_stats.ResponseStats``.
         """
         own = self._own_evidence if include_own else {}
         total = {key: msgspec.structs.replace(stats) for key, stats in own.items()}
         for source in sources:
             for key, stats in self._peer_evidence.get(source, {}).items():
-                total.setdefault(key, ResponseStats()).add(stats)
+                total.setdefault(key, response_stats.ResponseStats()).add(stats)
         return total
 
     def apply_evidence(self, source, evidence):
         """Replaces the evidence of a peer or of another group.
 
         :param source: name of the peer or group.
-        :param evidence: mapping of keys to ``ResponseStats``.
+        :param evidence: mapping of keys to ``response_stats.ResponseStats``.
         """
         self._peer_evidence[source] = evidence
 
@@ -428,22 +349,14 @@
         """Compares the version of a service's newest order with the old versions.
 
         :param service: service name.
-        :return: ``Analysis``.
+        :return: ``analyses.Analysis``.
         """
         tracked = self._orders[service]
         prefix = f"{service}/{tracked.order.offset}/"
         total = self.merge_evidence(self._peer_evidence)
         new = _filter_by_prefix(total, f"{prefix}new/")
         old = _filter_by_prefix(total, f"{prefix}old/")
-        successes = sum(
-            stats.successes for key, stats in new.items() if key.startswith("r/")
-        )
-        reason = (
-            _check_failures(new, old)
-            or _check_durations(new, old)
-            or _check_deviation(new, old)
-        )
-        return Analysis(bool(reason), successes, reason)
+        return analyses.compare_versions(new, old)
 
     def describe_evidence(self, service):
         """Describes the duration ratios of the new and old backend servers.
@@ -456,19 +369,7 @@
         sides = []
         for side in ("new", "old"):
             stats_list = _filter_by_prefix(total, f"{prefix}{side}/s/").values()
-            server_rows = sorted(
-                (
-                    _compute_log_deviation([item]),
-                    item.samples,
-                    item.log_ratio_sum / item.samples,
-                )
-                for item in stats_list
-                if item.samples
-            )
-            texts = [
-                f"{math.exp(row[2]):.2f}~{row[0]:.2f}x{row[1]}" for row in server_rows
-            ]
-            sides.append(f"{side} {' '.join(texts)}")
+            sides.append(f"{side} {analyses.describe_durations(stats_list)}")
         return "; ".join(sides)
 
     def is_blocked(self, service):
@@ -568,110 +469,3 @@
         for key, stats in total.items()
         if key.startswith(prefix)
     }
-
-
-def _check_failures(new, old):
-    servers = {key: item for key, item in new.items() if key.startswith("s/")}
-    busy = [
-        item
-        for item in servers.values()
-        if item.successes + item.failures >= MIN_FAILURES
-    ]
-    failing = [item for item in servers.values() if item.failures]
-    if len(busy) > 1 and len(failing) == 1:
-        # A single failing backend server indicates a fault of that server, not of
-        # the version.
-        return ""
-    for key, stats in new.items():
-        if not key.startswith("r/"):
-            continue
-        old_stats = old.get(key, ResponseStats())
-        rate = stats.failures / max(1, stats.successes + stats.failures)
-        old_rate = old_stats.failures / max(1, old_stats.successes + old_stats.failures)
-        if stats.failures < MIN_FAILURES:
-            continue
-        expected_rate = min(max(old_rate, MIN_BASELINE_FAILURE_RATE), 0.5)
-        deviation = math.sqrt(
-            expected_rate * (1 - expected_rate) / (stats.successes + stats.failures)
-        )
-        if (rate - expected_rate) / deviation > MAX_FAILURE_Z_SCORE:
-            return (
-                f"{key[2:]}: {stats.failures} failed, {rate:.0%} against {old_rate:.0%}"
-            )
-    return ""
-
-
-def _check_durations(new, old):
-    old_means = _list_log_means(old)
-    if not old_means:
-        return ""
-    samples = sum(item.samples for key, item in new.items() if key.startswith("r/"))
-    if samples < MIN_DURATION_SAMPLES:
-        return ""
-    total = sum(item.log_ratio_sum for key, item in new.items() if key.startswith("r/"))
-    excess = total / samples - old_means[-1]
-    if excess > math.log(MAX_SLOWDOWN):
-        return f"{math.exp(excess):.1f} times slower than the slowest beside it"
-    return _compare_servers(_list_log_means(new), old_means)
-
-
-def _compare_servers(new, old):
-    if min(len(new), len(old)) < MIN_SERVERS_PER_SIDE:
-        return ""
-    # Single backend servers may differ in speed. The version itself is slow only if
-    # both its fastest and its median server are slower than those of the old side.
-    fastest = new[0] - old[0]
-    median = statistics.median(new) - statistics.median(old)
-    if min(fastest, median) > math.log(MAX_SLOWDOWN):
-        return f"{math.exp(median):.1f} times slower than the middle one beside it"
-    return ""
-
-
-def _list_log_means(stats_list):
-    return sorted(
-        item.log_ratio_sum / item.samples
-        for key, item in stats_list.items()
-        if key.startswith("s/") and item.samples >= MIN_DURATION_SAMPLES
-    )
-
-
-def _check_deviation(new, old):
-    baseline_deviations = [
-        _compute_log_deviation([item])
-        for key, item in old.items()
-        if key.startswith("s/") and item.samples >= MIN_DEVIATION_SAMPLES
-    ]
-    if not baseline_deviations:
-        return ""
-    new_stats = [
-        item for key, item in new.items() if key.startswith("s/") and item.samples
-    ]
-    samples = sum(item.samples for item in new_stats)
-    if samples < MIN_DEVIATION_SAMPLES:
-        return ""
-    baseline_deviation = max(MIN_BASELINE_DEVIATION, *baseline_deviations)
-    deviation = _compute_log_deviation(new_stats)
-    slow_log_ratio = sum(item.log_ratio_sum for item in new_stats) / samples + deviation
-    # A larger deviation is accepted if even the slow responses, one deviation above
-    # the mean, are faster than the old mean.
-    is_slower = slow_log_ratio > _compute_log_mean(old)
-    if is_slower and deviation > MAX_DEVIATION_FACTOR * baseline_deviation:
-        return (
-            f"paces spread {deviation:.2f} against {baseline_deviation:.2f} beside it"
-        )
-    return ""
-
-
-def _compute_log_mean(stats_list):
-    route_stats = [item for key, item in stats_list.items() if key.startswith("r/")]
-    return sum(item.log_ratio_sum for item in route_stats) / max(
-        1, sum(item.samples for item in route_stats)
-    )
-
-
-def _compute_log_deviation(stats_list):
-    degrees_of_freedom = sum(item.samples - 1 for item in stats_list)
-    return math.sqrt(
-        sum(map(ResponseStats.sum_squared_deviations, stats_list))
-        / max(1, degrees_of_freedom)
-    )
--- /dev/null
+++ b/packages/kernel/wasabiknot_kernel/response_stats.py
@@ -0,0 +1,69 @@
+"""Counts and durations of responses, as evidence about a version."""
+
+import math
+
+import msgspec
+
+
+class ResponseStats(msgspec.Struct, array_like=True):
+    """Counts and durations of responses.
+
+    A duration ratio is the duration of a response divided by its predicted duration.
+
+    :param successes: complete responses.
+    :param failures: responses that failed or did not arrive.
+    :param samples: responses with a known duration ratio.
+    :param log_ratio_sum: sum of the logarithms of the duration ratios.
+    :param log_ratio_square_sum: sum of the squares of these logarithms.
+    """
+
+    successes: int = 0
+    failures: int = 0
+    samples: int = 0
+    log_ratio_sum: float = 0.0
+    log_ratio_square_sum: float = 0.0
+
+    def add_duration_ratio(self, duration_ratio):
+        """Adds the duration ratio of a response.
+
+        :param duration_ratio: actual divided by predicted duration.
+        """
+        logarithm = math.log(duration_ratio)
+        self.samples += 1
+        self.log_ratio_sum += logarithm
+        self.log_ratio_square_sum += logarithm * logarithm
+
+    def sum_squared_deviations(self):
+        """Sums the squared deviations of the logarithmic ratios from their mean.
+
+        :return: sum of squares; 0 without samples.
+        """
+        if not self.samples:
+            return 0.0
+        return max(
+            0.0, self.log_ratio_square_sum - self.log_ratio_sum**2 / self.samples
+        )
+
+    def add(self, other):
+        """Adds the counts and sums of other statistics.
+
+        :param other: ``ResponseStats``.
+        """
+        self.successes += other.successes
+        self.failures += other.failures
+        self.samples += other.samples
+        self.log_ratio_sum += other.log_ratio_sum
+        self.log_ratio_square_sum += other.log_ratio_square_sum
+
+
+def compute_log_deviation(stats_list):
+    """Computes the standard deviation of the logarithmic ratios within each item.
+
+    :param stats_list: list of ``ResponseStats``.
+    :return: standard deviation around the means of the items; 0 without samples.
+    """
+    degrees_of_freedom = sum(item.samples - 1 for item in stats_list)
+    return math.sqrt(
+        sum(map(ResponseStats.sum_squared_deviations, stats_list))
+        / max(1, degrees_of_freedom)
+    )
