Part the reads of the store from the deployment

deployments.py also kept what the store's reads mean: when it was last read, whether it is unavailable or has just recovered, and which removals wait for it. That is now store_reads.StoreReads, at Deployment.store_reads; record_read, is_store_unavailable and compute_read_age_ms are called there (is_unavailable, compute_age_ms), by the entry program and the tests. No text of an assertion changed.

--- a/packages/entry/tests/test_gateway_changes.py
+++ b/packages/entry/tests/test_gateway_changes.py
@@ -157,7 +157,7 @@
 
     def play_remove(self, number):
         now_s = self.reactor.seconds()
-        self.deployment.record_read(now_s)
+        self.deployment.store_reads.record_read(now_s)
         self.deployment.apply_removal(f"w{1 + number % 2}", now_s)
 
     def play_register(self, number):
--- a/packages/entry/tests/test_restorations.py
+++ b/packages/entry/tests/test_restorations.py
@@ -52,7 +52,7 @@
     def advance(self, seconds):
         for _ in range(round(seconds * 10)):
             self.clock.advance(0.1)
-            self.deployment.record_read(self.clock.seconds())
+            self.deployment.store_reads.record_read(self.clock.seconds())
 
     def test_nothing_happens_at_the_first_listing(self):
         self.list_topic(stores.SERVER_TOPIC, 3, ["w1"])
--- a/packages/entry/tests/test_silent_servers.py
+++ b/packages/entry/tests/test_silent_servers.py
@@ -492,7 +492,7 @@
         self.allow_retries("pool", 5)
         transport = self.request(b"summary")
         first = self.start_stream()
-        self.deployment.record_read(100.0)
+        self.deployment.store_reads.record_read(100.0)
         self.assertTrue(self.deployment.apply_removal("pool-0", 100.0))
         first.handler.handle_loss(connections.LossReason.MALFORMED)
         self.wait(1.0)
--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -109,7 +109,7 @@
 
         :return: milliseconds, or -1 before the first read.
         """
-        return self._deployment.compute_read_age_ms(reactor.seconds())
+        return self._deployment.store_reads.compute_age_ms(reactor.seconds())
 
 
 class Entry:
--- a/packages/entry/wasabiknot_entry/followers.py
+++ b/packages/entry/wasabiknot_entry/followers.py
@@ -300,7 +300,7 @@
     def record_success(self):
         """Records a successful call."""
         now_s = self._reactor.seconds()
-        self._deployment.record_read(now_s)
+        self._deployment.store_reads.record_read(now_s)
         if self._unavailable_since_s is not None:
             away_ms = round((now_s - self._unavailable_since_s) * 1_000)
             journal.write(events.Event.STORE_FOUND, away_ms=away_ms)
--- a/packages/entry/wasabiknot_entry/gossip.py
+++ b/packages/entry/wasabiknot_entry/gossip.py
@@ -153,7 +153,7 @@
         deployment = self._deployment
         if not deployment.is_behind(peer):
             return
-        age_ms = deployment.compute_read_age_ms(now_s)
+        age_ms = deployment.store_reads.compute_age_ms(now_s)
         is_reading = 0 <= age_ms < OWN_READ_MAX_AGE_S * 1_000
         if is_reading and deployment.is_ready and deployment.should_read_store(now_s):
             return
--- a/packages/entry/wasabiknot_entry/restorations.py
+++ b/packages/entry/wasabiknot_entry/restorations.py
@@ -1,7 +1,7 @@
 """Reacts when the store was put back to an older copy."""
 
 from wasabiknot_entry import journal
-from wasabiknot_kernel import deployments, events
+from wasabiknot_kernel import events, store_reads
 from wasabiknot_platform import stores
 
 # Each entry writes its member record again within this time, so that a large system
@@ -76,18 +76,18 @@
             register.mark_lost(restoration.missing, self._reactor.seconds())
             register.delete(restoration.outdated)
         elif name == stores.SERVER_TOPIC:
-            delay_s = deployments.REMOVAL_GRACE_S
+            delay_s = store_reads.REMOVAL_GRACE_S
             self._reactor.callLater(delay_s, self._settle_servers)
         self._reactor.callLater(RECONCILE_DELAY_S, self._followers[name].list_again)
 
     def _settle_servers(self):
-        if self._deployment.is_store_unavailable(self._reactor.seconds()):
+        if self._deployment.store_reads.is_unavailable(self._reactor.seconds()):
             self._reactor.callLater(SETTLE_RETRY_S, self._settle_servers)
             return
         topic = self._deployment.get_topic(stores.SERVER_TOPIC)
         removed = topic.remove_unconfirmed()
         if removed:
-            after_ms = round(deployments.REMOVAL_GRACE_S * 1_000)
+            after_ms = round(store_reads.REMOVAL_GRACE_S * 1_000)
             journal.write(
                 events.Event.SERVERS_LOST, count=len(removed), after_ms=after_ms
             )
--- a/packages/kernel/tests/test_crashes.py
+++ b/packages/kernel/tests/test_crashes.py
@@ -212,7 +212,7 @@
 class AttributionTests(unittest.TestCase):
     def setUp(self):
         self.entry = builders.build_deployment()
-        self.entry.record_read(0.0)
+        self.entry.store_reads.record_read(0.0)
         self.entry.apply_registration(builders.build_registration(), 0.0)
         self.server = self.entry.find_server("w1")
 
@@ -247,7 +247,7 @@
     def test_lost_response_three_heartbeats_before_the_removal_is_a_crash(self):
         self.lose()
         for tenth in range(1, 38):
-            self.entry.record_read(tenth / 10)
+            self.entry.store_reads.record_read(tenth / 10)
         self.entry.apply_removal("w1", 3.8)
         self.assertEqual(self.count(), 1)
 
@@ -298,7 +298,7 @@
         leaving = builders.registrations.ServerState.LEAVING
         self.entry.apply_registration(builders.build_registration(state=leaving), 0.0)
         self.lose()
-        self.entry.record_read(1.0)
+        self.entry.store_reads.record_read(1.0)
         self.entry.apply_removal("w1", 1.0)
         self.assertEqual(self.count(), 0)
 
--- a/packages/kernel/tests/test_dispatch.py
+++ b/packages/kernel/tests/test_dispatch.py
@@ -274,7 +274,7 @@
         entries = [builders.build_deployment(f"e{number}") for number in range(2)]
         builders.connect_entries(entries, 0.0)
         for entry in entries:
-            entry.record_read(0.0)
+            entry.store_reads.record_read(0.0)
             for number in range(2):
                 entry.apply_registration(builders.build_registration(f"w{number}"), 0.0)
         entries[0].find_server("w0").record_failure(0.0, True)
@@ -289,7 +289,7 @@
         # the registration must be kept until then.
         first, second = (builders.build_deployment(f"e{number}") for number in (0, 1))
         builders.connect_entries([first, second], 0.0)
-        first.record_read(0.0)
+        first.store_reads.record_read(0.0)
         first.apply_registration(builders.build_registration("w0"), 0.0)
         first.get_dispatcher("pool").set_engine(builders.ENGINE)
         first.get_dispatcher("pool").submit(builders.build_ticket("q"), 0.0)
--- a/packages/kernel/tests/test_eligibility.py
+++ b/packages/kernel/tests/test_eligibility.py
@@ -107,7 +107,7 @@
 
     def test_leaving_is_remembered_over_a_lapse_of_the_registration(self):
         self.record("w1", LEAVING, 0.0, 0.0)
-        self.entry.record_read(0.0)
+        self.entry.store_reads.record_read(0.0)
         self.entry.apply_removal("w1", 0.0)
         registration = builders.build_registration("w1")
         self.entry.apply_registration(registration, 1.0)
@@ -115,7 +115,7 @@
         self.assertEqual(sent, {"w2"})
 
     def lapse_and_return(self, server_id, started_ms=1):
-        self.entry.record_read(0.0)
+        self.entry.store_reads.record_read(0.0)
         self.entry.apply_removal(server_id, 0.5)
         self.entry.tick(0.6)
         registration = builders.build_registration(server_id, started_ms=started_ms)
@@ -142,7 +142,7 @@
 
     def test_statements_of_a_server_that_stays_away_are_forgotten(self):
         self.record("w1", LIMITED, 0.0, 0.0)
-        self.entry.record_read(0.0)
+        self.entry.store_reads.record_read(0.0)
         self.entry.apply_removal("w1", 0.5)
         memory_s = statements.UNREGISTERED_MEMORY_S
         for now_s in (1.0, 0.5 + memory_s, 2.0 + memory_s):
--- a/packages/kernel/tests/test_harmful_load.py
+++ b/packages/kernel/tests/test_harmful_load.py
@@ -197,7 +197,7 @@
                 other.apply_digest(entry.build_digest(self.now_s), self.now_s)
 
     def synchronize(self, entry):
-        entry.record_read(self.now_s)
+        entry.store_reads.record_read(self.now_s)
         register = entry.crashes
         due = register.list_due(self.now_s, True)
         self.records.update({crash.key: crash for crash in due})
--- a/packages/kernel/tests/test_members.py
+++ b/packages/kernel/tests/test_members.py
@@ -78,7 +78,7 @@
     def test_one_entry_per_group_reads_the_store(self):
         entries = build_entries(8)
         for entry in entries:
-            entry.record_read(0.0)
+            entry.store_reads.record_read(0.0)
         exchange_digests(entries, 0.1)
         readers = [entry for entry in entries if entry.should_read_store(0.2)]
         self.assertEqual([entry.member.name for entry in readers], ["e000"])
@@ -86,7 +86,7 @@
     def test_all_read_when_the_reader_fails(self):
         entries = build_entries(8)
         for entry in entries:
-            entry.record_read(0.0)
+            entry.store_reads.record_read(0.0)
         for step in range(1, 15):
             exchange_digests(entries, 0.1 * step)
         self.assertTrue(all(entry.should_read_store(1.4) for entry in entries))
@@ -96,7 +96,7 @@
         # transfer from the reader times out on a slow link.
         entries = build_entries(8)
         for entry in entries:
-            entry.record_read(0.0)
+            entry.store_reads.record_read(0.0)
         exchange_digests(entries, 0.1)
         entries[5].record_fetch_failure(0.2)
         self.assertTrue(entries[5].should_read_store(0.3))
@@ -105,7 +105,7 @@
     def test_entry_with_fresh_read_takes_over(self):
         entries = build_entries(8)
         for step in range(1, 15):
-            entries[3].record_read(0.1 * step)
+            entries[3].store_reads.record_read(0.1 * step)
             exchange_digests(entries, 0.1 * step)
         readers = [
             entry.member.name for entry in entries if entry.should_read_store(1.4)
--- a/packages/kernel/tests/test_statement_load.py
+++ b/packages/kernel/tests/test_statement_load.py
@@ -121,7 +121,7 @@
                 self.register(self.entries[number], server_id)
         for number, entry in enumerate(self.entries):
             if self.is_up(number):
-                entry.record_read(self.now_s)
+                entry.store_reads.record_read(self.now_s)
 
     def change(self, server_number, mishap, duration_s):
         server_id = f"w{server_number}"
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -22,6 +22,7 @@
     service_times,
     silences,
     statements,
+    store_reads,
 )
 
 # Channels of the statements in the digest of one entry, in the summary of its group and
@@ -29,11 +30,6 @@
 OWN_CHANNELS = frozenset({statements.Channel.OWN})
 GROUP_CHANNELS = frozenset({statements.Channel.OWN, statements.Channel.GROUP})
 REMOTE_CHANNELS = frozenset({statements.Channel.REMOTE})
-# Backend servers have this long to register again after an outage of the store that
-# affected every entry.
-REMOVAL_GRACE_S = 2.2
-# Age of the latest read by any entry after which the store counts as unavailable.
-STORE_TIMEOUT_S = 1.5
 # Time for which an entry reads the store itself after it failed to fetch facts from a
 # peer.
 DIRECT_READ_S = 2.0
@@ -97,11 +93,8 @@
         self._budgets = {}
         self._services_by_server = {}
         self._peer_loads = {}
-        self._pending_removals = {}
-        self.last_read_s = None
-        self._newest_read_s = None
+        self.store_reads = store_reads.StoreReads()
         self._fetch_failure_s = None
-        self._store_recovered_s = None
         self._sequence = 0
         self._peak_members = budgets.PeakCount()
         # What holds for the retry budgets of all services since the last tick.
@@ -218,7 +211,7 @@
         :param now_s: current time in seconds.
         """
         server_id = registration.server_id
-        self._pending_removals.pop(server_id, None)
+        self.store_reads.cancel_removal(server_id)
         previous = self._services_by_server.get(server_id)
         if previous is not None and previous != registration.service:
             self.get_dispatcher(previous).remove(server_id)
@@ -253,10 +246,7 @@
         """
         if server_id not in self._services_by_server:
             return False
-        if self.is_store_unavailable(now_s) or self._has_store_just_recovered(now_s):
-            self._pending_removals.setdefault(
-                server_id, (self._store_recovered_s or now_s) + REMOVAL_GRACE_S
-            )
+        if self.store_reads.try_delay_removal(server_id, now_s):
             return False
         self._remove(server_id, now_s)
         return True
@@ -280,51 +270,6 @@
             return None
         return self.get_dispatcher(service).servers.get(server_id)
 
-    def record_read(self, now_s):
-        """Records a successful read of the store by this entry.
-
-        :param now_s: current time in seconds.
-        """
-        self.last_read_s = now_s
-        self._record_newest_read(now_s, now_s)
-
-    def _record_newest_read(self, read_s, now_s):
-        if (
-            self._newest_read_s is not None
-            and now_s - self._newest_read_s > STORE_TIMEOUT_S
-        ):
-            self._store_recovered_s = now_s
-        self._newest_read_s = max(self._newest_read_s or 0.0, read_s)
-
-    def is_store_unavailable(self, now_s):
-        """Tells whether neither this entry nor a peer has read the store lately.
-
-        :param now_s: current time in seconds.
-        :return: ``True`` if the latest known read is older than
-            ``STORE_TIMEOUT_S``, or there was none.
-        """
-        return (
-            self._newest_read_s is None or now_s - self._newest_read_s > STORE_TIMEOUT_S
-        )
-
-    def _has_store_just_recovered(self, now_s):
-        return (
-            self._store_recovered_s is not None
-            and now_s - self._store_recovered_s < REMOVAL_GRACE_S
-        )
-
-    def compute_read_age_ms(self, now_s):
-        """Computes the age of this entry's latest read of the store.
-
-        :param now_s: current time in seconds.
-        :return: age in milliseconds; -1 before the first read.
-        """
-        return (
-            -1
-            if self.last_read_s is None
-            else round((now_s - self.last_read_s) * 1_000)
-        )
-
     def record_statement(self, server, statement, sent_s, now_s):
         """Records what a backend server states about itself in a response.
 
@@ -524,7 +469,7 @@
             used={name: round(value) for name, value in used.items()},
             recent_crashes=self.crashes.list_reported(now_s),
             is_stopping=self.is_stopping,
-            read_age_ms=self.compute_read_age_ms(now_s),
+            read_age_ms=self.store_reads.compute_age_ms(now_s),
             evidence=self.releases.list_evidence(),
             refused_servers=self.crash_monitor.list_refused(now_s),
             responses=dict(responses),
@@ -556,7 +501,7 @@
         if peer is None:
             return None
         if digest.read_age_ms >= 0:
-            self._record_newest_read(now_s - digest.read_age_ms / 1_000, now_s)
+            self.store_reads.record_peer_read(digest.read_age_ms, now_s)
         source = digest.group or digest.name
         self._apply_peer_loads(source, digest.loads)
         counter = None
@@ -632,7 +577,7 @@
         if reader is None:
             return True
         if reader.member.order > self.member.order:
-            age_ms = self.compute_read_age_ms(now_s)
+            age_ms = self.store_reads.compute_age_ms(now_s)
             return 0 <= age_ms < members.FRESH_READ_S * 1_000
         return False
 
@@ -752,10 +697,8 @@
             self._apply_peer_loads(source, {})
             del self._peer_loads[source]
             self.silences.forget(source)
-        for server_id, due_s in list(self._pending_removals.items()):
-            if now_s >= due_s and not self.is_store_unavailable(now_s):
-                del self._pending_removals[server_id]
-                self._remove(server_id, now_s)
+        for server_id in self.store_reads.pop_due_removals(now_s):
+            self._remove(server_id, now_s)
 
 
 def _build_location(server):
