Part the building of digests and summaries from the deployment

deployments.py also built what an entry tells others. The digest, the summaries of its group and of the other groups, the loads in them and the channels of their statements are now in digest_builders.DigestBuilder, which also numbers them. Deployment keeps the three calls, and list_released_servers is public. The peers that can be reached are listed by members.list_reachable_digests. The order of fields and of iteration is kept.

--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -1,7 +1,5 @@
 """The scheduling state of one entry: configuration, backend servers and peers."""
 
-import collections
-
 import msgspec
 
 from wasabiknot_kernel import (
@@ -10,6 +8,7 @@
     choosers,
     crash_monitors,
     crashes,
+    digest_builders,
     dispatch,
     eligibility,
     facts,
@@ -18,18 +17,12 @@
     members,
     outcomes,
     releases,
-    servers,
     service_times,
     silences,
     statements,
     store_reads,
 )
 
-# Channels of the statements in the digest of one entry, in the summary of its group and
-# in the summary of the other groups.
-OWN_CHANNELS = frozenset({statements.Channel.OWN})
-GROUP_CHANNELS = frozenset({statements.Channel.OWN, statements.Channel.GROUP})
-REMOTE_CHANNELS = frozenset({statements.Channel.REMOTE})
 # Time for which an entry reads the store itself after it failed to fetch facts from a
 # peer.
 DIRECT_READ_S = 2.0
@@ -95,7 +88,7 @@
         self._peer_loads = {}
         self.store_reads = store_reads.StoreReads()
         self._fetch_failure_s = None
-        self._sequence = 0
+        self._digests = digest_builders.DigestBuilder(self)
         self._peak_members = budgets.PeakCount()
         # What holds for the retry budgets of all services since the last tick.
         self._peak_member_count = 1
@@ -346,7 +339,7 @@
         winner = group_servers.find_winner(fingerprint, 0, group_names)
         if winner != self.roster.group.name:
             return False
-        digests = _list_reachable_digests(self.roster.list_group_peers(), now_s)
+        digests = members.list_reachable_digests(self.roster.list_group_peers(), now_s)
         names = tuple(sorted([self.member.name, *digests]))
         return group_servers.find_winner(fingerprint, 1, names) == self.member.name
 
@@ -368,26 +361,7 @@
         :param now_s: current time in seconds.
         :return: ``members.Digest``.
         """
-        built = self._build_digest(
-            now_s,
-            self._list_loads(),
-            self.allowances.used,
-            self.crashes.list_responses(),
-            OWN_CHANNELS,
-            self._list_silences(now_s),
-        )
-        waiting = {}
-        faulty_servers = []
-        for name, dispatcher in self._dispatchers.items():
-            if len(dispatcher):
-                waiting[name] = len(dispatcher)
-            for server in dispatcher.servers.values():
-                server.advertised_sends = len(server.sends)
-                if server.is_faulty(now_s):
-                    faulty_servers.append(server.server_id)
-        return msgspec.structs.replace(
-            built, waiting=waiting, faulty_servers=tuple(faulty_servers)
-        )
+        return self._digests.build_digest(now_s)
 
     def build_group_summary(self, now_s):
         """Builds the summary of this group for the leaders of other groups.
@@ -395,25 +369,7 @@
         :param now_s: current time in seconds.
         :return: ``members.Digest``.
         """
-        digests = _list_reachable_digests(self.roster.list_group_peers(), now_s)
-        loads = self._list_loads()
-        responses = collections.Counter(self.crashes.list_responses())
-        for digest in digests.values():
-            _add_loads(loads, digest.loads)
-            responses.update(digest.responses)
-        count = self.roster.count_group(now_s)
-        used = self.allowances.group_used
-        silent = self.silences.merge_reports(digests, self._list_silences(now_s), now_s)
-        built = self._build_digest(
-            now_s, loads, used, responses, GROUP_CHANNELS, silent
-        )
-        return msgspec.structs.replace(
-            built,
-            group=self.roster.group.name,
-            evidence=self.releases.merge_evidence(digests),
-            reachable=count.reachable,
-            members=count.members,
-        )
+        return self._digests.build_group_summary(now_s)
 
     def build_remote_summary(self, now_s):
         """Builds the summary of the other groups for the members of this group.
@@ -421,34 +377,13 @@
         :param now_s: current time in seconds.
         :return: ``members.Digest``.
         """
-        loads = {}
-        summaries = {
-            name: peer.digest
-            for name, peer in self.roster.group_summaries.items()
-            if not peer.is_unreachable(now_s)
-        }
-        responses = collections.Counter()
-        for digest in summaries.values():
-            _add_loads(loads, digest.loads)
-            responses.update(digest.responses)
-        count = self.roster.count_other_groups(now_s)
-        used = self.allowances.remote_used
-        silent = self.silences.merge_reports(summaries, {}, now_s)
-        built = self._build_digest(
-            now_s, loads, used, responses, REMOTE_CHANNELS, silent
-        )
-        return msgspec.structs.replace(
-            built,
-            group=members.REMOTE_GROUPS,
-            evidence=self.releases.merge_evidence(summaries, include_own=False),
-            reachable=count.reachable,
-            members=count.members,
-        )
+        return self._digests.build_remote_summary(now_s)
 
-    def _list_silences(self, now_s):
-        return self.silences.list_reports(self._list_released_servers(), now_s)
+    def list_released_servers(self):
+        """Lists the backend servers of the services with an active release.
 
-    def _list_released_servers(self):
+        :return: list of ``servers.Server``.
+        """
         services = {order.service for order in self.releases.list_active()}
         return [
             server
@@ -456,40 +391,6 @@
             for server in self.get_dispatcher(service).servers.values()
         ]
 
-    def _build_digest(self, now_s, loads, used, responses, channels, silent):
-        self._sequence += 1
-        return members.Digest(
-            name=self.member.name,
-            run=self.member.run,
-            sequence=self._sequence,
-            positions={
-                name: topic.change_position for name, topic in self.topics.items()
-            },
-            loads=loads,
-            used={name: round(value) for name, value in used.items()},
-            recent_crashes=self.crashes.list_reported(now_s),
-            is_stopping=self.is_stopping,
-            read_age_ms=self.store_reads.compute_age_ms(now_s),
-            evidence=self.releases.list_evidence(),
-            refused_servers=self.crash_monitor.list_refused(now_s),
-            responses=dict(responses),
-            limits=self.eligibility.limits.list_reports(now_s, channels),
-            leaving_servers=self.eligibility.list_leaving_reports(now_s, channels),
-            silence_reports=silent,
-        )
-
-    def _list_loads(self):
-        loads = {}
-        for dispatcher in self._dispatchers.values():
-            if not dispatcher.is_engine:
-                continue
-            for server in dispatcher.servers.values():
-                if server.sends:
-                    loads[server.server_id] = servers.PeerLoad(
-                        len(server.sends), round(server.count_own_pending_prefill())
-                    )
-        return loads
-
     def apply_digest(self, digest, now_s):
         """Applies the digest of a peer, or the summary of another group.
 
@@ -642,7 +543,7 @@
         return group_servers.assign_servers(locations, groups)[own_group.name]
 
     def _apply_group_digests(self, now_s):
-        digests = _list_reachable_digests(self.roster.list_group_peers(), now_s)
+        digests = members.list_reachable_digests(self.roster.list_group_peers(), now_s)
         faulty_servers = {
             name for digest in digests.values() for name in digest.faulty_servers
         }
@@ -656,7 +557,7 @@
 
     def _record_due_timeouts(self, now_s):
         timed_out = outcomes.Outcome.TIMED_OUT
-        for held in self.silences.tick(self._list_released_servers(), now_s):
+        for held in self.silences.tick(self.list_released_servers(), now_s):
             self.releases.record_outcome(held.ticket, held.server, timed_out, None)
 
     def tick(self, now_s):
@@ -687,7 +588,9 @@
         for budget in self._budgets.values():
             budget.entry_count = peak
             budget.has_slack = self._has_retry_slack
-        sources = set(_list_reachable_digests(self.roster.list_group_peers(), now_s))
+        sources = set(
+            members.list_reachable_digests(self.roster.list_group_peers(), now_s)
+        )
         sources.update(
             name
             for name, peer in self.roster.group_summaries.items()
@@ -704,20 +607,3 @@
 def _build_location(server):
     registration = server.registration
     return group_servers.Location(registration.server_id, registration.domain)
-
-
-def _list_reachable_digests(peers, now_s):
-    return {
-        peer.member.name: peer.digest
-        for peer in peers
-        if not peer.is_unreachable(now_s)
-    }
-
-
-def _add_loads(total, loads):
-    for server_id, load in loads.items():
-        current = total.get(server_id, servers.PeerLoad(0, 0))
-        total[server_id] = servers.PeerLoad(
-            current.running + load.running,
-            current.pending_prefill_tokens + load.pending_prefill_tokens,
-        )
--- /dev/null
+++ b/packages/kernel/wasabiknot_kernel/digest_builders.py
@@ -0,0 +1,161 @@
+"""Builds what an entry tells its peers: its digest, and the summaries of groups."""
+
+import collections
+
+import msgspec
+
+from wasabiknot_kernel import members, servers, statements
+
+# Channels of the statements in the digest of one entry, in the summary of its group and
+# in the summary of the other groups.
+OWN_CHANNELS = frozenset({statements.Channel.OWN})
+GROUP_CHANNELS = frozenset({statements.Channel.OWN, statements.Channel.GROUP})
+REMOTE_CHANNELS = frozenset({statements.Channel.REMOTE})
+
+
+class DigestBuilder:
+    """Builds the digests and summaries of one entry.
+
+    :param entry: ``deployments.Deployment``.
+    """
+
+    def __init__(self, entry):
+        self._entry = entry
+        self._sequence = 0
+
+    def build_digest(self, now_s):
+        """Builds the digest of this entry.
+
+        :param now_s: current time in seconds.
+        :return: ``members.Digest``.
+        """
+        built = self._build_digest(
+            now_s,
+            self._list_loads(),
+            self._entry.allowances.used,
+            self._entry.crashes.list_responses(),
+            OWN_CHANNELS,
+            self._list_silences(now_s),
+        )
+        waiting = {}
+        faulty_servers = []
+        for dispatcher in self._entry.list_dispatchers():
+            if len(dispatcher):
+                waiting[dispatcher.service] = len(dispatcher)
+            for server in dispatcher.servers.values():
+                server.advertised_sends = len(server.sends)
+                if server.is_faulty(now_s):
+                    faulty_servers.append(server.server_id)
+        return msgspec.structs.replace(
+            built, waiting=waiting, faulty_servers=tuple(faulty_servers)
+        )
+
+    def build_group_summary(self, now_s):
+        """Builds the summary of this group for the leaders of other groups.
+
+        :param now_s: current time in seconds.
+        :return: ``members.Digest``.
+        """
+        digests = members.list_reachable_digests(
+            self._entry.roster.list_group_peers(), now_s
+        )
+        loads = self._list_loads()
+        responses = collections.Counter(self._entry.crashes.list_responses())
+        for digest in digests.values():
+            _add_loads(loads, digest.loads)
+            responses.update(digest.responses)
+        count = self._entry.roster.count_group(now_s)
+        used = self._entry.allowances.group_used
+        silent = self._entry.silences.merge_reports(
+            digests, self._list_silences(now_s), now_s
+        )
+        built = self._build_digest(
+            now_s, loads, used, responses, GROUP_CHANNELS, silent
+        )
+        return msgspec.structs.replace(
+            built,
+            group=self._entry.roster.group.name,
+            evidence=self._entry.releases.merge_evidence(digests),
+            reachable=count.reachable,
+            members=count.members,
+        )
+
+    def build_remote_summary(self, now_s):
+        """Builds the summary of the other groups for the members of this group.
+
+        :param now_s: current time in seconds.
+        :return: ``members.Digest``.
+        """
+        loads = {}
+        summaries = {
+            name: peer.digest
+            for name, peer in self._entry.roster.group_summaries.items()
+            if not peer.is_unreachable(now_s)
+        }
+        responses = collections.Counter()
+        for digest in summaries.values():
+            _add_loads(loads, digest.loads)
+            responses.update(digest.responses)
+        count = self._entry.roster.count_other_groups(now_s)
+        used = self._entry.allowances.remote_used
+        silent = self._entry.silences.merge_reports(summaries, {}, now_s)
+        built = self._build_digest(
+            now_s, loads, used, responses, REMOTE_CHANNELS, silent
+        )
+        return msgspec.structs.replace(
+            built,
+            group=members.REMOTE_GROUPS,
+            evidence=self._entry.releases.merge_evidence(summaries, include_own=False),
+            reachable=count.reachable,
+            members=count.members,
+        )
+
+    def _list_silences(self, now_s):
+        servers_of_releases = self._entry.list_released_servers()
+        return self._entry.silences.list_reports(servers_of_releases, now_s)
+
+    def _build_digest(self, now_s, loads, used, responses, channels, silent):
+        self._sequence += 1
+        return members.Digest(
+            name=self._entry.member.name,
+            run=self._entry.member.run,
+            sequence=self._sequence,
+            positions={
+                name: topic.change_position
+                for name, topic in self._entry.topics.items()
+            },
+            loads=loads,
+            used={name: round(value) for name, value in used.items()},
+            recent_crashes=self._entry.crashes.list_reported(now_s),
+            is_stopping=self._entry.is_stopping,
+            read_age_ms=self._entry.store_reads.compute_age_ms(now_s),
+            evidence=self._entry.releases.list_evidence(),
+            refused_servers=self._entry.crash_monitor.list_refused(now_s),
+            responses=dict(responses),
+            limits=self._entry.eligibility.limits.list_reports(now_s, channels),
+            leaving_servers=self._entry.eligibility.list_leaving_reports(
+                now_s, channels
+            ),
+            silence_reports=silent,
+        )
+
+    def _list_loads(self):
+        loads = {}
+        for dispatcher in self._entry.list_dispatchers():
+            if not dispatcher.is_engine:
+                continue
+            for server in dispatcher.servers.values():
+                if server.sends:
+                    loads[server.server_id] = servers.PeerLoad(
+                        len(server.sends), round(server.count_own_pending_prefill())
+                    )
+        return loads
+
+
+def _add_loads(total, loads):
+    for server_id, load in loads.items():
+        current = total.get(server_id, servers.PeerLoad(0, 0))
+        total[server_id] = servers.PeerLoad(
+            current.running + load.running,
+            current.pending_prefill_tokens + load.pending_prefill_tokens,
+        )
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -152,6 +152,20 @@
         return now_s - max(self.discovered_s, self.last_received_s or 0.0) > EXPIRY_S
 
 
+def list_reachable_digests(peers, now_s):
+    """Lists the digests of the peers that can be reached.
+
+    :param peers: list of ``Peer``.
+    :param now_s: current time in seconds.
+    :return: mapping of names to ``Digest``.
+    """
+    return {
+        peer.member.name: peer.digest
+        for peer in peers
+        if not peer.is_unreachable(now_s)
+    }
+
+
 class Group(msgspec.Struct, frozen=True):
     """Entries that exchange full digests with each other.
 
