Part the loads of peers from the deployment

deployments.py also kept the loads that peers and other groups state, and noted them at the backend servers. That is now peer_loads.PeerLoads.

--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -16,6 +16,7 @@
     limits,
     members,
     outcomes,
+    peer_loads,
     releases,
     service_times,
     silences,
@@ -85,7 +86,7 @@
         self._dispatchers = {}
         self._budgets = {}
         self._services_by_server = {}
-        self._peer_loads = {}
+        self._peer_loads = peer_loads.PeerLoads(self.find_server)
         self.store_reads = store_reads.StoreReads()
         self._fetch_failure_s = None
         self._digests = digest_builders.DigestBuilder(self)
@@ -224,7 +225,7 @@
             previous_server = self.find_server(previous_id)
             self.crash_monitor.record_start(registration, previous_server, now_s)
             server.warm_until_s = now_s + registration.warmup_ms / 1_000
-            self._apply_known_loads(server_id)
+            self._peer_loads.apply_known(server)
         self.releases.record_version(registration.service, registration.version, now_s)
 
     def apply_removal(self, server_id, now_s):
@@ -404,7 +405,7 @@
         if digest.read_age_ms >= 0:
             self.store_reads.record_peer_read(digest.read_age_ms, now_s)
         source = digest.group or digest.name
-        self._apply_peer_loads(source, digest.loads)
+        self._peer_loads.apply(source, digest.loads)
         counter = None
         if not digest.group:
             counter = self.allowances.group_used
@@ -422,31 +423,6 @@
         )
         return peer
 
-    def _apply_known_loads(self, server_id):
-        # Peers may report load on a backend server before it is registered here.
-        for source, loads in self._peer_loads.items():
-            if server_id in loads:
-                self._set_peer_load(server_id, source, loads[server_id])
-
-    def _apply_peer_loads(self, source, loads):
-        previous = self._peer_loads.get(source, {})
-        if previous == loads and source in self._peer_loads:
-            return
-        for server_id in previous.keys() - loads.keys():
-            self._set_peer_load(server_id, source, None)
-        for server_id, load in loads.items():
-            self._set_peer_load(server_id, source, load)
-        self._peer_loads[source] = loads
-
-    def _set_peer_load(self, server_id, source, load):
-        server = self.find_server(server_id)
-        if server is None:
-            return
-        if load is None:
-            server.peer_loads.pop(source, None)
-        else:
-            server.peer_loads[source] = load
-
     def is_behind(self, peer):
         """Tells whether a peer has applied changes that this entry has not.
 
@@ -596,9 +572,7 @@
             for name, peer in self.roster.group_summaries.items()
             if not peer.is_unreachable(now_s)
         )
-        for source in self._peer_loads.keys() - sources:
-            self._apply_peer_loads(source, {})
-            del self._peer_loads[source]
+        for source in self._peer_loads.drop_others(sources):
             self.silences.forget(source)
         for server_id in self.store_reads.pop_due_removals(now_s):
             self._remove(server_id, now_s)
