Part the candidates for limits from the deployment

deployments.py also kept which entries may share the limit of a backend server. That is now limit_candidates.LimitCandidates; the deployment still finds the service.

--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -13,6 +13,7 @@
     eligibility,
     facts,
     group_servers,
+    limit_candidates,
     limits,
     members,
     outcomes,
@@ -75,14 +76,7 @@
         self.silences = silences.SilenceTracker()
         self.eligibility = eligibility.Eligibility(member.name)
         self.eligibility.limits.find_candidates = self._find_candidates
-        # Candidates for the limits of servers that all entries use, of those that this
-        # group uses first, and of those of other groups; what they follow from, and
-        # when that was last looked up.
-        self._all_candidates = limits.Candidates(())
-        self._own_candidates = limits.Candidates(())
-        self._remote_candidates = limits.Candidates(())
-        self._candidates_key = None
-        self._candidates_s = None
+        self._limit_candidates = limit_candidates.LimitCandidates(self.roster)
         self._dispatchers = {}
         self._budgets = {}
         self._services_by_server = {}
@@ -464,34 +458,12 @@
         self.eligibility.limits.share = 1.0 if is_majority else reachable / peak
         self.eligibility.tick(now_s, self._services_by_server)
 
-    def _update_candidates(self, now_s):
-        if now_s == self._candidates_s:
-            return
-        self._candidates_s = now_s
-        names = self.roster.list_names(now_s)
-        key = (names, self.roster.groups_version)
-        if key == self._candidates_key:
-            return
-        self._candidates_key = key
-        group = frozenset(self.roster.group.members)
-        own = tuple(name for name in names if name in group)
-        others = tuple(name for name in names if name not in group)
-        self._all_candidates = limits.Candidates(names)
-        self._own_candidates = limits.Candidates(own, others)
-        self._remote_candidates = limits.Candidates((), names)
-
     def _find_candidates(self, server_id, now_s):
         service = self._services_by_server.get(server_id)
         if service is None:
             return limits.Candidates(())
-        self._update_candidates(now_s)
         dispatcher = self.get_dispatcher(service)
-        if not dispatcher.is_engine or dispatcher.group_servers is None:
-            return self._all_candidates
-        # Other groups use this engine only while it has ample free slots.
-        if server_id in dispatcher.group_servers:
-            return self._own_candidates
-        return self._remote_candidates
+        return self._limit_candidates.find(dispatcher, server_id, now_s)
 
     def _assign_servers(self):
         if not self.roster.has_several_groups:
