--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -1,7 +1,5 @@
 """The scheduling state of one entry: configuration, backend servers and peers."""
 
-import collections
-
 import msgspec
 
 from wasabiknot_kernel import (
@@ -10,30 +8,23 @@
     choosers,
     crash_monitors,
     crashes,
+    digest_builders,
     dispatch,
     eligibility,
     facts,
     group_servers,
+    limit_candidates,
     limits,
     members,
     outcomes,
+    peer_loads,
     releases,
-    servers,
     service_times,
     silences,
     statements,
+    store_reads,
 )
 
-# Channels of the statements in the digest of one entry, in the summary of its group and
-# in the summary of the other groups.
-OWN_CHANNELS = frozenset({statements.Channel.OWN})
-GROUP_CHANNELS = frozenset({statements.Channel.OWN, statements.Channel.GROUP})
-REMOTE_CHANNELS = frozenset({statements.Channel.REMOTE})
-# Backend servers have this long to register again after an outage of the store that
-# affected every entry.
-REMOVAL_GRACE_S = 2.2
-# Age of the latest read by any entry after which the store counts as unavailable.
-STORE_TIMEOUT_S = 1.5
 # Time for which an entry reads the store itself after it failed to fetch facts from a
 # peer.
 DIRECT_READ_S = 2.0
@@ -85,24 +76,14 @@
         self.silences = silences.SilenceTracker()
         self.eligibility = eligibility.Eligibility(member.name)
         self.eligibility.limits.find_candidates = self._find_candidates
-        # Candidates for the limits of servers that all entries use, of those that this
-        # group uses first, and of those of other groups; what they follow from, and
-        # when that was last looked up.
-        self._all_candidates = limits.Candidates(())
-        self._own_candidates = limits.Candidates(())
-        self._remote_candidates = limits.Candidates(())
-        self._candidates_key = None
-        self._candidates_s = None
+        self._limit_candidates = limit_candidates.LimitCandidates(self.roster)
         self._dispatchers = {}
         self._budgets = {}
         self._services_by_server = {}
-        self._peer_loads = {}
-        self._pending_removals = {}
-        self.last_read_s = None
-        self._newest_read_s = None
+        self._peer_loads = peer_loads.PeerLoads(self.find_server)
+        self.store_reads = store_reads.StoreReads()
         self._fetch_failure_s = None
-        self._store_recovered_s = None
-        self._sequence = 0
+        self._digests = digest_builders.DigestBuilder(self)
         self._peak_members = budgets.PeakCount()
         # What holds for the retry budgets of all services since the last tick.
         self._peak_member_count = 1
@@ -218,7 +199,7 @@
         :param now_s: current time in seconds.
         """
         server_id = registration.server_id
-        self._pending_removals.pop(server_id, None)
+        self.store_reads.cancel_removal(server_id)
         previous = self._services_by_server.get(server_id)
         if previous is not None and previous != registration.service:
             self.get_dispatcher(previous).remove(server_id)
@@ -238,7 +219,7 @@
             previous_server = self.find_server(previous_id)
             self.crash_monitor.record_start(registration, previous_server, now_s)
             server.warm_until_s = now_s + registration.warmup_ms / 1_000
-            self._apply_known_loads(server_id)
+            self._peer_loads.apply_known(server)
         self.releases.record_version(registration.service, registration.version, now_s)
 
     def apply_removal(self, server_id, now_s):
@@ -253,10 +234,7 @@
         """
         if server_id not in self._services_by_server:
             return False
-        if self.is_store_unavailable(now_s) or self._has_store_just_recovered(now_s):
-            self._pending_removals.setdefault(
-                server_id, (self._store_recovered_s or now_s) + REMOVAL_GRACE_S
-            )
+        if self.store_reads.try_delay_removal(server_id, now_s):
             return False
         self._remove(server_id, now_s)
         return True
@@ -280,51 +258,6 @@
             return None
         return self.get_dispatcher(service).servers.get(server_id)
 
-    def record_read(self, now_s):
-        """Records a successful read of the store by this entry.
-
-        :param now_s: current time in seconds.
-        """
-        self.last_read_s = now_s
-        self._record_newest_read(now_s, now_s)
-
-    def _record_newest_read(self, read_s, now_s):
-        if (
-            self._newest_read_s is not None
-            and now_s - self._newest_read_s > STORE_TIMEOUT_S
-        ):
-            self._store_recovered_s = now_s
-        self._newest_read_s = max(self._newest_read_s or 0.0, read_s)
-
-    def is_store_unavailable(self, now_s):
-        """Tells whether neither this entry nor a peer has read the store lately.
-
-        :param now_s: current time in seconds.
-        :return: ``True`` if the latest known read is older than
-            ``STORE_TIMEOUT_S``, or there was none.
-        """
-        return (
-            self._newest_read_s is None or now_s - self._newest_read_s > STORE_TIMEOUT_S
-        )
-
-    def _has_store_just_recovered(self, now_s):
-        return (
-            self._store_recovered_s is not None
-            and now_s - self._store_recovered_s < REMOVAL_GRACE_S
-        )
-
-    def compute_read_age_ms(self, now_s):
-        """Computes the age of this entry's latest read of the store.
-
-        :param now_s: current time in seconds.
-        :return: age in milliseconds; -1 before the first read.
-        """
-        return (
-            -1
-            if self.last_read_s is None
-            else round((now_s - self.last_read_s) * 1_000)
-        )
-
     def record_statement(self, server, statement, sent_s, now_s):
         """Records what a backend server states about itself in a response.
 
@@ -401,7 +334,7 @@
         winner = group_servers.find_winner(fingerprint, 0, group_names)
         if winner != self.roster.group.name:
             return False
-        digests = _list_reachable_digests(self.roster.list_group_peers(), now_s)
+        digests = members.list_reachable_digests(self.roster.list_group_peers(), now_s)
         names = tuple(sorted([self.member.name, *digests]))
         return group_servers.find_winner(fingerprint, 1, names) == self.member.name
 
@@ -423,26 +356,7 @@
         :param now_s: current time in seconds.
         :return: ``members.Digest``.
         """
-        built = self._build_digest(
-            now_s,
-            self._list_loads(),
-            self.allowances.used,
-            self.crashes.list_responses(),
-            OWN_CHANNELS,
-            self._list_silences(now_s),
-        )
-        waiting = {}
-        faulty_servers = []
-        for name, dispatcher in self._dispatchers.items():
-            if len(dispatcher):
-                waiting[name] = len(dispatcher)
-            for server in dispatcher.servers.values():
-                server.advertised_sends = len(server.sends)
-                if server.is_faulty(now_s):
-                    faulty_servers.append(server.server_id)
-        return msgspec.structs.replace(
-            built, waiting=waiting, faulty_servers=tuple(faulty_servers)
-        )
+        return self._digests.build_digest(now_s)
 
     def build_group_summary(self, now_s):
         """Builds the summary of this group for the leaders of other groups.
@@ -450,25 +364,7 @@
         :param now_s: current time in seconds.
         :return: ``members.Digest``.
         """
-        digests = _list_reachable_digests(self.roster.list_group_peers(), now_s)
-        loads = self._list_loads()
-        responses = collections.Counter(self.crashes.list_responses())
-        for digest in digests.values():
-            _add_loads(loads, digest.loads)
-            responses.update(digest.responses)
-        count = self.roster.count_group(now_s)
-        used = self.allowances.group_used
-        silent = self.silences.merge_reports(digests, self._list_silences(now_s), now_s)
-        built = self._build_digest(
-            now_s, loads, used, responses, GROUP_CHANNELS, silent
-        )
-        return msgspec.structs.replace(
-            built,
-            group=self.roster.group.name,
-            evidence=self.releases.merge_evidence(digests),
-            reachable=count.reachable,
-            members=count.members,
-        )
+        return self._digests.build_group_summary(now_s)
 
     def build_remote_summary(self, now_s):
         """Builds the summary of the other groups for the members of this group.
@@ -476,34 +372,13 @@
         :param now_s: current time in seconds.
         :return: ``members.Digest``.
         """
-        loads = {}
-        summaries = {
-            name: peer.digest
-            for name, peer in self.roster.group_summaries.items()
-            if not peer.is_unreachable(now_s)
-        }
-        responses = collections.Counter()
-        for digest in summaries.values():
-            _add_loads(loads, digest.loads)
-            responses.update(digest.responses)
-        count = self.roster.count_other_groups(now_s)
-        used = self.allowances.remote_used
-        silent = self.silences.merge_reports(summaries, {}, now_s)
-        built = self._build_digest(
-            now_s, loads, used, responses, REMOTE_CHANNELS, silent
-        )
-        return msgspec.structs.replace(
-            built,
-            group=members.REMOTE_GROUPS,
-            evidence=self.releases.merge_evidence(summaries, include_own=False),
-            reachable=count.reachable,
-            members=count.members,
-        )
+        return self._digests.build_remote_summary(now_s)
 
-    def _list_silences(self, now_s):
-        return self.silences.list_reports(self._list_released_servers(), now_s)
+    def list_released_servers(self):
+        """Lists the backend servers of the services with an active release.
 
-    def _list_released_servers(self):
+        :return: list of ``servers.Server``.
+        """
         services = {order.service for order in self.releases.list_active()}
         return [
             server
@@ -511,40 +386,6 @@
             for server in self.get_dispatcher(service).servers.values()
         ]
 
-    def _build_digest(self, now_s, loads, used, responses, channels, silent):
-        self._sequence += 1
-        return members.Digest(
-            name=self.member.name,
-            run=self.member.run,
-            sequence=self._sequence,
-            positions={
-                name: topic.change_position for name, topic in self.topics.items()
-            },
-            loads=loads,
-            used={name: round(value) for name, value in used.items()},
-            recent_crashes=self.crashes.list_reported(now_s),
-            is_stopping=self.is_stopping,
-            read_age_ms=self.compute_read_age_ms(now_s),
-            evidence=self.releases.list_evidence(),
-            refused_servers=self.crash_monitor.list_refused(now_s),
-            responses=dict(responses),
-            limits=self.eligibility.limits.list_reports(now_s, channels),
-            leaving_servers=self.eligibility.list_leaving_reports(now_s, channels),
-            silence_reports=silent,
-        )
-
-    def _list_loads(self):
-        loads = {}
-        for dispatcher in self._dispatchers.values():
-            if not dispatcher.is_engine:
-                continue
-            for server in dispatcher.servers.values():
-                if server.sends:
-                    loads[server.server_id] = servers.PeerLoad(
-                        len(server.sends), round(server.count_own_pending_prefill())
-                    )
-        return loads
-
     def apply_digest(self, digest, now_s):
         """Applies the digest of a peer, or the summary of another group.
 
@@ -556,9 +397,9 @@
         if peer is None:
             return None
         if digest.read_age_ms >= 0:
-            self._record_newest_read(now_s - digest.read_age_ms / 1_000, now_s)
+            self.store_reads.record_peer_read(digest.read_age_ms, now_s)
         source = digest.group or digest.name
-        self._apply_peer_loads(source, digest.loads)
+        self._peer_loads.apply(source, digest.loads)
         counter = None
         if not digest.group:
             counter = self.allowances.group_used
@@ -576,31 +417,6 @@
         )
         return peer
 
-    def _apply_known_loads(self, server_id):
-        # Peers may report load on a backend server before it is registered here.
-        for source, loads in self._peer_loads.items():
-            if server_id in loads:
-                self._set_peer_load(server_id, source, loads[server_id])
-
-    def _apply_peer_loads(self, source, loads):
-        previous = self._peer_loads.get(source, {})
-        if previous == loads and source in self._peer_loads:
-            return
-        for server_id in previous.keys() - loads.keys():
-            self._set_peer_load(server_id, source, None)
-        for server_id, load in loads.items():
-            self._set_peer_load(server_id, source, load)
-        self._peer_loads[source] = loads
-
-    def _set_peer_load(self, server_id, source, load):
-        server = self.find_server(server_id)
-        if server is None:
-            return
-        if load is None:
-            server.peer_loads.pop(source, None)
-        else:
-            server.peer_loads[source] = load
-
     def is_behind(self, peer):
         """Tells whether a peer has applied changes that this entry has not.
 
@@ -632,7 +448,7 @@
         if reader is None:
             return True
         if reader.member.order > self.member.order:
-            age_ms = self.compute_read_age_ms(now_s)
+            age_ms = self.store_reads.compute_age_ms(now_s)
             return 0 <= age_ms < members.FRESH_READ_S * 1_000
         return False
 
@@ -642,34 +458,12 @@
         self.eligibility.limits.share = 1.0 if is_majority else reachable / peak
         self.eligibility.tick(now_s, self._services_by_server)
 
-    def _update_candidates(self, now_s):
-        if now_s == self._candidates_s:
-            return
-        self._candidates_s = now_s
-        names = self.roster.list_names(now_s)
-        key = (names, self.roster.groups_version)
-        if key == self._candidates_key:
-            return
-        self._candidates_key = key
-        group = frozenset(self.roster.group.members)
-        own = tuple(name for name in names if name in group)
-        others = tuple(name for name in names if name not in group)
-        self._all_candidates = limits.Candidates(names)
-        self._own_candidates = limits.Candidates(own, others)
-        self._remote_candidates = limits.Candidates((), names)
-
     def _find_candidates(self, server_id, now_s):
         service = self._services_by_server.get(server_id)
         if service is None:
             return limits.Candidates(())
-        self._update_candidates(now_s)
         dispatcher = self.get_dispatcher(service)
-        if not dispatcher.is_engine or dispatcher.group_servers is None:
-            return self._all_candidates
-        # Other groups use this engine only while it has ample free slots.
-        if server_id in dispatcher.group_servers:
-            return self._own_candidates
-        return self._remote_candidates
+        return self._limit_candidates.find(dispatcher, server_id, now_s)
 
     def _assign_servers(self):
         if not self.roster.has_several_groups:
@@ -697,7 +491,7 @@
         return group_servers.assign_servers(locations, groups)[own_group.name]
 
     def _apply_group_digests(self, now_s):
-        digests = _list_reachable_digests(self.roster.list_group_peers(), now_s)
+        digests = members.list_reachable_digests(self.roster.list_group_peers(), now_s)
         faulty_servers = {
             name for digest in digests.values() for name in digest.faulty_servers
         }
@@ -711,7 +505,7 @@
 
     def _record_due_timeouts(self, now_s):
         timed_out = outcomes.Outcome.TIMED_OUT
-        for held in self.silences.tick(self._list_released_servers(), now_s):
+        for held in self.silences.tick(self.list_released_servers(), now_s):
             self.releases.record_outcome(held.ticket, held.server, timed_out, None)
 
     def tick(self, now_s):
@@ -742,39 +536,20 @@
         for budget in self._budgets.values():
             budget.entry_count = peak
             budget.has_slack = self._has_retry_slack
-        sources = set(_list_reachable_digests(self.roster.list_group_peers(), now_s))
+        sources = set(
+            members.list_reachable_digests(self.roster.list_group_peers(), now_s)
+        )
         sources.update(
             name
             for name, peer in self.roster.group_summaries.items()
             if not peer.is_unreachable(now_s)
         )
-        for source in self._peer_loads.keys() - sources:
-            self._apply_peer_loads(source, {})
-            del self._peer_loads[source]
+        for source in self._peer_loads.drop_others(sources):
             self.silences.forget(source)
-        for server_id, due_s in list(self._pending_removals.items()):
-            if now_s >= due_s and not self.is_store_unavailable(now_s):
-                del self._pending_removals[server_id]
-                self._remove(server_id, now_s)
+        for server_id in self.store_reads.pop_due_removals(now_s):
+            self._remove(server_id, now_s)
 
 
 def _build_location(server):
     registration = server.registration
     return group_servers.Location(registration.server_id, registration.domain)
-
-
-def _list_reachable_digests(peers, now_s):
-    return {
-        peer.member.name: peer.digest
-        for peer in peers
-        if not peer.is_unreachable(now_s)
-    }
-
-
-def _add_loads(total, loads):
-    for server_id, load in loads.items():
-        current = total.get(server_id, servers.PeerLoad(0, 0))
-        total[server_id] = servers.PeerLoad(
-            current.running + load.running,
-            current.pending_prefill_tokens + load.pending_prefill_tokens,
-        )
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from wasabiknot_kernel import crashes, releases, servers, silences, statements
+from wasabiknot_kernel import crashes, response_stats, servers, silences, statements
 
 # Time without a digest after which the load of a peer is no longer counted.
 UNREACHABLE_AFTER_S = 1.0
@@ -96,7 +96,7 @@
     group: str = ""
     reachable: int = 1
     members: int = 1
-    evidence: dict[str, releases.ResponseStats] = {}
+    evidence: dict[str, response_stats.ResponseStats] = {}
     waiting: dict[str, int] = {}
     faulty_servers: tuple[str, ...] = ()
     refused_servers: tuple[str, ...] = ()
@@ -152,6 +152,20 @@
         return now_s - max(self.discovered_s, self.last_received_s or 0.0) > EXPIRY_S
 
 
+def list_reachable_digests(peers, now_s):
+    """Lists the digests of the peers that can be reached.
+
+    :param peers: list of ``Peer``.
+    :param now_s: current time in seconds.
+    :return: mapping of names to ``Digest``.
+    """
+    return {
+        peer.member.name: peer.digest
+        for peer in peers
+        if not peer.is_unreachable(now_s)
+    }
+
+
 class Group(msgspec.Struct, frozen=True):
     """Entries that exchange full digests with each other.
 
