--- a/packages/entry/wasabiknot_entry/caller_bodies.py
+++ b/packages/entry/wasabiknot_entry/caller_bodies.py
@@ -10,7 +10,7 @@
 class BodyWriter:
     """Writes a body while the caller takes it, then finishes the response.
 
-    :param request: ``gateways.CallerRequest``, whose head is written.
+    :param request: ``caller_requests.CallerRequest``, whose head is written.
     :param request_id: id of the request.
     :param body: body bytes.
     :param held: ``buffers.Budget`` that counts the body until it is written.
--- /dev/null
+++ b/packages/entry/wasabiknot_entry/caller_requests.py
@@ -0,0 +1,102 @@
+"""Callers' requests while they arrive, and their end without the gateway."""
+
+import io
+
+from twisted.web import http, http_headers
+
+from wasabiknot_entry import error_responses
+from wasabiknot_kernel import exceptions
+
+Kind = exceptions.ErrorKind
+
+# Retry time of a request that is refused because the bodies held are too large.
+BUFFERS_FULL_RETRY_AFTER_S = 1.0
+# Retry time of a request that is refused because this entry stops. The load balancer
+# soon routes to other entries only.
+STOPPING_RETRY_AFTER_S = 0.2
+STOPPING = "shutting down"
+BUFFERS_FULL = "bodies held in memory are too large"
+
+
+class CallerRequest(http.Request):
+    """A caller's request, which is processed once its body is complete."""
+
+    gateway = None
+    flow = None
+    received_bytes = 0
+    is_refused = False
+
+    def __init__(self, channel, queued):
+        # Bodies are passed on as they are, so forms aren't parsed.
+        super().__init__(channel, queued, parsePOSTFormSubmission=False)
+
+    def gotLength(self, length):  # noqa: N802
+        """Prepares to store the body in memory, where the budget counts it."""
+        self.content = io.BytesIO()
+
+    def handleContentChunk(self, data):  # noqa: N802
+        """Stores a part of the body, up to the limit of the configuration."""
+        if self.is_refused:
+            return
+        self.received_bytes += len(data)
+        max_bytes = self.gateway.limits.body_bytes
+        if self.received_bytes > max_bytes:
+            reason = f"over {max_bytes} bytes"
+            self._refuse(Kind.BODY_TOO_LARGE, 413, None, reason)
+            return
+        super().handleContentChunk(data)
+        self.gateway.buffers.add(self, len(data))
+
+    def _refuse(self, kind, status, retry_after_s, reason):
+        error = error_responses.ErrorResponse(kind, status, retry_after_s, reason)
+        self.is_refused = True
+        self.gateway.buffers.release(self)
+        self.content = io.BytesIO()
+        self.gateway.record_refused_body(self, error)
+        self.channel.transport.write(error_responses.render_error(error))
+        self.channel.loseConnection()
+
+    def drop_buffer(self):
+        """Ends the request, as buffers hold too much and its body the most."""
+        if self.flow is not None:
+            self.gateway.run_step(self, self.flow.drop, BUFFERS_FULL)
+        elif not self.is_refused:
+            kind = Kind.QUEUE_FULL
+            self._refuse(kind, 503, BUFFERS_FULL_RETRY_AFTER_S, BUFFERS_FULL)
+
+    def refuse_for_stop(self):
+        """Refuses the request, which is still arriving, because the entry ends."""
+        if not self.is_refused:
+            self._refuse(Kind.STOPPING, 503, STOPPING_RETRY_AFTER_S, STOPPING)
+
+    def process(self):
+        """Passes the request to the gateway."""
+        if not self.is_refused:
+            self.gateway.run_step(self, self.gateway.handle_request, self)
+
+    def answer_failure(self, error):
+        """Ends the request with an error response, unless it has one.
+
+        :param error: ``error_responses.ErrorResponse``.
+        """
+        if self.finished or self.channel is None:
+            return
+        if self.producer is not None:
+            self.unregisterProducer()
+        if self.startedWriting:
+            self.channel.loseConnection()
+            return
+        self.responseHeaders = http_headers.Headers()
+        if not self.channel.persistent:
+            self.setHeader(b"connection", b"close")
+        error_responses.write_error(self, error)
+
+    def finish(self):
+        """Finishes the response; the body isn't needed any more."""
+        self.gateway.buffers.release(self)
+        super().finish()
+
+    def connectionLost(self, reason):  # noqa: N802
+        """Ends the request, as its caller has gone."""
+        self.gateway.buffers.release(self)
+        super().connectionLost(reason)
--- a/packages/entry/wasabiknot_entry/error_responses.py
+++ b/packages/entry/wasabiknot_entry/error_responses.py
@@ -53,7 +53,7 @@
 def write_error(request, error):
     """Sends an error response to the caller and finishes the request.
 
-    :param request: ``gateways.CallerRequest``.
+    :param request: ``caller_requests.CallerRequest``.
     :param error: ``ErrorResponse``.
     """
     request.setResponseCode(error.status)
--- a/packages/entry/wasabiknot_entry/flows.py
+++ b/packages/entry/wasabiknot_entry/flows.py
@@ -29,7 +29,7 @@
     """One request of a caller, from admission to its final response.
 
     :param gateway: ``gateways.Gateway`` that owns the request.
-    :param request: ``gateways.CallerRequest``.
+    :param request: ``caller_requests.CallerRequest``.
     :param ticket: ``arrivals.Ticket``.
     :param headers: request headers, as pairs of lower-case names and values.
     :param body: request body.
@@ -60,7 +60,7 @@
 
     @property
     def request(self):
-        """The ``gateways.CallerRequest``."""
+        """The ``caller_requests.CallerRequest``."""
         return self._request
 
     @property
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -1,16 +1,16 @@
 """Accepts callers' requests, admits them and tracks them to the final response."""
 
-import io
 import math
 
 import xxhash
 from twisted.internet import error
 from twisted.python import failure
-from twisted.web import http, http_headers
+from twisted.web import http
 
 from wasabiknot_entry import (
     buffers,
     caller_bodies,
+    caller_requests,
     channels,
     connections,
     error_responses,
@@ -44,17 +44,10 @@
 RESPONSE_MARGIN_S = 0.015
 # Interval of the queue checks while requests are waiting.
 TICK_INTERVAL_S = 0.025
-# Retry time of a request that is refused because the bodies held are too large.
-BUFFERS_FULL_RETRY_AFTER_S = 1.0
-# Retry time of a request that is refused because this entry stops. The load balancer
-# soon routes to other entries only.
-STOPPING_RETRY_AFTER_S = 0.2
-STOPPING = "shutting down"
 # Error kinds that say that the request has not run.
 NOT_RUN_KINDS = frozenset((Kind.STOPPING, Kind.INTERNAL_ERROR))
 INTERNAL_RETRY_AFTER_S = 0.5
 INTERNAL_ERROR = "unexpected failure"
-BUFFERS_FULL = "bodies held in memory are too large"
 
 
 def _measure_ms(start_s, end_s):
@@ -84,90 +77,6 @@
     return error_responses.ErrorResponse(Kind.BAD_REQUEST, 400, None, fault)
 
 
-class CallerRequest(http.Request):
-    """A caller's request, which is processed once its body is complete."""
-
-    gateway = None
-    flow = None
-    received_bytes = 0
-    is_refused = False
-
-    def __init__(self, channel, queued):
-        # Bodies are passed on as they are, so forms aren't parsed.
-        super().__init__(channel, queued, parsePOSTFormSubmission=False)
-
-    def gotLength(self, length):  # noqa: N802
-        """Prepares to store the body in memory, where the budget counts it."""
-        self.content = io.BytesIO()
-
-    def handleContentChunk(self, data):  # noqa: N802
-        """Stores a part of the body, up to the limit of the configuration."""
-        if self.is_refused:
-            return
-        self.received_bytes += len(data)
-        max_bytes = self.gateway.limits.body_bytes
-        if self.received_bytes > max_bytes:
-            reason = f"over {max_bytes} bytes"
-            self._refuse(Kind.BODY_TOO_LARGE, 413, None, reason)
-            return
-        super().handleContentChunk(data)
-        self.gateway.buffers.add(self, len(data))
-
-    def _refuse(self, kind, status, retry_after_s, reason):
-        error = error_responses.ErrorResponse(kind, status, retry_after_s, reason)
-        self.is_refused = True
-        self.gateway.buffers.release(self)
-        self.content = io.BytesIO()
-        self.gateway.record_refused_body(self, error)
-        self.channel.transport.write(error_responses.render_error(error))
-        self.channel.loseConnection()
-
-    def drop_buffer(self):
-        """Ends the request, as buffers hold too much and its body the most."""
-        if self.flow is not None:
-            self.gateway.run_step(self, self.flow.drop, BUFFERS_FULL)
-        elif not self.is_refused:
-            kind = Kind.QUEUE_FULL
-            self._refuse(kind, 503, BUFFERS_FULL_RETRY_AFTER_S, BUFFERS_FULL)
-
-    def refuse_for_stop(self):
-        """Refuses the request, which is still arriving, because the entry ends."""
-        if not self.is_refused:
-            self._refuse(Kind.STOPPING, 503, STOPPING_RETRY_AFTER_S, STOPPING)
-
-    def process(self):
-        """Passes the request to the gateway."""
-        if not self.is_refused:
-            self.gateway.run_step(self, self.gateway.handle_request, self)
-
-    def answer_failure(self, error):
-        """Ends the request with an error response, unless it has one.
-
-        :param error: ``error_responses.ErrorResponse``.
-        """
-        if self.finished or self.channel is None:
-            return
-        if self.producer is not None:
-            self.unregisterProducer()
-        if self.startedWriting:
-            self.channel.loseConnection()
-            return
-        self.responseHeaders = http_headers.Headers()
-        if not self.channel.persistent:
-            self.setHeader(b"connection", b"close")
-        error_responses.write_error(self, error)
-
-    def finish(self):
-        """Finishes the response; the body isn't needed any more."""
-        self.gateway.buffers.release(self)
-        super().finish()
-
-    def connectionLost(self, reason):  # noqa: N802
-        """Ends the request, as its caller has gone."""
-        self.gateway.buffers.release(self)
-        super().connectionLost(reason)
-
-
 class Gateway:
     """Admits requests and owns them until they have their final response.
 
@@ -211,7 +120,7 @@
         """
         gateway = self
 
-        class Request(CallerRequest):
+        class Request(caller_requests.CallerRequest):
             pass
 
         Request.gateway = gateway
@@ -268,7 +177,7 @@
     def handle_request(self, request):
         """Admits a complete request and submits it, or responds with an error.
 
-        :param request: ``CallerRequest``.
+        :param request: ``caller_requests.CallerRequest``.
         """
         if self._stop is not None and request.channel is not None:
             request.channel.announce_close()
@@ -293,7 +202,7 @@
     def run_step(self, request, step, *arguments):
         """Runs a step of a request; if it fails, the request gets an answer.
 
-        :param request: ``CallerRequest``.
+        :param request: ``caller_requests.CallerRequest``.
         :param step: function.
         :param arguments: arguments of the function.
         :return: what the function returns; ``None`` if it has failed.
@@ -309,7 +218,7 @@
 
         A response that has begun is cut; one that is complete isn't touched.
 
-        :param request: ``CallerRequest``.
+        :param request: ``caller_requests.CallerRequest``.
         :param reason: Twisted failure.
         """
         flow = request.flow
@@ -343,7 +252,7 @@
     def record_refused_body(self, request, error):
         """Records a request that is refused while its body is still arriving.
 
-        :param request: ``CallerRequest``.
+        :param request: ``caller_requests.CallerRequest``.
         :param error: ``error_responses.ErrorResponse``.
         """
         arrival = _decode_arrival(request, _list_headers(request))
@@ -352,7 +261,7 @@
     def write_body(self, request, request_id, body):
         """Writes the body of a response at the caller's pace and finishes it.
 
-        :param request: ``CallerRequest``, whose head is written.
+        :param request: ``caller_requests.CallerRequest``, whose head is written.
         :param request_id: id of the request.
         :param body: body bytes.
         """
@@ -470,7 +379,12 @@
         return True
 
     def _refuse_for_stop(self, flow):
-        self.fail_request(flow, Kind.STOPPING, STOPPING, STOPPING_RETRY_AFTER_S)
+        self.fail_request(
+            flow,
+            Kind.STOPPING,
+            caller_requests.STOPPING,
+            caller_requests.STOPPING_RETRY_AFTER_S,
+        )
 
     def dispatch_waiting(self, service):
         """Sends the waiting requests of a service for which capacity is free.
@@ -735,14 +649,19 @@
                 flow = self._flows[id(ticket)]
                 self.run_step(flow.request, self._refuse_for_stop, flow)
         for flow in list(self._flows.values()):
-            self.run_step(flow.request, flow.drop, STOPPING, Kind.STOPPING)
+            self.run_step(
+                flow.request, flow.drop, caller_requests.STOPPING, Kind.STOPPING
+            )
         for channel in list(self._channels):
             channel.end()
 
 
 def _create_stop_refusal():
     return error_responses.ErrorResponse(
-        Kind.STOPPING, 503, STOPPING_RETRY_AFTER_S, STOPPING
+        Kind.STOPPING,
+        503,
+        caller_requests.STOPPING_RETRY_AFTER_S,
+        caller_requests.STOPPING,
     )
 
 
