Let one entry of a group read the store, whatever the poll interval

Cause: a read counted as fresh for 0.9 s, while registrations are polled each quarter of bounds.leaving_ms: 1.0 s on the large site. Between two polls each group took its reader for stopped, and all ten read five topics. Ruled out: readers that stop (no fault in the play), retries after failures (none), starts alone. Change: a read is fresh for the poll interval and 0.5 s; without a fresh read the entries of a group try in turn, 0.4 s each, instead of all at once; records written within 0.25 s (members and crashes 0.5 s) are read with one call. The topics' polls move to subscriptions, the choice to store_readers. test_all_read_when_the_reader_fails asserted the stampede; replaced by a play in which exactly one entry reads at any time and each gets its turn.

--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -29,6 +29,7 @@
     request_metrics,
     restorations,
     server_metrics,
+    subscriptions,
 )
 from wasabiknot_kernel import (
     allowances,
@@ -52,11 +53,6 @@
 IDLE_SWEEP_INTERVAL_S = 0.2
 TICK_INTERVAL_S = 0.1
 MAX_EFFECTIVE_LINK_MBPS = 50.0
-# Long-poll waits: without a new record, a read of the store returns after this time.
-CONFIGURATION_LONG_POLL_MS = 1_500
-RELEASE_LONG_POLL_MS = 5_000
-# Digests tell of crashes sooner, and are sent to the known address of a restarted peer.
-RARE_LONG_POLL_MS = 10_000
 # Number of polls of the registrations within ``bounds.leaving_ms``, after which a
 # leaving backend server must get no more requests.
 POLLS_PER_LEAVING_BOUND = 4
@@ -191,13 +187,16 @@
             gossip.create_factory(self._deployment, self._metrics.render),
         )
         reactor.listenUDP(port, self._gossip, interface=settings.host)
-        operator_topic = self._deployment.get_topic(stores.OPERATOR_TOPIC)
-        operator_topic.find_version = configurations.find_version
-        self._follow(stores.OPERATOR_TOPIC, CONFIGURATION_LONG_POLL_MS, lambda: 0.0)
-        self._follow(stores.SERVER_TOPIC, 0, self._compute_poll_interval_s)
-        self._follow(stores.MEMBER_TOPIC, RARE_LONG_POLL_MS, lambda: 0.0)
-        self._follow(stores.RELEASE_TOPIC, RELEASE_LONG_POLL_MS, lambda: 0.0)
-        self._follow(stores.CRASH_TOPIC, RARE_LONG_POLL_MS, lambda: 0.0)
+        followed = subscriptions.follow_topics(
+            reactor,
+            self._store,
+            self._deployment,
+            self._apply_facts,
+            self._health,
+            self._reader_role,
+        )
+        for topic, follower in followed.items():
+            self._restorations.add_follower(topic, follower)
         self._publish_member()
         self._start_loop(
             self._gateway.pool.close_expired, IDLE_SWEEP_INTERVAL_S, "sweep"
@@ -224,23 +223,6 @@
         loop.clock = reactor
         loop.start(interval_s, now=False).addErrback(journal.log_failure, name)
 
-    def _follow(self, topic, long_poll_ms, compute_poll_interval_s):
-        follower = followers.Follower(
-            reactor,
-            self._store,
-            self._deployment.get_topic(topic),
-            lambda changed, source: self._apply_facts(topic, changed, source),
-            self._health,
-            long_poll_ms,
-            self._reader_role,
-            compute_poll_interval_s,
-        )
-        self._restorations.add_follower(topic, follower)
-        follower.start()
-
-    def _compute_poll_interval_s(self):
-        return self._settings.bounds.leaving_ms / 1_000 / POLLS_PER_LEAVING_BOUND
-
     def _publish_member(self):
         member = self._member
         call = stores.build_append_call(
@@ -512,6 +494,7 @@
         tolerance,
         bounds.canary_share,
         settings.placement,
+        bounds.leaving_ms / 1_000 / POLLS_PER_LEAVING_BOUND,
     )
 
 
--- a/packages/kernel/tests/test_members.py
+++ b/packages/kernel/tests/test_members.py
@@ -83,13 +83,22 @@
         readers = [entry for entry in entries if entry.should_read_store(0.2)]
         self.assertEqual([entry.member.name for entry in readers], ["e000"])
 
-    def test_all_read_when_the_reader_fails(self):
+    def test_entries_try_in_turn_when_the_reader_fails(self):
+        # Guards against all entries asking a store that is down or busy.
         entries = build_entries(8)
         for entry in entries:
             entry.store_reads.record_read(0.0)
-        for step in range(1, 15):
+        tried = set()
+        for step in range(1, 60):
             exchange_digests(entries, 0.1 * step)
-        self.assertTrue(all(entry.should_read_store(1.4) for entry in entries))
+            readers = [
+                entry.member.name
+                for entry in entries
+                if entry.should_read_store(0.1 * step)
+            ]
+            self.assertEqual(len(readers), 1)
+            tried.update(readers)
+        self.assertEqual(len(tried), 8)
 
     def test_entry_reads_the_store_after_a_failed_fetch(self):
         # Guards against an entry that never gets a large configuration because its
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -22,6 +22,7 @@
     service_times,
     silences,
     statements,
+    store_readers,
     store_reads,
 )
 
@@ -40,6 +41,7 @@
         limits.
     :param canary_share: fraction of the requests that an unproven version may get.
     :param placement: name of the ``choosers.Chooser``.
+    :param poll_interval_s: seconds between two reads of the registrations.
     """
 
     retry_ratio: float
@@ -48,6 +50,7 @@
     tolerance: allowances.Tolerance
     canary_share: float
     placement: str = choosers.DEFAULT_NAME
+    poll_interval_s: float = 0.5
 
 
 class Deployment:
@@ -439,18 +442,17 @@
         """Tells whether this entry should read the store for its group.
 
         :param now_s: current time in seconds.
-        :return: ``False`` while a member that sorts before it does so.
+        :return: ``False`` while another member does so.
         """
         failed_s = self._fetch_failure_s
         if failed_s is not None and now_s - failed_s < DIRECT_READ_S:
             return True
-        reader = self.roster.find_store_reader(now_s)
-        if reader is None:
-            return True
-        if reader.member.order > self.member.order:
-            age_ms = self.store_reads.compute_age_ms(now_s)
-            return 0 <= age_ms < members.FRESH_READ_S * 1_000
-        return False
+        return store_readers.should_read(
+            self.roster,
+            self.store_reads.last_read_s,
+            self.policy.poll_interval_s,
+            now_s,
+        )
 
     def _update_limits(self, reachable, peak, now_s):
         # Entries that were members lately may go on behind a network partition.
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -24,8 +24,6 @@
 GROUPS_PER_EXTRA_DIGEST = 2
 # Consecutive summaries that may be lost before a group counts as unreachable.
 MAX_LOST_SUMMARIES = 3
-# Age up to which a peer's last read of the store counts as fresh.
-FRESH_READ_S = 0.9
 
 
 class Member(msgspec.Struct, frozen=True):
@@ -143,6 +141,13 @@
             or now_s - self.last_received_s > self._timeout_s
         )
 
+    @property
+    def read_s(self):
+        """Time of its last read of the store in seconds; ``None`` if it has none."""
+        if self.digest is None or self.digest.read_age_ms < 0:
+            return None
+        return self.last_received_s - self.digest.read_age_ms / 1_000
+
     def is_expired(self, now_s):
         """Tells whether the peer has sent nothing for ``EXPIRY_S``.
 
@@ -186,7 +191,7 @@
     """
 
     def __init__(self, member):
-        self._member = member
+        self.member = member
         self._name = member.name
         self._peers = {}
         self._groups = {}
@@ -221,7 +226,7 @@
 
     def _regroup(self):
         self.groups_version += 1
-        records = [self._member, *(peer.member for peer in self)]
+        records = [self.member, *(peer.member for peer in self)]
         self._groups = {item.name: item for item in _partition(records)}
         for group in self._groups.values():
             if self._name in group.members:
@@ -396,23 +401,12 @@
             shutting down.
         """
         return not any(
-            peer.member.order < self._member.order
+            peer.member.order < self.member.order
             and not peer.is_unreachable(now_s)
             and not peer.digest.is_stopping
             for peer in self.list_group_peers()
         )
 
-    def find_store_reader(self, now_s):
-        """Finds the first peer of the group with a fresh read of the store.
-
-        :param now_s: current time in seconds.
-        :return: ``Peer`` or ``None``.
-        """
-        for peer in self.list_group_peers():
-            if not peer.is_unreachable(now_s) and _has_fresh_read(peer, now_s):
-                return peer
-        return None
-
 
 class Count(msgspec.Struct, frozen=True):
     """Numbers of entries.
@@ -425,13 +419,6 @@
     members: int
 
 
-def _has_fresh_read(peer, now_s):
-    age_ms = peer.digest.read_age_ms
-    if age_ms < 0 or peer.digest.is_stopping:
-        return False
-    return now_s - peer.last_received_s + age_ms / 1_000 < FRESH_READ_S
-
-
 def _partition(records):
     if len(records) <= MAX_SINGLE_GROUP:
         return [Group("all", tuple(sorted(record.name for record in records)))]
--- a/packages/kernel/wasabiknot_kernel/store_reads.py
+++ b/packages/kernel/wasabiknot_kernel/store_reads.py
@@ -15,7 +15,8 @@
     """
 
     def __init__(self):
-        self._last_read_s = None
+        # Time of the last read by this entry, in seconds.
+        self.last_read_s = None
         self._newest_read_s = None
         self._recovered_s = None
         self._pending_removals = {}
@@ -25,7 +26,7 @@
 
         :param now_s: current time in seconds.
         """
-        self._last_read_s = now_s
+        self.last_read_s = now_s
         self._record_newest_read(now_s, now_s)
 
     def record_peer_read(self, age_ms, now_s):
@@ -67,9 +68,9 @@
         :param now_s: current time in seconds.
         :return: age in milliseconds; -1 before the first read.
         """
-        if self._last_read_s is None:
+        if self.last_read_s is None:
             return -1
-        return round((now_s - self._last_read_s) * 1_000)
+        return round((now_s - self.last_read_s) * 1_000)
 
     def try_delay_removal(self, server_id, now_s):
         """Delays the removal of a backend server, if the store may be wrong about it.
