Leave plain requests that may still run at their servers

Cause: a repeatable plain request was moved after four times the average, though its server answered others, and whatever such requests may take. Change: it is moved only if a sound server would hardly have let it wait so long, by the learned durations of its route: the share of 128 recent responses that take longer (with a margin of 1.25), times that of the other requests that wait at the server if it has said nothing since; below 1%. Unknown durations move nothing.

--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -72,6 +72,9 @@
 RATE_WINDOW_S = 1.5
 # Assumed interval between two sends when no backend server is available.
 DEFAULT_SEND_INTERVAL_S = 0.05
+# Probability that a sound server lets plain requests wait as long as they have, below
+# which they may leave it.
+MAX_SOUND_PROBABILITY = 0.01
 # Time from which a server that takes nothing, by what it has stated, doesn't keep
 # requests from trying one in a backoff.
 HELD_S = 1.0
@@ -436,6 +439,8 @@
         obstacle = outcomes.find_resend_obstacle(ticket, has_time)
         if obstacle:
             return Stay(obstacle)
+        if not self.is_engine and self._may_still_run(ticket, now_s):
+            return Stay("may still run")
         chosen = self._choose_substitute(ticket, now_s)
         if chosen is None:
             return Stay("no other server")
@@ -443,6 +448,30 @@
             return Stay(outcomes.NO_BUDGET)
         return self._assign(ticket, chosen, now_s)
 
+    def _may_still_run(self, ticket, now_s):
+        # A single request may just take long. Others that wait at a server that has
+        # said nothing since tell more.
+        server, send = self._find_send(ticket)
+        if send is None:
+            return False
+        silent_sends = [send]
+        if not server.was_heard_since(send.sent_s):
+            silent_sends = list(server.sends.values())
+        probability = 1.0
+        for item in silent_sends:
+            probability *= self._durations.estimate_share_above(
+                item.ticket.route.name, now_s - item.sent_s
+            )
+        return probability > MAX_SOUND_PROBABILITY
+
+    def _find_send(self, ticket):
+        for server_id in ticket.tried:
+            server = self.servers.get(server_id)
+            send = server.sends.get(ticket.request_id) if server else None
+            if send is not None:
+                return server, send
+        return None, None
+
     def _choose_substitute(self, ticket, now_s):
         if self._is_harmful(ticket, now_s):
             return None
--- a/packages/kernel/wasabiknot_kernel/servers.py
+++ b/packages/kernel/wasabiknot_kernel/servers.py
@@ -175,6 +175,14 @@
         is_recent = now_s - self._silent_since_s < MAX_SILENCE_S
         return is_recent and self._heard_s <= self._silent_since_s
 
+    def was_heard_since(self, since_s):
+        """Whether the server has sent bytes of any response since a time.
+
+        :param since_s: time in seconds.
+        :return: ``False`` if it is silent.
+        """
+        return self._heard_s > since_s
+
     def record_silence(self, since_s):
         """Records that a request has waited too long for the server to go on.
 
