Tell a group only of the servers of others that have room

Cause: a leader sends its members the loads of all servers of all groups; that grows with the fleet (18 KB at 780 servers, one datagram of a dozen fragments). Change: the summary holds, by service, the 16 servers of other groups with the most free slots, and what others have sent to the group's own servers; a group uses no other ones. Ruled out: a member doesn't need the load of a full server.

--- a/benchmarks/gossip.py
+++ b/benchmarks/gossip.py
@@ -154,12 +154,20 @@
 
 def _measure_remote_summary(entry, size, groups, servers):
     # Each member of the other groups uses ``USED_SERVERS`` backend servers.
+    if not groups:
+        return 0
     used = min(servers, USED_SERVERS * size * groups)
     loads = {
         f"i-{number:010}": server_states.PeerLoad(3, 500) for number in range(used)
     }
-    digest = msgspec.structs.replace(entry.build_remote_summary(0.1), loads=loads)
-    return len(msgspec.json.encode(members.Bundle((digest,)))) if groups else 0
+    group = entry.roster.list_other_groups()[0]
+    sender = entry.roster.find(group.members[0]).member
+    summary = members.Digest(sender.name, sender.run, 1, {}, loads, {})
+    summary = msgspec.structs.replace(summary, group=group.name)
+    entry.tick(0.1)
+    entry.apply_digest(summary, 0.1)
+    digest = entry.build_remote_summary(0.1)
+    return len(msgspec.json.encode(members.Bundle((digest,))))
 
 
 def main():
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -410,6 +410,8 @@
             self.store_reads.record_peer_read(digest.read_age_ms, now_s)
         source = digest.group or digest.name
         self._peer_loads.apply(source, digest.loads)
+        if digest.group == members.REMOTE_GROUPS:
+            self._set_remote_servers(digest.loads.keys())
         counter = None
         if not digest.group:
             counter = self.allowances.group_used
@@ -427,6 +429,10 @@
         )
         return peer
 
+    def _set_remote_servers(self, server_ids):
+        for dispatcher in self._dispatchers.values():
+            dispatcher.remote_servers = server_ids
+
     def is_behind(self, peer):
         """Tells whether a peer has applied changes that this entry has not.
 
@@ -555,6 +561,9 @@
         )
         for source in self._peer_loads.drop_others(sources):
             self.silences.forget(source)
+        if members.REMOTE_GROUPS not in sources:
+            # A leader knows the loads of all groups; without a summary none are known.
+            self._set_remote_servers(None)
         for server_id in self.store_reads.pop_due_removals(now_s):
             self._remove(server_id, now_s)
 
--- a/packages/kernel/wasabiknot_kernel/digest_builders.py
+++ b/packages/kernel/wasabiknot_kernel/digest_builders.py
@@ -11,6 +11,9 @@
 OWN_CHANNELS = frozenset({statements.Channel.OWN})
 GROUP_CHANNELS = frozenset({statements.Channel.OWN, statements.Channel.GROUP})
 REMOTE_CHANNELS = frozenset({statements.Channel.REMOTE})
+# Backend servers of other groups, by service, whose loads a group is told of: those
+# with the most free slots. It uses no others.
+MAX_REMOTE_SERVERS = 16
 
 
 class DigestBuilder:
@@ -96,6 +99,7 @@
         for digest in summaries.values():
             _add_loads(loads, digest.loads)
             responses.update(digest.responses)
+        loads = self._select_loads(loads)
         count = self._entry.roster.count_other_groups(now_s)
         used = self._entry.allowances.remote_used
         silent = self._entry.silences.merge_reports(summaries, {}, now_s)
@@ -110,6 +114,13 @@
             members=count.members,
         )
 
+    def _select_loads(self, loads):
+        selected = {}
+        for dispatcher in self._entry.list_dispatchers():
+            if dispatcher.is_engine:
+                selected.update(_select_loads_of_service(dispatcher, loads))
+        return selected
+
     def _list_silences(self, now_s):
         servers_of_releases = self._entry.list_released_servers()
         return self._entry.silences.list_reports(servers_of_releases, now_s)
@@ -152,6 +163,23 @@
         return loads
 
 
+def _select_loads_of_service(dispatcher, loads):
+    own_ids = dispatcher.group_servers or ()
+    selected = {}
+    open_servers = []
+    for server_id, server in dispatcher.servers.items():
+        load = loads.get(server_id, servers.PeerLoad(0, 0))
+        if server_id in own_ids:
+            if load.running:
+                selected[server_id] = load
+        elif not server.is_retired and load.running < server.slots:
+            open_servers.append((load.running / server.slots, server_id, load))
+    open_servers.sort(key=lambda item: item[:2])
+    for _, server_id, load in open_servers[:MAX_REMOTE_SERVERS]:
+        selected[server_id] = load
+    return selected
+
+
 def _add_loads(total, loads):
     for server_id, load in loads.items():
         current = total.get(server_id, servers.PeerLoad(0, 0))
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -195,6 +195,9 @@
         # Ids of the backend servers that this entry's group uses first; None for
         # all servers.
         self.group_servers = None
+        # Ids of the backend servers of other groups whose loads are known here; None
+        # for all of them.
+        self.remote_servers = None
         # Sorted names of the entries of the group that have queued requests for
         # this service; this entry is always included.
         self.waiting_entries = ()
@@ -645,7 +648,8 @@
         remote_candidates = [
             item
             for item in candidates
-            if self._count_free_slots(item) >= MIN_REMOTE_FREE_FRACTION * item.slots
+            if self._is_load_known(item)
+            and self._count_free_slots(item) >= MIN_REMOTE_FREE_FRACTION * item.slots
         ]
         # The load of these servers is known with a delay, and all groups see the
         # same values. A random sample keeps them from choosing the same server.
@@ -653,6 +657,9 @@
             remote_candidates, min(len(remote_candidates), REMOTE_SAMPLE_SIZE)
         )
 
+    def _is_load_known(self, server):
+        return self.remote_servers is None or server.server_id in self.remote_servers
+
     def find_preferred_server(self, ticket):
         """Finds the engine that all entries prefer for the last prompt part.
 
