Deliver the due response after a late second copy of an earlier one

Cause: any response with another id ended the connection. Ruled out: copies on idle connections (closed before reuse, as before). Change: a response with the id of an earlier request of the same connection is skipped, up to four and 4 MiB; the connection is closed after the due response. Other foreign ids end it as before. Before: test_late_second_response... has no skip_response to call; the send ended with 'another request's answer'. After: delivered at every split of the bytes.

--- a/packages/entry/tests/test_connections.py
+++ b/packages/entry/tests/test_connections.py
@@ -29,6 +29,22 @@
         self.received.append(reason)
 
 
+class CopySkipper(RecordingHandler):
+    """Takes the first response for a copy of an earlier one."""
+
+    def __init__(self, connection, copies=1):
+        super().__init__()
+        self._connection = connection
+        self._copies = copies
+
+    def handle_head(self, head):
+        if self._copies:
+            self._copies -= 1
+            self._connection.skip_response()
+        else:
+            super().handle_head(head)
+
+
 class FakeTransport(testing.StringTransport):
     producerState = "producing"  # noqa: N815
 
@@ -83,6 +99,43 @@
         self.assertTrue(self.transport.disconnecting)
         self.assertIsNone(self.pop_idle())
 
+    def test_late_second_response_is_skipped_and_the_due_one_delivered(self):
+        # Guards against a lost response, and against that of another caller.
+        for split in range(1, 2 * len(RESPONSE)):
+            with self.subTest(split=split):
+                self.setUp()
+                self.handler = CopySkipper(self.connection)
+                self.send()
+                data = RESPONSE.replace(b"ok", b"no") + RESPONSE
+                self.connection.dataReceived(data[:split])
+                self.connection.dataReceived(data[split:])
+                status, *body, end = self.handler.received
+                self.assertEqual((status, b"".join(body), end), (200, b"ok", "end"))
+                self.assertEqual(self.transport.value().count(b"GET /a"), 1)
+                self.assertTrue(self.transport.disconnecting)
+                self.assertIsNone(self.pop_idle())
+
+    def test_second_responses_without_end_are_a_loss(self):
+        floods = {
+            "copies": RESPONSE * 10,
+            "body": b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+            b"10000\r\n" + b"a" * 0x10000,
+            "closed": b"HTTP/1.1 200 OK\r\nconnection: close\r\n"
+            b"content-length: 0\r\n\r\n",
+        }
+        for name, data in floods.items():
+            with self.subTest(name=name):
+                self.setUp()
+                self.handler = CopySkipper(self.connection, copies=100)
+                self.send()
+                self.connection.dataReceived(data)
+                while name == "body" and not self.transport.disconnecting:
+                    self.connection.dataReceived(b"\r\n10000\r\n" + b"a" * 0x10000)
+                self.assertEqual(
+                    self.handler.received, [connections.LossReason.MALFORMED]
+                )
+                self.assertTrue(self.transport.disconnecting)
+
     def test_bytes_without_end_before_the_body_end_the_connection(self):
         floods = {
             "head": (b"HTTP/1.1 200 OK\r\nx: ", b"a" * 4_096),
--- a/packages/entry/tests/test_send_attempts.py
+++ b/packages/entry/tests/test_send_attempts.py
@@ -17,6 +17,7 @@
         self.request = None
         self.is_aborted = False
         self.is_paused = False
+        self.earlier_requests = []
 
     def pause(self):
         self.is_paused = True
--- a/packages/entry/wasabiknot_entry/connections.py
+++ b/packages/entry/wasabiknot_entry/connections.py
@@ -4,6 +4,7 @@
 must be detected: a connection that delivers any is never reused.
 """
 
+import collections
 import enum
 import functools
 import socket
@@ -27,6 +28,11 @@
 # Interim heads (1xx) before the final head of a response; servers may send more of them
 # without end.
 MAX_INTERIM_HEADS = 8
+# Requests of a connection whose late second responses are recognized, and bounds on
+# such responses before the one that is due.
+MAX_EARLIER_REQUESTS = 16
+MAX_SKIPPED_RESPONSES = 4
+MAX_SKIPPED_BYTES = 4 * 1024 * 1024
 
 # After a response to this method, the connection isn't used for HTTP any more.
 TUNNEL_METHOD = b"CONNECT"
@@ -124,6 +130,12 @@
         self._is_paused = False
         self._idle_timeout_s = None
         self.idle_since_s = None
+        self._request = None
+        # Ids of the requests that were answered on this connection.
+        self.earlier_requests = collections.deque(maxlen=MAX_EARLIER_REQUESTS)
+        self._is_skipping = False
+        self._skipped_responses = 0
+        self._skipped_bytes = 0
 
     def connectionMade(self):  # noqa: N802
         """Sets the socket options that detect an unreachable host."""
@@ -151,6 +163,10 @@
         self._handler = handler
         self._interim_count = 0
         self.idle_since_s = None
+        self._request = request
+        self.transport.write(self._encode(request))
+
+    def _encode(self, request):
         head = h11.Request(
             method=request.method, target=request.target, headers=request.headers
         )
@@ -158,7 +174,7 @@
         if request.body:
             parts.append(self._codec.send(h11.Data(data=request.body)))
         parts.append(self._codec.send(h11.EndOfMessage()))
-        self.transport.write(b"".join(parts))
+        return b"".join(parts)
 
     def dataReceived(self, data):  # noqa: N802
         """Parses received bytes and passes them to the handler."""
@@ -190,11 +206,39 @@
             self._interim_count += 1
             if self._interim_count > MAX_INTERIM_HEADS:
                 raise h11.RemoteProtocolError("too many interim responses")
+        elif isinstance(event, h11.Data) and self._is_skipping:
+            self._skipped_bytes += len(event.data)
+            if self._skipped_bytes > MAX_SKIPPED_BYTES:
+                raise h11.RemoteProtocolError("skipped response too long")
         elif isinstance(event, h11.Data):
             self._handler.handle_data(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage) and self._is_skipping:
+            self._expect_response()
         elif isinstance(event, h11.EndOfMessage):
             self._finish_response()
 
+    def skip_response(self):
+        """Drops the response whose head has just arrived, and waits for another one.
+
+        For a late second response to an earlier request. The connection is closed after
+        the response that is due.
+        """
+        self._is_skipping = True
+        self._skipped_responses += 1
+        if self._skipped_responses > MAX_SKIPPED_RESPONSES:
+            raise h11.RemoteProtocolError("too many skipped responses")
+
+    def _expect_response(self):
+        self._is_skipping = False
+        if self._codec.their_state is not h11.DONE:
+            raise h11.RemoteProtocolError("closed after a skipped response")
+        data, _ = self._codec.trailing_data
+        self._codec = h11.Connection(h11.CLIENT)
+        # Brings the codec to its state after the request, which isn't sent again.
+        self._encode(self._request)
+        if data:
+            self._codec.receive_data(data)
+
     def pause(self):
         """Stops reading, so that the server slows down, until ``resume``."""
         if not self._is_paused:
@@ -213,6 +257,7 @@
         trailing_data, _ = self._codec.trailing_data
         is_reusable = (
             not trailing_data
+            and not self._skipped_responses
             and self._codec.our_state is h11.DONE
             and self._codec.their_state is h11.DONE
         )
--- a/packages/entry/wasabiknot_entry/send_attempts.py
+++ b/packages/entry/wasabiknot_entry/send_attempts.py
@@ -155,7 +155,11 @@
 
     def handle_head(self, head):
         """Handles the head of the response; rejects a response to another request."""
-        self._head = platform_headers.decode_response(head.status, head.headers)
+        decoded = platform_headers.decode_response(head.status, head.headers)
+        if self._is_late_copy(decoded):
+            self._connection.skip_response()
+            return
+        self._head = decoded
         self._connection.set_idle_timeout(self._head.idle_s)
         self.phase = Phase.RESPONDING
         if not self._is_valid_response():
@@ -170,6 +174,11 @@
         if not self._ticket.route.is_stream:
             self._stop_timer()
 
+    def _is_late_copy(self, head):
+        # The server has responded to an earlier request on this connection once more.
+        is_own = head.attempt_id == self._ticket.request_id
+        return not is_own and head.attempt_id in self._connection.earlier_requests
+
     def _is_valid_response(self):
         head = self._head
         if head.attempt_id == self._ticket.request_id:
@@ -239,6 +248,7 @@
         """Handles the end of the response."""
         if self.phase is Phase.ENDED:
             return
+        self._connection.earlier_requests.append(self._ticket.request_id)
         if self._event_reader is not None and self._event_reader.remainder:
             detail = "ends within an event"
             self._finish(Result(Outcome.RESPONSE_LOST, self._head, detail=detail))
