--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -36,7 +36,7 @@
 # Score penalty of a backend server at which every request fails; lower failure rates
 # are charged in proportion. It is a fraction of the time that callers wait.
 FAILURE_COST_MS = 600.0
-# Score penalty of a backend server in another failure domain. Traffic between domains is
+# Score penalty of a backend server in another failure domain. Traffic between them is
 # slower and dearer, so servers of about the same speed are chosen within the domain.
 OTHER_DOMAIN_COST_MS = 8.0
 # Weight of the time after the first event in the score. The request occupies a slot
