Estimate the wait of an entry from the slots of its group

Cause: the interval between two sends was that of this entry's own sends in 1.5 s. Change: with groups, the slots of the group's engines are free once in the average time for which a request holds one, shared among the entries that wait.

--- a/packages/kernel/tests/test_dispatch.py
+++ b/packages/kernel/tests/test_dispatch.py
@@ -337,6 +337,24 @@
         (assignment,) = dispatcher.dispatch_waiting(0.1)
         self.assertEqual(assignment.ticket.request_id, "high")
 
+    def test_entry_that_sends_little_counts_on_the_slots_of_its_group(self):
+        # Guards against refusals because one entry has sent nothing for a second.
+        dispatcher = builders.build_dispatcher(4, 4)
+        dispatcher.group_servers = set(dispatcher.servers)
+        for server in dispatcher.servers.values():
+            server.peer_loads["e2"] = servers.PeerLoad(4, 0)
+        dispatcher.waiting_entries = ("e1", "e2", "e3")
+        decisions = []
+        for number in range(4):
+            ticket = builders.build_ticket(f"q{number}", 10.0 + number / 1_000)
+            decisions += dispatcher.submit(ticket, 10.004)
+        self.assertEqual(decisions, [])
+        # A slot is free each 60 ms or so, for one of three entries.
+        for number in range(20):
+            ticket = builders.build_ticket(f"more{number}", 10.004 + number / 1_000)
+            decisions += dispatcher.submit(ticket, 10.03)
+        self.assertGreater(len(decisions), 10)
+
     def test_request_is_not_refused_while_a_slot_is_free(self):
         dispatcher = builders.build_dispatcher(2, 2)
         for number in range(4):
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -50,6 +50,9 @@
 # the requests sent first meet their objectives.
 FIRST_EVENT_MARGIN = 2.0
 AVERAGE_WEIGHT = 0.02
+# Time for which a request occupies a slot, before the first samples, and their weight.
+INITIAL_HOLD_S = 1.0
+HOLD_WEIGHT = 0.05
 # Upper bound on that expected time, as a fraction of the objective. Without it the
 # longest prompts would count as late on arrival.
 MAX_FIRST_EVENT_FRACTION = 0.5
@@ -212,6 +215,8 @@
         # Output tokens per stream event.
         self.event_tokens = 1
         self._durations = durations.Durations()
+        # Average time for which a request occupies a slot.
+        self._average_hold_s = estimates.MovingAverage(INITIAL_HOLD_S, HOLD_WEIGHT)
         # Average over all backend servers: the first event factor of engines, or
         # the duration of a plain request in milliseconds.
         self._average_first_event = estimates.MovingAverage(1.0, AVERAGE_WEIGHT)
@@ -370,10 +375,25 @@
         return (rank, is_unbegun, is_late, ticket.route.rank, ticket.arrived_s)
 
     def _estimate_send_interval_s(self, now_s):
+        # An entry of a large fleet sends too few requests to tell from them how soon a
+        # slot is free. Its group holds the slots of its engines, for a time that is
+        # known, and shares them among the entries with queued requests.
+        if self.group_servers and self.is_engine:
+            return self._estimate_group_interval_s()
         while self._send_times_s and self._send_times_s[0] < now_s - RATE_WINDOW_S:
             self._send_times_s.popleft()
         return RATE_WINDOW_S / max(1, len(self._send_times_s))
 
+    def _estimate_group_interval_s(self):
+        members = [
+            self.servers[server_id]
+            for server_id in self.group_servers
+            if server_id in self.servers
+        ]
+        running = sum(min(item.count_running(), item.slots) for item in members)
+        entries = max(1, len(self.waiting_entries))
+        return self._average_hold_s.value * entries / max(1, running)
+
     def _create_refusal(self, ticket, kind, reason, now_s=None, stated_wait_s=0.0):
         send_interval_s = (
             DEFAULT_SEND_INTERVAL_S
@@ -810,6 +830,7 @@
             return
         duration_s = now_s - send.sent_s
         if outcome is outcomes.Outcome.COMPLETE:
+            self._average_hold_s.add(duration_s)
             self._durations.add(ticket.route.name, duration_s)
             self._record_complete(server, duration_s)
         elif outcome is outcomes.Outcome.REJECTED:
