Hold requests for a moment after the process has stood still

Cause: an entry that was stopped or suspended for seconds handles, as it goes on, the requests in its sockets and in its queue with what it knew before: a key revoked meanwhile is accepted, a server that has left is sent to. The monotonic clock doesn't even count a suspension. Ruled out: writes of releases and crashes (conditional, idempotent), limits and retry times of servers (by the monotonic clock they only last longer). Change: pauses.PauseDetector checks ten times a second, and at each admission, by CLOCK_BOOTTIME; after a gap of 1.5 s, new requests get 503 (not run, come back in 0.5 s) and queued ones wait for 0.5 s, in which digests and copies arrive. WK1007. test_gateway_pauses fails without it (200 and a send to the server).

--- a/packages/entry/tests/gatewaycases.py
+++ b/packages/entry/tests/gatewaycases.py
@@ -41,6 +41,10 @@
     def compute_read_age_ms(self):
         return 0
 
+    @property
+    def is_held(self):
+        return self.pauses.is_held(0.0)
+
 
 def build_deployment():
     """Builds the state of an entry without a configuration."""
--- a/packages/entry/tests/test_silent_servers.py
+++ b/packages/entry/tests/test_silent_servers.py
@@ -24,6 +24,7 @@
 
     def __init__(self, address):
         self.address = address
+        self.earlier_requests = []
         self.handler = None
         self.is_responding = False
         self.request_id = b""
--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -100,6 +100,12 @@
         """Whether the route table and the registrations have been read."""
         return self._deployment.is_ready
 
+    @property
+    def is_held(self):
+        """Whether the entry has just gone on after a pause, and takes no requests."""
+        check_pause(self._deployment)
+        return self._deployment.pauses.is_held(read_boot_clock())
+
     def compute_read_age_ms(self):
         """Returns the age of this entry's last read of the store.
 
@@ -108,6 +114,24 @@
         return self._deployment.store_reads.compute_age_ms(reactor.seconds())
 
 
+def read_boot_clock():
+    """Reads a clock that goes on while the VM is suspended.
+
+    :return: seconds since the start of the VM.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def check_pause(deployment):
+    """Detects that the process has stood still, and logs it.
+
+    :param deployment: ``deployments.Deployment``.
+    """
+    paused_s = deployment.pauses.check(read_boot_clock())
+    if paused_s:
+        journal.write(events.Event.RESUMED, paused_ms=round(paused_s * 1_000))
+
+
 class Entry:
     """One entry process: its sockets, periodic tasks and shutdown.
 
@@ -243,6 +267,7 @@
             raise followers.StoreError(f"status {response.status}")
 
     def _tick(self):
+        check_pause(self._deployment)
         self._deployment.tick(reactor.seconds())
         self._reader_role.update()
         self._crash_writer.check()
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -23,6 +23,7 @@
     events,
     exceptions,
     outcomes,
+    pauses,
     routes,
     stops,
 )
@@ -287,6 +288,10 @@
             )
         if self._stop is not None and now_s >= self._stop.accept_until_s:
             return _create_stop_refusal()
+        if deployment.is_held:
+            return error_responses.ErrorResponse(
+                Kind.NOT_READY, 503, pauses.HOLD_S, "resumed after a pause"
+            )
         table = deployment.table
         route = table.find_route(arrival.host, arrival.path)
         if route is None:
@@ -410,6 +415,8 @@
             self._asked_services.discard(service)
 
     def _send_waiting(self, dispatcher):
+        if self._deployment.is_held:
+            return
         self._apply_decisions(dispatcher.dispatch_waiting(self.reactor.seconds()))
 
     def _run_queue_step(self, step, dispatcher):
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -17,6 +17,7 @@
     limits,
     members,
     outcomes,
+    pauses,
     peer_loads,
     releases,
     service_times,
@@ -85,6 +86,7 @@
         self._services_by_server = {}
         self._peer_loads = peer_loads.PeerLoads(self.find_server)
         self.store_reads = store_reads.StoreReads()
+        self.pauses = pauses.PauseDetector()
         self._fetch_failure_s = None
         self._digests = digest_builders.DigestBuilder(self)
         self._peak_members = budgets.PeakCount()
--- a/packages/kernel/wasabiknot_kernel/events.py
+++ b/packages/kernel/wasabiknot_kernel/events.py
@@ -36,6 +36,9 @@
         1005, logging.ERROR, "cannot load settings, keeping the previous ones: {error}"
     )
     NOT_LISTENING = EventDefinition(1006, logging.ERROR, "cannot listen: {error}")
+    RESUMED = EventDefinition(
+        1007, logging.WARNING, "stood still for {paused_ms} ms, holding requests"
+    )
     CONFIGURED = EventDefinition(
         1101, logging.INFO, "configuration {publication} is active"
     )
