--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -108,11 +108,13 @@
         # Services whose requests at silent servers are being asked.
         self._asked_services = set()
         self._channels = set()
+        # Requests that arrived while the entry went on after a pause.
+        self._held_requests = set()
         self._stop = None
         self._is_tick_scheduled = False
 
     def __len__(self):
-        return len(self._flows) + len(self._body_writers)
+        return len(self._flows) + len(self._body_writers) + len(self._held_requests)
 
     def create_factory(self):
         """Creates the HTTP server for callers.
@@ -180,6 +182,9 @@
 
         :param request: ``caller_requests.CallerRequest``.
         """
+        if self._deployment.is_held:
+            self._hold(request)
+            return
         if self._stop is not None and request.channel is not None:
             request.channel.announce_close()
         headers = _list_headers(request)
@@ -200,6 +205,17 @@
         self.get_budget(admission.service).record_request(self.reactor.seconds())
         self.submit(flow)
 
+    def _hold(self, request):
+        self._held_requests.add(request)
+        disconnected = request.notifyFinish()
+        disconnected.addErrback(lambda _: self._held_requests.discard(request))
+        self.reactor.callLater(pauses.HOLD_S, self._release, request)
+
+    def _release(self, request):
+        if request in self._held_requests:
+            self._held_requests.discard(request)
+            self.run_step(request, self.handle_request, request)
+
     def run_step(self, request, step, *arguments):
         """Runs a step of a request; if it fails, the request gets an answer.
 
@@ -288,10 +304,6 @@
             )
         if self._stop is not None and now_s >= self._stop.accept_until_s:
             return _create_stop_refusal()
-        if deployment.is_held:
-            return error_responses.ErrorResponse(
-                Kind.NOT_READY, 503, pauses.HOLD_S, "resumed after a pause"
-            )
         table = deployment.table
         route = table.find_route(arrival.host, arrival.path)
         if route is None:
