--- a/.ci/run_tests.py
+++ b/.ci/run_tests.py
@@ -101,7 +101,9 @@
         print(f"known red passes now, remove its entry: {name}")
     unexpected = failed - known
     skipped = len(outcome.skipped)
-    passed = outcome.testsRun - len(failed) - skipped
+    # Several subtests of one test may fail.
+    failed_tests = {name.partition(" ")[0] for name in failed}
+    passed = outcome.testsRun - len(failed_tests) - skipped
     print(f"{passed} passed, {len(unexpected)} failed")
     return 1 if unexpected or not outcome.testsRun else 0
 
--- a/packages/standins/wasabiknot_standins/silent.py
+++ b/packages/standins/wasabiknot_standins/silent.py
@@ -7,7 +7,6 @@
 
 import enum
 import pathlib
-import random
 import sys
 import tempfile
 
@@ -136,13 +135,6 @@
             working = self._repeat(end_s, *works[self._situation])
             working.addErrback(self._record_internal_error)
 
-    @defer.inlineCallbacks
-    def _repeat(self, end_s, interval_s, work):
-        yield soaks.sleep(interval_s)
-        while reactor.seconds() < end_s:
-            work()
-            yield soaks.sleep(interval_s)
-
     def _move_streams(self):
         # To a service that no route has named before, as long as there is one.
         service = next(self._unused_services, None)
@@ -194,35 +186,26 @@
     """
     directory = pathlib.Path(tempfile.mkdtemp(prefix="wasabiknot-silent-"))
     run = SilentRun(seed, duration_s, entry_count, directory, situation)
-    violations = soaks.play(run)
-    summary = run.summary
-    print(
-        f"{situation.value} seed {seed}: lost {summary.lost},"
-        f" excused {summary.excused},"
-        f" 502 to repeatable requests {summary.unanswered},"
-        f" served {summary.served} of {summary.sent},"
-        f" {summary.served_per_s:.1f} a second"
-    )
-    for violation in violations:
-        print(violation)
-    print(f"{len(violations)} violations")
-    print(f"logs in {directory}")
-    return violations
+
+    def describe():
+        summary = run.summary
+        return (
+            f"{situation.value} seed {seed}: lost {summary.lost},"
+            f" excused {summary.excused},"
+            f" 502 to repeatable requests {summary.unanswered},"
+            f" served {summary.served} of {summary.sent},"
+            f" {summary.served_per_s:.1f} a second"
+        )
+
+    return soaks.play_and_report(run, directory, describe)
 
 
 def main():
     """Plays one run from the command line.
 
-    The arguments are the situation, the seed, the duration in seconds and the number
-    of entries.
-
     :return: exit code; 1 if a check failed.
     """
-    situation = Situation(sys.argv[1]) if len(sys.argv) > 1 else Situation.ALL
-    seed = int(sys.argv[2]) if len(sys.argv) > 2 else random.randrange(1_000_000)
-    duration_s = float(sys.argv[3]) if len(sys.argv) > 3 else 25.0
-    entry_count = int(sys.argv[4]) if len(sys.argv) > 4 else 3
-    return 1 if play(situation, seed, duration_s, entry_count) else 0
+    return soaks.play_command(play, Situation, Situation.ALL)
 
 
 if __name__ == "__main__":
--- a/packages/standins/wasabiknot_standins/situations.py
+++ b/packages/standins/wasabiknot_standins/situations.py
@@ -84,11 +84,11 @@
     :param late: requests that ended after their time.
     """
 
-    sent: int
-    served: int
-    begun_again: int
-    given_up: int
-    late: int
+    sent: int = 0
+    served: int = 0
+    begun_again: int = 0
+    given_up: int = 0
+    late: int = 0
 
 
 class SituationRun(soaks.Soak):
@@ -107,7 +107,7 @@
         super().__init__(seed, duration_s, entry_count, directory)
         self._situation = situation
         self._happening_rng = random.Random(f"situation/{seed}")
-        self.summary = None
+        self.summary = Summary()
 
     def _add_worker(self, service, is_engine):
         worker = faultyworkers.FaultyWorker(
@@ -146,13 +146,6 @@
         yield self._send_requests(end_s, LOAD_PER_S)
         yield self._wait_for_responses()
 
-    @defer.inlineCallbacks
-    def _repeat(self, end_s, interval_s, work):
-        yield soaks.sleep(1.0)
-        while reactor.seconds() < end_s:
-            work()
-            yield soaks.sleep(interval_s)
-
     def _pause_entry(self):
         entry = self._happening_rng.choice(self._entries)
         self._faults.record_fault()
@@ -226,34 +219,24 @@
     """
     directory = pathlib.Path(tempfile.mkdtemp(prefix="wasabiknot-situations-"))
     run = SituationRun(seed, duration_s, entry_count, directory, situation)
-    violations = soaks.play(run)
-    summary = run.summary
-    if summary is not None:
-        print(
+
+    def describe():
+        summary = run.summary
+        return (
             f"{situation.value} seed {seed}: served {summary.served} of"
             f" {summary.sent}, begun again {summary.begun_again}, 502"
             f" {summary.given_up}, late {summary.late}"
         )
-    for violation in violations:
-        print(violation)
-    print(f"{len(violations)} violations")
-    print(f"logs in {directory}")
-    return violations
+
+    return soaks.play_and_report(run, directory, describe)
 
 
 def main():
     """Plays one run from the command line.
 
-    The arguments are the situation, the seed, the duration in seconds and the number
-    of entries.
-
     :return: exit code; 1 if a check failed.
     """
-    situation = Situation(sys.argv[1]) if len(sys.argv) > 1 else Situation.NONE
-    seed = int(sys.argv[2]) if len(sys.argv) > 2 else random.randrange(1_000_000)
-    duration_s = float(sys.argv[3]) if len(sys.argv) > 3 else 25.0
-    entry_count = int(sys.argv[4]) if len(sys.argv) > 4 else 3
-    return 1 if play(situation, seed, duration_s, entry_count) else 0
+    return soaks.play_command(play, Situation, Situation.NONE)
 
 
 if __name__ == "__main__":
--- a/packages/standins/wasabiknot_standins/soaks.py
+++ b/packages/standins/wasabiknot_standins/soaks.py
@@ -306,6 +306,13 @@
             self._send_random_request().addErrback(self._record_internal_error)
             yield sleep(self._rng.expovariate(load_per_s))
 
+    @defer.inlineCallbacks
+    def _repeat(self, end_s, interval_s, work):
+        yield sleep(interval_s)
+        while reactor.seconds() < end_s:
+            work()
+            yield sleep(interval_s)
+
     @defer.inlineCallbacks
     def _wait_for_responses(self):
         deadline_s = reactor.seconds() + CALL_TIMEOUT_S + 1.0
@@ -408,6 +415,41 @@
     return violations
 
 
+def play_and_report(soak, directory, describe):
+    """Plays a run and prints what was seen.
+
+    :param soak: ``Soak``.
+    :param directory: directory of its log files.
+    :param describe: function without parameters that returns a line on the run.
+    :return: list of violations.
+    """
+    violations = play(soak)
+    print(describe())
+    for violation in violations:
+        print(violation)
+    print(f"{len(violations)} violations")
+    print(f"logs in {directory}")
+    return violations
+
+
+def play_command(play_situation, situations, default):
+    """Plays a situation by the command line.
+
+    The arguments are the situation, the seed, the duration in seconds and the number
+    of entries.
+
+    :param play_situation: function of these four that returns a list of violations.
+    :param situations: ``enum.Enum`` of the situations.
+    :param default: situation without an argument.
+    :return: exit code; 1 if a check failed.
+    """
+    situation = situations(sys.argv[1]) if len(sys.argv) > 1 else default
+    seed = int(sys.argv[2]) if len(sys.argv) > 2 else random.randrange(1_000_000)
+    duration_s = float(sys.argv[3]) if len(sys.argv) > 3 else 25.0
+    entry_count = int(sys.argv[4]) if len(sys.argv) > 4 else 3
+    return 1 if play_situation(situation, seed, duration_s, entry_count) else 0
+
+
 def run_soak(seed, duration_s, entry_count, directory=None):
     """Runs one soak test and prints its results.
 
