--- a/packages/kernel/wasabiknot_kernel/allowances.py
+++ b/packages/kernel/wasabiknot_kernel/allowances.py
@@ -44,6 +44,8 @@
     burst: float
     group_rate: float = 0.0
     updated_s: float = 0.0
+    # Tokens that other groups may have admitted without a report, at the last charge.
+    unreported: float = 0.0
 
 
 class Allowances:
@@ -197,6 +199,7 @@
         # The level may become negative. Otherwise a large request would starve while
         # smaller ones use up every token that is refilled.
         unreported = self._estimate_unreported(bucket, now_s)
+        bucket.unreported = unreported
         if bucket.level > unreported:
             bucket.level -= tokens
             self._record_group_use(bucket, tokens, now_s)
@@ -218,7 +221,8 @@
         bucket = self._buckets[name]
         rate = self.compute_rate(bucket.rate, bucket.burst)
         return (
-            f"has {bucket.level:.0f}, {rate:.0f} of {bucket.rate:.0f} a second, "
+            f"has {bucket.level:.0f}, {bucket.unreported:.0f} may be used unreported, "
+            f"{rate:.0f} of {bucket.rate:.0f} a second, "
             f"hears {self._reachable} of {self._members}"
         )
 
