--- a/packages/entry/tests/fleets.py
+++ b/packages/entry/tests/fleets.py
@@ -18,6 +18,7 @@
 FETCH_S = 0.05
 START_SPREAD_S = 0.3
 GROUP_DOMAINS = 5
+LIST_PATH = stores.build_list_call("").target.partition("?")[0]
 
 
 class Store:
@@ -58,7 +59,7 @@
             return answered
         path, _, query = call.target.partition("?")
         fields = dict(urllib.parse.parse_qsl(query))
-        if path == "/log-newest":
+        if path == LIST_PATH:
             self._reply(answered, self._list(fields["topic"]))
         else:
             self._read(answered, fields, self._clock.seconds() + wait_s)
