Let all entries of a small system read once no read is fresh

The reader was killed while 40% of the store's answers are lost; the others then tried one after the other, 0.4 s each, and orders were read 0.25 s later, so that the new servers got too few requests before the promotion was due.

--- a/packages/entry/wasabiknot_entry/subscriptions.py
+++ b/packages/entry/wasabiknot_entry/subscriptions.py
@@ -35,9 +35,13 @@
     """
     operator_topic = deployment.get_topic(stores.OPERATOR_TOPIC)
     operator_topic.find_version = configurations.find_version
+
+    def compute_interval_s():
+        return READ_INTERVAL_S if deployment.roster.has_several_groups else 0.0
+
     intervals = {
-        stores.OPERATOR_TOPIC: lambda: READ_INTERVAL_S,
-        stores.RELEASE_TOPIC: lambda: READ_INTERVAL_S,
+        stores.OPERATOR_TOPIC: compute_interval_s,
+        stores.RELEASE_TOPIC: compute_interval_s,
         stores.MEMBER_TOPIC: lambda: RARE_READ_INTERVAL_S,
         stores.CRASH_TOPIC: lambda: RARE_READ_INTERVAL_S,
         # The registrations change all the time, so they are polled.
--- a/packages/kernel/wasabiknot_kernel/store_readers.py
+++ b/packages/kernel/wasabiknot_kernel/store_readers.py
@@ -1,13 +1,14 @@
 """Decides which entry of a group reads the store; the others copy from it.
 
 The first entry with a fresh read goes on reading. Once no read is fresh, as the reader
-has ended or the store turns it away, the entries of the group try in turn, so that a
-store that is down or busy isn't asked by all of them.
+has ended or the store turns it away, all entries of a small system try: one of them
+succeeds soon although answers are lost. Where there are several groups, the entries of
+each try in turn, so that a store that is down or busy isn't asked by hundreds.
 """
 
 # Time beyond the poll interval for which a read counts as fresh: a slow response of the
 # store, and digests that are late or lost.
-FRESH_MARGIN_S = 0.5
+FRESH_MARGIN_S = 0.4
 # Time for which an entry tries before it is the turn of the next one too.
 TURN_S = 0.4
 
@@ -29,7 +30,7 @@
         if read_s is not None and now_s - read_s < fresh_s:
             return peer is None
     newest_s = max((read_s for _, read_s in reads if read_s is not None), default=None)
-    if newest_s is None:
+    if newest_s is None or not roster.has_several_groups:
         return True
     turn = int((now_s - newest_s - fresh_s) / TURN_S)
     peer, _ = reads[turn % len(reads)]
