Let no connection that is just closing end the process at SIGTERM

Cause: a connection whose last response has ended, and which is closing, has no request left but still counts as handling one; announce_close took the first of none, and the exception ended the shutdown before it had begun (WK1901 at 3.002 s in the log of the replay). Ruled out: late answers, the hold after a pause (no WK1007). Change: such a connection is left out. test_gateway_stops fails without it: IndexError.

--- a/packages/entry/tests/test_gateway_stops.py
+++ b/packages/entry/tests/test_gateway_stops.py
@@ -104,6 +104,17 @@
         self.assertTrue(begun.transport.disconnecting)
         self.assertEqual(self.read_answer(quiet).status, 502)
 
+    def test_connection_that_is_just_closing_does_not_break_the_stop(self):
+        # Guards against a process that ends at once at SIGTERM, with all its requests.
+        head = gatewaycases.build_head(
+            "q9", target=b"/none", extra=[b"connection: close"]
+        )
+        closing = self.connect(head)
+        self.assertEqual(len(self.read_answers(closing)), 1)
+        self.connect(gatewaycases.build_head())
+        self.gateway.stop(2.7, 8.0)
+        self.assertFalse(self.gateway.is_drained)
+
     def test_response_to_a_request_in_flight_at_the_signal_closes_the_connection(self):
         channel = self.send("q1")
         connection = self.accept(0)
--- a/packages/entry/wasabiknot_entry/channels.py
+++ b/packages/entry/wasabiknot_entry/channels.py
@@ -71,7 +71,7 @@
 
         Not if the response has begun or the next request is here already.
         """
-        if not self._handlingRequest or self._has_next_request():
+        if not self.requests or not self._handlingRequest or self._has_next_request():
             return
         request = self.requests[0]
         if not request.startedWriting:
