Measure how far the event loop is behind, and when callers leave

The logs can't tell the hypotheses on GONE apart: nothing says how long a request waited in its socket before it was read, nor how late the close of a connection was seen.

Added: the longest turn of the event loop in each tenth of a second (metric, and WK1008 from a quarter of a second on), the longest time that a request may have waited before it was read (metric, and read_delay_ms of WK1405), callers that left by how far their request was (metric, and phase of WK1405).

--- a/packages/entry/wasabiknot_entry/channels.py
+++ b/packages/entry/wasabiknot_entry/channels.py
@@ -22,10 +22,15 @@
     _quiet_since_s = 0.0
     _is_reading = False
     _is_closing = False
+    _accept_turn = 0
+    # Earliest time at which the request that arrives or runs may have come.
+    readable_since_s = 0.0
 
     def connectionMade(self):  # noqa: N802
         """Starts the idle time of the connection."""
         self._quiet_since_s = self.gateway.reactor.seconds()
+        self._accept_turn = self.gateway.loop_clock.turn
+        self.readable_since_s = self.gateway.loop_clock.readable_since_s
         self.timeOut = self._compute_idle_limit_s()
         super().connectionMade()
         self.gateway.add_channel(self)
@@ -34,10 +39,18 @@
     def dataReceived(self, data):  # noqa: N802
         """Parses received bytes; ends the idle time."""
         self._quiet_since_s = self.gateway.reactor.seconds()
+        if not self._is_reading:
+            self._record_arrival()
         self._is_reading = True
         self._is_closing = False
         super().dataReceived(data)
 
+    def _record_arrival(self):
+        # What is read in the turn after the accept may have come with the connection.
+        clock = self.gateway.loop_clock
+        if clock.turn > self._accept_turn + 1:
+            self.readable_since_s = clock.readable_since_s
+
     def requestDone(self, request):  # noqa: N802
         """Starts the idle time after a response, under the limit in force."""
         self._quiet_since_s = self.gateway.reactor.seconds()
--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -20,6 +20,7 @@
     connections,
     crash_writers,
     edge_settings,
+    eventloops,
     followers,
     gateways,
     gossip,
@@ -52,6 +53,8 @@
 STORE_CONNECT_TIMEOUT_S = 0.6
 IDLE_SWEEP_INTERVAL_S = 0.2
 TICK_INTERVAL_S = 0.1
+# Length of a turn of the event loop from which it is logged.
+LONG_TURN_S = 0.25
 MAX_EFFECTIVE_LINK_MBPS = 50.0
 # Number of polls of the registrations within ``bounds.leaving_ms``, after which a
 # leaving backend server must get no more requests.
@@ -157,7 +160,8 @@
         self._deployment = deployments.Deployment(self._member, policy, rng)
         metrics = request_metrics.RequestMetrics()
         view = DeploymentView(self._deployment)
-        self._gateway = gateways.Gateway(reactor, rng, view, metrics)
+        self._loop_clock = eventloops.watch(reactor)
+        self._gateway = gateways.Gateway(reactor, rng, view, metrics, self._loop_clock)
         self._gateway.buffers.max_bytes = settings.buffer_bytes
         pool = connections.Pool(reactor, STORE_CONNECT_TIMEOUT_S)
         self._store = followers.StoreClient(reactor, pool, settings.store_address)
@@ -268,6 +272,7 @@
 
     def _tick(self):
         check_pause(self._deployment)
+        self._observe_loop()
         self._deployment.tick(reactor.seconds())
         self._reader_role.update()
         self._crash_writer.check()
@@ -277,6 +282,12 @@
             _log_change(change)
             self._server_metrics.count(change)
 
+    def _observe_loop(self):
+        turn_s = self._loop_clock.pop_longest_turn_s()
+        self._metrics.observe_loop_lag(turn_s)
+        if turn_s >= LONG_TURN_S:
+            journal.write(events.Event.LOOP_BEHIND, turn_ms=round(turn_s * 1_000))
+
     def _read_settings_mtime_ns(self):
         try:
             return self._path.stat().st_mtime_ns
--- a/packages/entry/wasabiknot_entry/flows.py
+++ b/packages/entry/wasabiknot_entry/flows.py
@@ -14,6 +14,8 @@
 MIN_SEND_S = 0.02
 # Interval in which a response that has begun asks for retry budget.
 BUDGET_CHECK_INTERVAL_S = 0.2
+# Phase of a request without an attempt.
+WAITING = "waiting"
 
 
 def _answer_failures(step):
@@ -39,6 +41,8 @@
         self._gateway = gateway
         self._request = request
         self.ticket = ticket
+        # Longest time that the request may have waited before it was read, in seconds.
+        self.read_delay_s = gateway.reactor.seconds() - request.channel.readable_since_s
         self._headers = headers
         self._body = body
         self._assignment = None
@@ -63,6 +67,13 @@
         """The ``caller_requests.CallerRequest``."""
         return self._request
 
+    @property
+    def phase(self):
+        """How far the request is: "waiting", or the phase of its attempt."""
+        if self._attempt is None:
+            return WAITING
+        return self._attempt.phase.value
+
     @property
     def dispatcher(self):
         """The dispatcher of the service that handles the request."""
@@ -391,6 +402,7 @@
         """Cancels the request after the caller has closed the connection."""
         if self.is_ended:
             return
+        self._gateway.count_departure(self)
         self._cancel_attempt(is_timed_out=False)
         self._finish("left")
         self._gateway.dispatch_waiting(self.ticket.service)
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -14,6 +14,7 @@
     channels,
     connections,
     error_responses,
+    eventloops,
     flows,
     journal,
 )
@@ -85,10 +86,12 @@
     :param rng: random number generator.
     :param deployment: ``edge.DeploymentView``.
     :param metrics: ``request_metrics.RequestMetrics``.
+    :param loop_clock: ``eventloops.LoopClock``; one without turns by default.
     """
 
-    def __init__(self, reactor, rng, deployment, metrics):
+    def __init__(self, reactor, rng, deployment, metrics, loop_clock=None):
         self.reactor = reactor
+        self.loop_clock = loop_clock or eventloops.LoopClock(reactor.seconds)
         # Counts callers' bodies and the responses that aren't yet passed on.
         self.buffers = buffers.Budget()
         self.pool = connections.Pool(
@@ -187,6 +190,9 @@
             return
         if self._stop is not None and request.channel is not None:
             request.channel.announce_close()
+        self._metrics.observe_read_delay(
+            self.reactor.seconds() - request.channel.readable_since_s
+        )
         headers = _list_headers(request)
         arrival = _decode_arrival(request, headers)
         body = request.content.read()
@@ -546,8 +552,17 @@
             total_ms=round((now_s - ticket.arrived_s) * 1_000),
             first_ms=_measure_ms(ticket.arrived_s, flow.first_event_s),
             events=flow.event_count,
+            phase=flow.phase,
+            read_delay_ms=round(flow.read_delay_s * 1_000),
         )
 
+    def count_departure(self, flow):
+        """Counts a request whose caller left before its response.
+
+        :param flow: ``flows.Flow``.
+        """
+        self._metrics.count_departure(flow.phase)
+
     def record_first_event(self, flow):
         """Records the time to the first event, or to the head of a plain response.
 
--- a/packages/entry/wasabiknot_entry/request_metrics.py
+++ b/packages/entry/wasabiknot_entry/request_metrics.py
@@ -5,6 +5,8 @@
 
 # Upper bounds of the latency buckets, from simple lookups to long streams.
 BUCKETS_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+# Upper bounds of the buckets of delays within the entry.
+DELAY_BUCKETS_S = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
 # Bounds the number of time series; further customers are counted as "other".
 MAX_CUSTOMERS = 64
 
@@ -47,6 +49,25 @@
             registry=self._registry,
         )
 
+        self._loop_lag = prometheus_client.Histogram(
+            "wasabiknot_loop_lag_seconds",
+            "Longest turn of the event loop in each tenth of a second.",
+            buckets=DELAY_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._read_delay = prometheus_client.Histogram(
+            "wasabiknot_read_delay_seconds",
+            "Longest time that a request may have waited before it was read.",
+            buckets=DELAY_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._departures = prometheus_client.Counter(
+            "wasabiknot_departures",
+            "Requests whose callers left, by how far they were.",
+            ["phase"],
+            registry=self._registry,
+        )
+
     def add_collector(self, collector):
         """Adds a collector whose metrics are rendered as well.
 
@@ -72,6 +93,27 @@
         """Counts a caller's connection that was closed for being idle."""
         self._idle_closes.inc()
 
+    def observe_loop_lag(self, lag_s):
+        """Observes the longest turn of the event loop since the last observation.
+
+        :param lag_s: length of the turn, in seconds.
+        """
+        self._loop_lag.observe(lag_s)
+
+    def observe_read_delay(self, delay_s):
+        """Observes how long a request may have waited before it was read.
+
+        :param delay_s: seconds.
+        """
+        self._read_delay.observe(delay_s)
+
+    def count_departure(self, phase):
+        """Counts a request whose caller left before its response.
+
+        :param phase: how far it was, a phase of ``send_attempts`` or "waiting".
+        """
+        self._departures.labels(phase).inc()
+
     def observe_total(self, ticket, ended, total_s):
         """Observes the latency of a completed request.
 
--- a/packages/kernel/wasabiknot_kernel/events.py
+++ b/packages/kernel/wasabiknot_kernel/events.py
@@ -39,6 +39,9 @@
     RESUMED = EventDefinition(
         1007, logging.WARNING, "stood still for {paused_ms} ms, holding requests"
     )
+    LOOP_BEHIND = EventDefinition(
+        1008, logging.WARNING, "event loop behind, a turn took {turn_ms} ms"
+    )
     CONFIGURED = EventDefinition(
         1101, logging.INFO, "configuration {publication} is active"
     )
