Don't send a request whose caller has closed its connection

Cause: a turn of the event loop reads a request, or frees a slot for one that waits, before it reads the close of its connection that waits in the same poll. The request is sent at once; the close is seen a turn later. With a loop that is a second behind, that is a second of work for nobody.

Each send now asks the operating system whether the caller's end is closed, also behind bytes that aren't read (POLLRDHUP), and gives the slot to the next one.

The fake transport of test_silent_servers is the one of gatewaycases now, which has a handle; its checks are the same.

--- a/packages/entry/tests/gatewaycases.py
+++ b/packages/entry/tests/gatewaycases.py
@@ -64,12 +64,14 @@
     def __init__(self):
         super().__init__()
         self.is_aborted = False
+        # A socket that is closed here; a test may put an open one.
+        self.handle = mock.Mock(fileno=lambda: -1)
 
     def setTcpNoDelay(self, value):  # noqa: N802
         pass
 
     def getHandle(self):  # noqa: N802
-        return mock.Mock()
+        return self.handle
 
     def abortConnection(self):  # noqa: N802
         self.is_aborted = True
--- /dev/null
+++ b/packages/entry/tests/test_departures.py
@@ -0,0 +1,133 @@
+"""Callers that leave while the event loop or their connection is behind."""
+
+import socket
+import struct
+import unittest
+
+import gatewaycases
+from twisted.internet import error
+from twisted.python import failure
+
+from wasabiknot_entry import sockets
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class Loop:
+    """An event loop with a delay."""
+
+    def __init__(self, reactor):
+        self._reactor = reactor
+        self.turn = 10
+        self.delay_s = 0.0
+
+    @property
+    def readable_since_s(self):
+        return self._reactor.seconds() - self.delay_s
+
+
+class DepartureCase(gatewaycases.GatewayCase):
+    def setUp(self):
+        super().setUp()
+        self.loop = Loop(self.reactor)
+        self.gateway.loop_clock = self.loop
+
+    def connect_caller(self, data):
+        """Sends data on a connection whose caller holds the other end of a socket.
+
+        :return: pair of channel and the caller's socket.
+        """
+        here, caller = socket.socketpair()
+        self.addCleanup(here.close)
+        self.addCleanup(caller.close)
+        channel = self.connect()
+        channel.transport.handle = here
+        self.loop.turn += 2
+        channel.dataReceived(data)
+        return channel, caller
+
+    def count_sends(self):
+        return len(self.reactor.tcpClients)
+
+
+class UnreadCloseTests(DepartureCase):
+    def free_slot(self):
+        """Completes the first request.
+
+        :return: what is sent on its connection then.
+        """
+        connection = self.accept(0)
+        connection.transport.clear()
+        self.respond(connection, "q0")
+        self.advance(0.1)
+        return connection.transport.value()
+
+    def test_waiting_request_is_not_sent_after_its_caller_has_closed(self):
+        # Guards against sends for callers whose close the event loop hasn't read yet.
+        for number in range(2):
+            self.connect(gatewaycases.build_head(f"q{number}"))
+        _, caller = self.connect_caller(gatewaycases.build_head("late"))
+        caller.close()
+        self.assertEqual(self.free_slot(), b"")
+        self.assertEqual(self.count_sends(), 2)
+        self.assertEqual(len(self.gateway), 1)
+
+    def test_slot_of_a_request_that_is_not_sent_goes_to_the_next_one(self):
+        for number in range(2):
+            self.connect(gatewaycases.build_head(f"q{number}"))
+        _, caller = self.connect_caller(gatewaycases.build_head("late"))
+        self.connect(gatewaycases.build_head("next"))
+        caller.close()
+        self.assertIn(b"next", self.free_slot())
+
+    def refuse_connection(self):
+        factory = self.reactor.tcpClients[0][2]
+        refused = failure.Failure(error.ConnectionRefusedError())
+        factory.clientConnectionFailed(None, refused)
+        self.advance(0.5)
+
+    def test_refused_connection_is_followed_by_another_send(self):
+        self.register("w2")
+        self.connect_caller(gatewaycases.build_head())
+        self.refuse_connection()
+        self.assertEqual(self.count_sends(), 2)
+
+    def test_request_is_not_sent_again_after_its_caller_has_closed(self):
+        self.register("w2")
+        _, caller = self.connect_caller(gatewaycases.build_head())
+        caller.close()
+        self.refuse_connection()
+        self.assertEqual(self.count_sends(), 1)
+        self.assertEqual(len(self.gateway), 0)
+
+
+class SocketTests(unittest.TestCase):
+    def connect(self):
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            caller = socket.create_connection(server.getsockname())
+            here, _ = server.accept()
+        self.addCleanup(caller.close)
+        self.addCleanup(here.close)
+        return here, caller
+
+    def test_open_connection(self):
+        here, caller = self.connect()
+        caller.send(b"x" * 100)
+        self.assertFalse(sockets.is_closed_by_peer(here))
+
+    def test_close_behind_unread_bytes(self):
+        here, caller = self.connect()
+        caller.send(b"x" * 100)
+        caller.close()
+        self.assertTrue(sockets.is_closed_by_peer(here))
+
+    def test_reset(self):
+        here, caller = self.connect()
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        caller.close()
+        self.assertTrue(sockets.is_closed_by_peer(here))
+
+    def test_socket_that_is_closed_here(self):
+        here, _ = self.connect()
+        here.close()
+        self.assertFalse(sockets.is_closed_by_peer(here))
--- a/packages/entry/tests/test_silent_servers.py
+++ b/packages/entry/tests/test_silent_servers.py
@@ -3,7 +3,7 @@
 
 import gatewaycases
 from hypothesis import given, settings, strategies
-from twisted.internet import defer, task, testing
+from twisted.internet import defer, task
 
 from wasabiknot_entry import buffers, connections, journal, send_attempts
 from wasabiknot_kernel import (
@@ -165,8 +165,7 @@
 
     def request(self, route, request_id=b"q1"):
         channel = self.gateway.create_factory().buildProtocol(None)
-        transport = testing.StringTransport()
-        transport.setTcpNoDelay = lambda value: None
+        transport = gatewaycases.Transport()
         channel.callLater = self.clock.callLater
         channel.makeConnection(transport)
         lines = (
--- a/packages/entry/wasabiknot_entry/channels.py
+++ b/packages/entry/wasabiknot_entry/channels.py
@@ -2,6 +2,8 @@
 
 from twisted.web import http
 
+from wasabiknot_entry import sockets
+
 # Idle connections stay open longer than the configured timeout, so that a caller
 # that relies on the timeout does not send into a connection being closed.
 IDLE_TIMEOUT_MARGIN_S = 2.0
@@ -79,6 +81,13 @@
         self.gateway.discard_channel(self)
         super().connectionLost(reason)
 
+    def has_caller_left(self):
+        """Whether the caller has closed the connection, although this isn't read yet.
+
+        :return: ``False`` as well if it is closed here.
+        """
+        return sockets.is_closed_by_peer(self.transport.getHandle())
+
     def announce_close(self):
         """Closes the connection after the response that is due, and says so in it.
 
--- a/packages/entry/wasabiknot_entry/flows.py
+++ b/packages/entry/wasabiknot_entry/flows.py
@@ -86,6 +86,9 @@
         """
         self._assignment = assignment
         self._silence_decision = None
+        if self._request.channel.has_caller_left():
+            self.handle_disconnect()
+            return
         self._sent_s = self._gateway.reactor.seconds()
         self._heard_s = self._sent_s
         self._received_count = 0
