Notice callers that leave behind requests that aren't read

Cause: while a request is handled, twisted.web stops reading its connection once more than 16 KB wait behind it. The close comes after these bytes, so it is never read, and the work goes on to its end.

Reading more instead was ruled out: it moves the bound and takes memory of all others.

test_departures.test_close_behind_requests_that_are_not_read_ends_the_work failed before (no such check, work not aborted).

--- a/packages/entry/tests/test_departures.py
+++ b/packages/entry/tests/test_departures.py
@@ -100,6 +100,30 @@
         self.assertEqual(self.count_sends(), 1)
         self.assertEqual(len(self.gateway), 0)
 
+    def test_close_behind_requests_that_are_not_read_ends_the_work(self):
+        # Guards against a close that is hidden behind pipelined data.
+        channel, caller = self.connect_caller(gatewaycases.build_head())
+        connection = self.accept(0)
+        channel.dataReceived(b"x" * 20_000)
+        self.assertEqual(channel.transport.producerState, "paused")
+        self.gateway.check_departures()
+        self.assertFalse(channel.transport.is_aborted)
+        caller.send(b"x" * 20_000)
+        caller.close()
+        self.gateway.check_departures()
+        self.assertTrue(channel.transport.is_aborted)
+        channel.connectionLost(gatewaycases.CLOSED)
+        self.assertTrue(connection.transport.is_aborted)
+        self.assertEqual(len(self.gateway), 0)
+
+    def test_connection_that_reads_on_is_not_asked_about_its_close(self):
+        channel, caller = self.connect_caller(gatewaycases.build_head())
+        channel.dataReceived(b"x" * 20_000)
+        self.respond(self.accept(0))
+        caller.close()
+        self.gateway.check_departures()
+        self.assertFalse(channel.transport.is_aborted)
+
 
 class SocketTests(unittest.TestCase):
     def connect(self):
--- a/packages/entry/wasabiknot_entry/channels.py
+++ b/packages/entry/wasabiknot_entry/channels.py
@@ -88,6 +88,17 @@
         """
         return sockets.is_closed_by_peer(self.transport.getHandle())
 
+    @property
+    def hides_close(self):
+        """Whether the base class has stopped reading, as too many bytes wait here."""
+        waiting = sum(map(len, self._dataBuffer))
+        return self._handlingRequest and waiting > self._optimisticEagerReadSize
+
+    def check_departure(self):
+        """Ends the connection if its caller has left and the close can't be read."""
+        if self.hides_close and self.has_caller_left():
+            self.transport.abortConnection()
+
     def announce_close(self):
         """Closes the connection after the response that is due, and says so in it.
 
--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -273,6 +273,7 @@
     def _tick(self):
         check_pause(self._deployment)
         self._observe_loop()
+        self._gateway.check_departures()
         self._deployment.tick(reactor.seconds())
         self._reader_role.update()
         self._crash_writer.check()
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -154,6 +154,11 @@
         """
         self._channels.discard(channel)
 
+    def check_departures(self):
+        """Looks for callers that have left behind requests that aren't read yet."""
+        for channel in list(self._channels):
+            channel.check_departure()
+
     def count_idle_close(self):
         """Counts a caller's connection that was closed for being idle."""
         self._metrics.count_idle_close()
