Count a caller's time from when its request may have come

Cause: the deadline was counted from the turn of the event loop in which the request was read. What is read may have been readable since the poll before, for the first request of a connection since that of its accept.

The deadline, the order in the queue and the longest wait are now counted from there; a request whose time was over before it was read is refused (not run) with a short retry time. Ruled out: the time in TCP_INFO, exact but another system call a request and Linux only.

test_departures.LateReadTests, before: 3 failed (deadline passed on 1,985 ms of 2,000 although 1,200 had gone); now 3 pass. The stand-in request of test_gateways has the new field.

--- a/packages/entry/tests/test_departures.py
+++ b/packages/entry/tests/test_departures.py
@@ -125,6 +125,39 @@
         self.assertFalse(channel.transport.is_aborted)
 
 
+class LateReadTests(DepartureCase):
+    def test_time_in_the_socket_counts_against_the_deadline(self):
+        # Guards against work for a caller whose time was over before the request ends.
+        self.loop.delay_s = 1.2
+        deadline = b"x-wasabiknot-deadline-ms: 2000"
+        self.connect_caller(gatewaycases.build_head(extra=(deadline,)))
+        sent = self.accept(0).transport.value()
+        _, _, rest = sent.partition(b"deadline-ms: ")
+        self.assertLessEqual(float(rest.partition(b"\r\n")[0]), 800)
+
+    def test_request_whose_time_was_over_before_it_was_read_is_refused(self):
+        self.loop.delay_s = 1.2
+        deadline = b"x-wasabiknot-deadline-ms: 1000"
+        head = gatewaycases.build_head(extra=(deadline,))
+        channel, _ = self.connect_caller(head)
+        (answer,) = self.read_answers(channel)
+        self.assertEqual(answer.status, 503)
+        self.assertIn(b"retry-after", answer.head)
+        self.assertEqual(self.count_sends(), 0)
+
+    def test_first_request_may_have_come_with_its_connection(self):
+        self.loop.delay_s = 0.7
+        channel = self.connect()
+        self.loop.turn += 1
+        self.loop.delay_s = 0.0
+        deadline = b"x-wasabiknot-deadline-ms: 2000"
+        self.reactor.advance(0.3)
+        channel.dataReceived(gatewaycases.build_head(extra=(deadline,)))
+        sent = self.accept(0).transport.value()
+        _, _, rest = sent.partition(b"deadline-ms: ")
+        self.assertLessEqual(float(rest.partition(b"\r\n")[0]), 1_000)
+
+
 class SocketTests(unittest.TestCase):
     def connect(self):
         with socket.create_server(("127.0.0.1", 0)) as server:
--- a/packages/entry/tests/test_gateways.py
+++ b/packages/entry/tests/test_gateways.py
@@ -118,7 +118,9 @@
 
     def admit(self, path="/draft/x", key="k1", request_id="q1", deadline_ms=600.0):
         arrival = arrivals.Arrival(request_id, "a.example", path, key, deadline_ms)
-        return self.gateway._admit(arrival, mock.Mock(uri=path.encode()), b"")
+        request = mock.Mock(uri=path.encode())
+        request.channel.readable_since_s = self.gateway.reactor.seconds()
+        return self.gateway._admit(arrival, request, b"")
 
     def test_request_before_first_configuration_gets_not_ready(self):
         error = self.admit(key="odd")
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -49,6 +49,9 @@
 # Error kinds that say that the request has not run.
 NOT_RUN_KINDS = frozenset((Kind.STOPPING, Kind.INTERNAL_ERROR))
 INTERNAL_RETRY_AFTER_S = 0.5
+# Bounds on the retry time of a request that the event loop read too late. Another entry
+# is likely to get the retry.
+READ_LATE_RETRY_AFTER_S = (0.1, 0.3)
 INTERNAL_ERROR = "unexpected failure"
 
 
@@ -333,6 +336,12 @@
                 Kind.BAD_REQUEST, 400, None, "no request id"
             )
         ticket = self._create_ticket(arrival, route, customer, request, body, now_s)
+        if now_s + flows.MIN_SEND_S >= ticket.deadline_s:
+            retry_after_s = self._rng.uniform(*READ_LATE_RETRY_AFTER_S)
+            reason = f"read {now_s - ticket.arrived_s:.2f} s late"
+            return error_responses.ErrorResponse(
+                Kind.QUEUE_FULL, 503, retry_after_s, reason
+            )
         if not self._can_finish(ticket, now_s):
             return _create_stop_refusal()
         is_refused = deployment.crashes.is_refused(ticket.fingerprint, now_s)
@@ -352,6 +361,7 @@
         rank = route.rank
         if customer is not None and customer.rank is not None:
             rank = customer.rank
+        arrived_s = min(now_s, request.channel.readable_since_s)
         name = customer.name if customer else None
         content = f"{request.uri!r}/{name}/".encode() + body
         return arrivals.Ticket(
@@ -360,8 +370,8 @@
             service=routes.choose_service(route, self._rng),
             customer=name,
             rank=rank,
-            arrived_s=now_s,
-            deadline_s=now_s + timeout_ms / 1_000 - RESPONSE_MARGIN_S,
+            arrived_s=arrived_s,
+            deadline_s=arrived_s + timeout_ms / 1_000 - RESPONSE_MARGIN_S,
             version=self._deployment.table.version,
             fingerprint=xxhash.xxh64_hexdigest(content),
         )
