Count the wait for the processor as a delay of the event loop

A process that has used up its share of the processor stands within its poll, with sockets that are readable: the poll returns late, and looked like one that had waited for its events.

--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -53,8 +53,8 @@
 STORE_CONNECT_TIMEOUT_S = 0.6
 IDLE_SWEEP_INTERVAL_S = 0.2
 TICK_INTERVAL_S = 0.1
-# Length of a turn of the event loop from which it is logged.
-LONG_TURN_S = 0.25
+# Delay of the event loop from which it is logged.
+LONG_LAG_S = 0.25
 MAX_EFFECTIVE_LINK_MBPS = 50.0
 # Number of polls of the registrations within ``bounds.leaving_ms``, after which a
 # leaving backend server must get no more requests.
@@ -284,10 +284,10 @@
             self._server_metrics.count(change)
 
     def _observe_loop(self):
-        turn_s = self._loop_clock.pop_longest_turn_s()
-        self._metrics.observe_loop_lag(turn_s)
-        if turn_s >= LONG_TURN_S:
-            journal.write(events.Event.LOOP_BEHIND, turn_ms=round(turn_s * 1_000))
+        lag_s = self._loop_clock.pop_longest_delay_s()
+        self._metrics.observe_loop_lag(lag_s)
+        if lag_s >= LONG_LAG_S:
+            journal.write(events.Event.LOOP_BEHIND, lag_ms=round(lag_s * 1_000))
 
     def _read_settings_mtime_ns(self):
         try:
--- a/packages/entry/wasabiknot_entry/request_metrics.py
+++ b/packages/entry/wasabiknot_entry/request_metrics.py
@@ -51,7 +51,7 @@
 
         self._loop_lag = prometheus_client.Histogram(
             "wasabiknot_loop_lag_seconds",
-            "Longest turn of the event loop in each tenth of a second.",
+            "Longest delay of the event loop in each tenth of a second.",
             buckets=DELAY_BUCKETS_S,
             registry=self._registry,
         )
@@ -94,9 +94,9 @@
         self._idle_closes.inc()
 
     def observe_loop_lag(self, lag_s):
-        """Observes the longest turn of the event loop since the last observation.
+        """Observes the longest delay of the event loop since the last observation.
 
-        :param lag_s: length of the turn, in seconds.
+        :param lag_s: seconds.
         """
         self._loop_lag.observe(lag_s)
 
--- a/packages/kernel/wasabiknot_kernel/events.py
+++ b/packages/kernel/wasabiknot_kernel/events.py
@@ -40,7 +40,7 @@
         1007, logging.WARNING, "stood still for {paused_ms} ms, holding requests"
     )
     LOOP_BEHIND = EventDefinition(
-        1008, logging.WARNING, "event loop behind, a turn took {turn_ms} ms"
+        1008, logging.WARNING, "event loop {lag_ms} ms behind"
     )
     CONFIGURED = EventDefinition(
         1101, logging.INFO, "configuration {publication} is active"
