Count the bytes that an entry sends to its peers

What was late was the way out: 47 connections of that entry to servers didn't come up within 400 ms in seconds 15 to 20, its calls to the store and to peers timed out, and a request written at 18.56 s reached its server at 19.95 s. So its link is full; nothing tells of what.

No decision changes.

--- a/packages/entry/tests/test_gossip.py
+++ b/packages/entry/tests/test_gossip.py
@@ -40,6 +40,7 @@
             self.deployment,
             None,
             lambda topic, changed, source: self.applied.append((topic, source)),
+            mock.Mock(),
         )
 
     def receive_digest(self, sender, response):
--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -26,6 +26,7 @@
     gossip,
     journal,
     pages,
+    peer_traffic,
     release_writers,
     request_metrics,
     restorations,
@@ -169,7 +170,10 @@
         self._reader_role = followers.ReaderRole(
             lambda: self._deployment.should_read_store(reactor.seconds())
         )
-        self._gossip = gossip.Gossip(reactor, self._deployment, pool, self._apply_facts)
+        self._peer_traffic = peer_traffic.PeerTraffic(reactor)
+        self._gossip = gossip.Gossip(
+            reactor, self._deployment, pool, self._apply_facts, self._peer_traffic
+        )
         self._crash_writer = crash_writers.CrashWriter(
             reactor, self._deployment, self._store
         )
@@ -178,6 +182,7 @@
             reactor, self._deployment.eligibility
         )
         metrics.add_collector(self._server_metrics)
+        metrics.add_collector(self._peer_traffic)
         self._restorations = restorations.RestorationHandler(
             reactor, rng, self._deployment, self._apply_facts, self._publish_member
         )
@@ -212,7 +217,9 @@
         port = settings.ports[0]
         self._listen(
             f"{settings.host}:{port}",
-            gossip.create_factory(self._deployment, self._metrics.render),
+            gossip.create_factory(
+                self._deployment, self._metrics.render, self._peer_traffic
+            ),
         )
         reactor.listenUDP(port, self._gossip, interface=settings.host)
         followed = subscriptions.follow_topics(
@@ -273,6 +280,7 @@
     def _tick(self):
         check_pause(self._deployment)
         self._observe_loop()
+        self._peer_traffic.check()
         self._gateway.check_departures()
         self._deployment.tick(reactor.seconds())
         self._reader_role.update()
--- a/packages/entry/wasabiknot_entry/gossip.py
+++ b/packages/entry/wasabiknot_entry/gossip.py
@@ -5,7 +5,7 @@
 import msgspec
 from twisted.internet import defer, protocol
 
-from wasabiknot_entry import calls, journal, pages
+from wasabiknot_entry import calls, journal, pages, peer_traffic
 from wasabiknot_kernel import events, facts, members, summaries
 
 FACTS_PATH = "/facts"
@@ -27,16 +27,19 @@
 POSITIONS_REPEAT_S = 1.0
 
 
-def create_factory(deployment, metrics):
+def create_factory(deployment, metrics, traffic):
     """Creates the HTTP server for peers and for the scraping of metrics.
 
     :param deployment: ``deployments.Deployment``.
     :param metrics: handler of the metrics path.
+    :param traffic: ``peer_traffic.PeerTraffic``.
     :return: a Twisted protocol factory.
     """
 
     def serve_updates(request):
-        return _serve_updates(deployment, request)
+        content = _serve_updates(deployment, request)
+        traffic.count(peer_traffic.Kind.FACTS, len(content))
+        return content
 
     handlers = {FACTS_PATH.encode(): serve_updates, METRICS_PATH: metrics}
     return pages.create_factory(handlers.get)
@@ -73,13 +76,15 @@
     :param pool: ``connections.Pool``.
     :param apply_facts: function of a topic name, a list of changed facts and the
         name of their source.
+    :param traffic: ``peer_traffic.PeerTraffic``.
     """
 
-    def __init__(self, reactor, deployment, pool, apply_facts):
+    def __init__(self, reactor, deployment, pool, apply_facts, traffic):
         self._reactor = reactor
         self._deployment = deployment
         self._pool = pool
         self._apply_facts = apply_facts
+        self._traffic = traffic
         self._is_fetching = False
         self._interval_count = 0
         self._last_digest = None
@@ -161,11 +166,13 @@
         if due.group:
             summary = [self._deployment.build_group_summary(now_s)]
             for group in roster.list_other_groups():
-                self._send(summary, roster.list_summary_recipients(group, now_s))
+                recipients = roster.list_summary_recipients(group, now_s)
+                self._send(summary, recipients, peer_traffic.Kind.SUMMARY)
         return [self._deployment.build_remote_summary(now_s)] if due.remote else []
 
-    def _send(self, digests, peers):
+    def _send(self, digests, peers, kind=peer_traffic.Kind.DIGEST):
         data = msgspec.json.encode(members.Bundle(tuple(digests)))
+        self._traffic.count(kind, len(data) * len(peers))
         for peer in peers:
             self.transport.write(data, (peer.member.host, peer.member.port))
 
--- a/packages/kernel/wasabiknot_kernel/events.py
+++ b/packages/kernel/wasabiknot_kernel/events.py
@@ -203,6 +203,9 @@
     REQUEST_FAILED = EventDefinition(
         1409, logging.ERROR, "{request}: unexpected failure: {error}"
     )
+    PEER_TRAFFIC = EventDefinition(
+        1502, logging.WARNING, "sent {sent_bytes} bytes to peers in a second"
+    )
     DATAGRAM_BAD = EventDefinition(
         1501, logging.WARNING, "bad datagram from {peer}: {error}"
     )
