Don't search the servers for each waiting request while none has room

Servers of other groups count as capacity only with as much room as they need to be used, and this is asked before the queue is sorted; requests at silent servers ask it first as well.

--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -378,7 +378,7 @@
         # An entry of a large fleet sends too few requests to tell from them how soon a
         # slot is free. Its group holds the slots of its engines, for a time that is
         # known, and shares them among the entries with queued requests.
-        if self.group_servers and self.is_engine:
+        if self._is_grouped:
             return self._estimate_group_interval_s()
         while self._send_times_s and self._send_times_s[0] < now_s - RATE_WINDOW_S:
             self._send_times_s.popleft()
@@ -417,12 +417,14 @@
         :return: list of ``Assignment``.
         """
         decisions = []
+        if not self._waiting or not self.has_capacity(now_s):
+            return decisions
         waiting = sorted(
             self._waiting.values(),
             key=lambda item: self._compute_queue_key(item, now_s),
         )
         for ticket in waiting:
-            if not self._has_capacity(now_s):
+            if decisions and not self.has_capacity(now_s):
                 break
             if self._is_harmful(ticket, now_s):
                 self.withdraw(ticket)
@@ -472,6 +474,8 @@
             return Stay(obstacle)
         if not self.is_engine and self._may_still_run(ticket, now_s):
             return Stay("may still run")
+        if not self.has_capacity(now_s):
+            return Stay("no other server")
         chosen = self._choose_substitute(ticket, now_s)
         if chosen is None:
             return Stay("no other server")
@@ -568,12 +572,31 @@
         is_measured = server.service_times.is_measured
         return Assignment(ticket, server, waited_s, score_ms, is_measured)
 
-    def _has_capacity(self, now_s):
+    def has_capacity(self, now_s):
+        """Tells whether some request could be sent now, whatever it asks for.
+
+        :param now_s: current time, in seconds.
+        :return: ``False`` if no backend server that this entry may use has room.
+        """
         return any(
-            not item.is_retired and self._can_take(item, now_s)
+            self._is_within_reach(item) and self._can_take(item, now_s)
             for item in self.servers.values()
+            if not item.is_retired
         )
 
+    def _is_within_reach(self, server):
+        # Those of other groups are used only while they have much room.
+        if not self._is_grouped or server.server_id in self.group_servers:
+            return True
+        return self._is_load_known(server) and self._has_much_room(server)
+
+    @property
+    def _is_grouped(self):
+        return bool(self.group_servers) and self.is_engine
+
+    def _has_much_room(self, server):
+        return self._count_free_slots(server) >= MIN_REMOTE_FREE_FRACTION * server.slots
+
     def _can_take(self, server, now_s):
         if self._count_free_slots(server) <= 0:
             return False
@@ -592,13 +615,11 @@
             return server.slots
         if not self.is_engine:
             return PLAIN_REQUESTS_PER_SLOT * server.slots - len(server.sends)
-        own_sends = len(server.sends)
-        remaining_slots = math.ceil(self.slot_share * server.slots) - own_sends
-        return min(
-            remaining_slots,
-            server.slots - server.count_running(),
-            self._count_claimable_slots(server),
-        )
+        remaining_slots = math.ceil(self.slot_share * server.slots) - len(server.sends)
+        free_slots = min(remaining_slots, server.slots - server.count_running())
+        if free_slots <= 0:
+            return free_slots
+        return min(free_slots, self._count_claimable_slots(server))
 
     def _count_claimable_slots(self, server):
         # Peers still count the slots that this entry has released since its last
@@ -663,7 +684,7 @@
         return untried or usable
 
     def _filter_by_group(self, candidates):
-        if not self.group_servers or not self.is_engine:
+        if not self._is_grouped:
             return candidates
         group_candidates = [
             item for item in candidates if item.server_id in self.group_servers
@@ -673,8 +694,7 @@
         remote_candidates = [
             item
             for item in candidates
-            if self._is_load_known(item)
-            and self._count_free_slots(item) >= MIN_REMOTE_FREE_FRACTION * item.slots
+            if self._is_load_known(item) and self._has_much_room(item)
         ]
         # The load of these servers is known with a delay, and all groups see the
         # same values. A random sample keeps them from choosing the same server.
