Don't take a copy of an earlier refusal for the next request's

A faulty server wrote an earlier refusal once more on a kept connection.

Cause: a refusal without an id was believed to answer whatever was in flight, also on a connection that had carried earlier requests; and a request that was sent again could get the connection that had refused it before, where a copy has its own id.

A refusal without an id is believed on a connection's first request only; else the response counts as lost (502 where it may run once). A request never returns to a connection that has answered it.

--- a/packages/entry/tests/test_send_attempts.py
+++ b/packages/entry/tests/test_send_attempts.py
@@ -40,7 +40,7 @@
         self.opening = opening
         self.buffers = buffers.Budget()
 
-    def acquire(self, address, idle_s):
+    def acquire(self, address, idle_s, request_id):
         return self.opening
 
 
--- a/packages/entry/tests/test_silent_servers.py
+++ b/packages/entry/tests/test_silent_servers.py
@@ -90,7 +90,7 @@
         self.buffers = buffers.Budget()
         self.opened = []
 
-    def acquire(self, address, max_idle_s):
+    def acquire(self, address, max_idle_s, request_id):
         self.opened.append(Connection(address))
         return defer.succeed(self.opened[-1])
 
--- a/packages/entry/wasabiknot_entry/connections.py
+++ b/packages/entry/wasabiknot_entry/connections.py
@@ -324,14 +324,18 @@
         self.buffers = held if held is not None else buffers.Budget()
         self.silence = silence
 
-    def acquire(self, address, max_idle_s):
+    def acquire(self, address, max_idle_s, request_id=""):
         """Takes an idle connection from the pool or opens a new one.
 
+        A late copy of a response to the same request could not be told from the one
+        that is due, so a request never returns to a connection.
+
         :param address: host and port, separated by a colon.
         :param max_idle_s: longest idle time of a pooled connection, in seconds.
+        :param request_id: id of the request; empty if responses carry none.
         :return: deferred ``Connection``; cancelling it stops the connection attempt.
         """
-        connection = self._pop_idle(address, max_idle_s)
+        connection = self._pop_idle(address, max_idle_s, request_id)
         if connection is not None:
             return defer.succeed(connection)
         return self.connect(address)
@@ -352,13 +356,14 @@
         factory.noisy = False
         return endpoint.connect(factory)
 
-    def _pop_idle(self, address, max_idle_s):
+    def _pop_idle(self, address, max_idle_s, request_id=""):
         idle = self._idle.get(address, [])
         now_s = self._reactor.seconds()
         while idle:
             connection, expires_s = idle.pop()
             is_fresh = now_s - connection.idle_since_s <= max_idle_s
-            if is_fresh and now_s < expires_s:
+            is_new_to_it = request_id not in connection.earlier_requests
+            if is_fresh and is_new_to_it and now_s < expires_s:
                 return connection
             connection.transport.loseConnection()
         return None
--- a/packages/entry/wasabiknot_entry/send_attempts.py
+++ b/packages/entry/wasabiknot_entry/send_attempts.py
@@ -93,7 +93,7 @@
         is_repeatable = self._ticket.route.is_repeatable
         idle_s = MAX_IDLE_REPEATABLE_S if is_repeatable else MAX_IDLE_NON_REPEATABLE_S
         address = assignment.server.registration.address
-        self._connecting = pool.acquire(address, idle_s)
+        self._connecting = pool.acquire(address, idle_s, self._ticket.request_id)
         self._connecting.addCallbacks(self._send, self._handle_connect_failure)
 
     def _send(self, connection):
@@ -185,7 +185,9 @@
             return not (
                 head.status < 300 and (not head.stamp or head.has_content_encoding)
             )
-        return head.is_not_executed and not head.attempt_id
+        # A refusal without an id may be a copy of that of an earlier request.
+        is_anonymous = head.is_not_executed and not head.attempt_id
+        return is_anonymous and not self._connection.earlier_requests
 
     def handle_data(self, data):
         """Handles a chunk of the body."""
