Don't end a stream as complete on a server that adds no event

Nothing on the users' pages tells a whole stream from one that its server ended early but the end of its framing. A server that was asked to go on and adds nothing is no evidence that the stream was whole; one that adds at least one event is believed. Decision: the stream is cut, and its caller may resume it; a stream that broke off exactly behind its last event is cut as well, which costs a caller another request, while a false end costs the rest of the response unseen.

test_begun_streams.test_next_server_without_an_event_does_not_end_the_stream failed before.

--- a/packages/entry/tests/test_begun_streams.py
+++ b/packages/entry/tests/test_begun_streams.py
@@ -74,6 +74,12 @@
                 self.respond_in_chunks(second, [b"no such stream\n"], status)
                 self.check_cut(channel)
 
+    def test_next_server_without_an_event_does_not_end_the_stream(self):
+        # Guards against a stream that looks complete although events are missing.
+        channel, second = self.break_off()
+        self.respond_in_chunks(second, [])
+        self.check_cut(channel)
+
     def test_failure_of_the_next_server_cuts_the_stream(self):
         channel, second = self.break_off()
         self.respond_in_chunks(second, [b"x"], b"500 Failed")
--- a/packages/entry/wasabiknot_entry/send_attempts.py
+++ b/packages/entry/wasabiknot_entry/send_attempts.py
@@ -255,8 +255,15 @@
             detail = "ends within an event"
             self._finish(Result(Outcome.RESPONSE_LOST, self._head, detail=detail))
             return
+        if self._event_reader is not None and not self._may_end_stream():
+            self._finish(Result(Outcome.RESPONSE_LOST, self._head, detail="no event"))
+            return
         self._finish(self._classify_response())
 
+    def _may_end_stream(self):
+        # A server that adds nothing may not know that events are missing.
+        return self._event_count > 0 or not self._ticket.is_begun
+
     def _classify_response(self):
         head = self._head
         body = b"".join(self._body)
