Report each crash a few times, not in each digest of each peer

Cause: eleven engines crash at second 13.4, 77 requests in flight there count as crashes. Each entry put up to 32 of them, 75 bytes each, into each digest, 20 a second to eight peers, for two seconds and, while the store had not kept them, for as long as it took; and repeated what its peers had reported to it. What they wrote to servers, the store and peers waited a second and more, the end of a connection too, so the calls that would have kept the crashes failed and the reports went on.

A crash that this entry has seen goes into its digests, one that its group has seen into its summary, one of other groups into what a leader tells its members; each at most every 0.4 s for two seconds, then every two seconds until it is stored. What nobody has stored in three seconds is reported by all who know it, as before.

--- a/packages/kernel/wasabiknot_kernel/crash_monitors.py
+++ b/packages/kernel/wasabiknot_kernel/crash_monitors.py
@@ -141,8 +141,9 @@
         :param digest: ``members.Digest``.
         :param now_s: current time in Unix seconds.
         """
+        channel = digest.find_channel()
         for crash in digest.recent_crashes:
-            self._register.add(crash, now_s)
+            self._register.add(crash, now_s, channel)
         self._register.apply_responses(source, digest.responses)
         refused = self._attribution.apply_report(source, digest.refused_servers)
         for server_key in refused:
--- a/packages/kernel/wasabiknot_kernel/crashes.py
+++ b/packages/kernel/wasabiknot_kernel/crashes.py
@@ -6,17 +6,22 @@
 
 import collections
 import enum
+import math
 
 import msgspec
 
-from wasabiknot_kernel import suspects
+from wasabiknot_kernel import statements, suspects
 
 # Time for which a crash counts.
 RETENTION_S = 3_600.0
 MAX_REQUESTS = 2_048
 MAX_OBSERVATIONS = 256
-# Time for which digests include a crash, even if it is already stored.
+# Time for which digests include a crash, even if it is already stored, and interval
+# of these reports. Beyond it, those that aren't stored are reported less often.
 REPORT_S = 2.0
+REPORT_INTERVAL_S = 0.4
+UNSTORED_REPORT_INTERVAL_S = 2.0
+ALL_CHANNELS = frozenset(statements.Channel)
 MAX_REPORTED = 32
 # Time after which another entry stores a crash that its observer has not stored.
 TAKEOVER_S = 3.0
@@ -119,16 +124,17 @@
         :param evidence: ``Evidence``.
         """
         if now_s - crash.at_s < RETENTION_S:
-            self._add(crash, now_s, evidence, is_own=True)
+            self._add(crash, now_s, evidence, statements.Channel.OWN)
 
-    def add(self, crash, now_s):
+    def add(self, crash, now_s, channel=statements.Channel.GROUP):
         """Adds a crash that a peer reports.
 
         :param crash: ``Crash``.
         :param now_s: current time in Unix seconds.
+        :param channel: ``statements.Channel`` of the report.
         """
         if now_s - crash.at_s < RETENTION_S:
-            self._add(crash, now_s, Evidence.PEER, is_own=False)
+            self._add(crash, now_s, Evidence.PEER, channel)
 
     def add_stored(self, crash, now_s):
         """Adds a crash that the store keeps.
@@ -136,15 +142,15 @@
         :param crash: ``Crash``.
         :param now_s: current time in Unix seconds.
         """
-        self._add(crash, now_s, Evidence.STORE, is_own=False)
+        self._add(crash, now_s, Evidence.STORE, statements.Channel.REMOTE)
         self.mark_stored([crash])
 
-    def _add(self, crash, now_s, evidence, is_own):
+    def _add(self, crash, now_s, evidence, channel):
         suspect = self._requests.setdefault(crash.fingerprint, suspects.Suspect())
         self._requests.move_to_end(crash.fingerprint)
         if crash.server in suspect.crashes:
             return
-        suspect.crashes[crash.server] = suspects.KnownCrash(crash, now_s, is_own)
+        suspect.crashes[crash.server] = suspects.KnownCrash(crash, now_s, channel)
         if len(suspect.crashes) > 1:
             self._repeated[crash.fingerprint] = suspect
         for known in suspect.crashes.values():
@@ -313,10 +319,14 @@
         suspect = self._requests.get(fingerprint)
         return len(suspect.crashes) if suspect is not None else 0
 
-    def list_reported(self, now_s):
-        """Lists the crashes that digests include: recent ones and those not stored.
+    def list_reported(self, now_s, channels=ALL_CHANNELS):
+        """Lists the crashes for the next digest: recent ones and those not stored.
+
+        Each is reported a few times, as digests may be lost.
 
         :param now_s: current time in Unix seconds.
+        :param channels: ``statements.Channel`` items; only crashes that this entry has
+            learnt of by these are listed, and those that nobody has stored in time.
         :return: tuple of at most ``MAX_REPORTED`` ``Crash`` items: those of the
             requests with the most crashes, then the newest.
         """
@@ -324,8 +334,15 @@
             is_kept = known.is_stored or not self._needs_storing(known)
             if is_kept and now_s - known.known_s > REPORT_S:
                 del self._reported[key]
-        crashes = [known.crash for known in reversed(self._reported.values())]
-        return tuple(self._rank(crashes)[:MAX_REPORTED])
+        crashes = [
+            known.crash
+            for known in reversed(self._reported.values())
+            if _is_report_due(known, now_s, channels)
+        ]
+        listed = tuple(self._rank(crashes)[:MAX_REPORTED])
+        for crash in listed:
+            self._reported[crash.key].reported_s[channels] = now_s
+        return listed
 
     def _rank(self, crashes):
         repeated = [item for item in crashes if item.fingerprint in self._repeated]
@@ -403,7 +420,7 @@
             known = self._find_known(fingerprint, server)
             if known is not None:
                 known.is_stored = False
-                known.is_own = True
+                known.channel = statements.Channel.OWN
                 known.known_s = now_s
                 self._reported[key] = known
 
@@ -428,3 +445,12 @@
         """
         for key in keys:
             self._deletions.pop(key, None)
+
+
+def _is_report_due(known, now_s, channels):
+    age_s = now_s - known.known_s
+    is_forsaken = age_s > TAKEOVER_S and not known.is_stored
+    if known.channel not in channels and not is_forsaken:
+        return False
+    interval_s = REPORT_INTERVAL_S if age_s <= REPORT_S else UNSTORED_REPORT_INTERVAL_S
+    return now_s - known.reported_s.get(channels, -math.inf) >= interval_s
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -22,7 +22,6 @@
     releases,
     service_times,
     silences,
-    statements,
     store_readers,
     store_reads,
 )
@@ -424,11 +423,8 @@
         self.releases.apply_evidence(source, digest.evidence)
         self.silences.apply_reports(source, digest.silence_reports, now_s)
         self.crash_monitor.apply_digest(source, digest, now_s)
-        channel = (
-            statements.Channel.REMOTE if digest.group else statements.Channel.GROUP
-        )
         self.eligibility.apply_reports(
-            digest.limits, digest.leaving_servers, channel, now_s
+            digest.limits, digest.leaving_servers, digest.find_channel(), now_s
         )
         return peer
 
--- a/packages/kernel/wasabiknot_kernel/digest_builders.py
+++ b/packages/kernel/wasabiknot_kernel/digest_builders.py
@@ -137,7 +137,7 @@
             },
             loads=loads,
             used={name: round(value) for name, value in used.items()},
-            recent_crashes=self._entry.crashes.list_reported(now_s),
+            recent_crashes=self._entry.crashes.list_reported(now_s, channels),
             is_stopping=self._entry.is_stopping,
             read_age_ms=self._entry.store_reads.compute_age_ms(now_s),
             evidence=self._entry.releases.list_evidence(),
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -104,6 +104,15 @@
     leaving_servers: tuple[statements.LeavingReport, ...] = ()
     silence_reports: dict[str, silences.SilenceReport] = {}
 
+    def find_channel(self):
+        """Finds the channel by which the receiver learns what the digest reports.
+
+        :return: ``statements.Channel``.
+        """
+        if self.group:
+            return statements.Channel.REMOTE
+        return statements.Channel.GROUP
+
 
 class Bundle(msgspec.Struct, frozen=True, array_like=True):
     """The digests and summaries in one datagram.
--- a/packages/kernel/wasabiknot_kernel/suspects.py
+++ b/packages/kernel/wasabiknot_kernel/suspects.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from wasabiknot_kernel import statements
+
 # Number of crashes after which a request is refused. A harmless request can be in
 # flight during two crashes that another request causes; three are very unlikely.
 MAX_CRASHES = 3
@@ -28,14 +30,22 @@
 
     :param crash: ``crashes.Crash``.
     :param known_s: time at which this entry learnt of it, in Unix seconds.
-    :param is_own: whether this entry has observed it.
+    :param channel: ``statements.Channel`` by which this entry has learnt of it; the
+        store counts as another group.
     :param is_stored: whether the store keeps it.
+    :param reported_s: time of the newest report, by the channels of the digest.
     """
 
     crash: object
     known_s: float
-    is_own: bool
+    channel: statements.Channel
     is_stored: bool = False
+    reported_s: dict[frozenset[statements.Channel], float] = {}
+
+    @property
+    def is_own(self):
+        """Whether this entry has observed it."""
+        return self.channel is statements.Channel.OWN
 
 
 class Suspect(msgspec.Struct):
