Let what peers are told take a fifth of the link at most

Digests and summaries are paced by a budget of bytes, a fifth of the VM's link with half a second of it at once; at least every 0.3 s a digest goes out whatever it takes, as peers count an entry as unreachable after a second. Wide links never come near it.

--- a/packages/entry/tests/test_gossip.py
+++ b/packages/entry/tests/test_gossip.py
@@ -5,7 +5,7 @@
 import msgspec
 from twisted.internet import defer, task
 
-from wasabiknot_entry import calls, gossip
+from wasabiknot_entry import calls, gossip, peer_traffic
 from wasabiknot_kernel import (
     allowances,
     deployments,
@@ -172,3 +172,30 @@
         self.assertTrue(all(with_positions[:9]))
         later = with_positions[12:]
         self.assertEqual(sum(later), len(later) // 3)
+
+
+class PacedGossipTests(unittest.TestCase):
+    def play(self, link_mbps):
+        """Sends changing digests for ten seconds.
+
+        :return: number of datagrams.
+        """
+        clock = task.Clock()
+        clock.advance(100.0)
+        entry, peer = (build_deployment(name) for name in ("e1", "e2"))
+        entry.roster.apply_member(peer.member, 100.0)
+        traffic = peer_traffic.PeerTraffic(clock)
+        sender = gossip.Gossip(clock, entry, None, None, traffic, link_mbps)
+        sender.transport = mock.Mock()
+        for step in range(100):
+            entry.allowances.used["graz"] = step
+            sender.send_digest()
+            clock.advance(0.1)
+        return sender.transport.write.call_count
+
+    def test_digests_yield_to_requests_on_a_narrow_link(self):
+        # Guards against control traffic that delays requests and closes.
+        self.assertEqual(self.play(0), 100)
+        sent = self.play(0.001)
+        self.assertGreaterEqual(sent, 25)
+        self.assertLess(sent, 40)
--- a/packages/entry/wasabiknot_entry/edge.py
+++ b/packages/entry/wasabiknot_entry/edge.py
@@ -172,7 +172,12 @@
         )
         self._peer_traffic = peer_traffic.PeerTraffic(reactor)
         self._gossip = gossip.Gossip(
-            reactor, self._deployment, pool, self._apply_facts, self._peer_traffic
+            reactor,
+            self._deployment,
+            pool,
+            self._apply_facts,
+            self._peer_traffic,
+            settings.link_mbps,
         )
         self._crash_writer = crash_writers.CrashWriter(
             reactor, self._deployment, self._store
--- a/packages/entry/wasabiknot_entry/gossip.py
+++ b/packages/entry/wasabiknot_entry/gossip.py
@@ -6,7 +6,7 @@
 from twisted.internet import defer, protocol
 
 from wasabiknot_entry import calls, journal, pages, peer_traffic
-from wasabiknot_kernel import events, facts, members, summaries
+from wasabiknot_kernel import events, facts, members, pacing, summaries
 
 FACTS_PATH = "/facts"
 METRICS_PATH = b"/metrics"
@@ -77,14 +77,16 @@
     :param apply_facts: function of a topic name, a list of changed facts and the
         name of their source.
     :param traffic: ``peer_traffic.PeerTraffic``.
+    :param link_mbps: speed of the VM's link, in megabits a second; 0 if it isn't known.
     """
 
-    def __init__(self, reactor, deployment, pool, apply_facts, traffic):
+    def __init__(self, reactor, deployment, pool, apply_facts, traffic, link_mbps=0):
         self._reactor = reactor
         self._deployment = deployment
         self._pool = pool
         self._apply_facts = apply_facts
         self._traffic = traffic
+        self._pacer = pacing.Pacer(link_mbps)
         self._is_fetching = False
         self._interval_count = 0
         self._last_digest = None
@@ -100,6 +102,8 @@
         if self.transport is None:
             return
         now_s = self._reactor.seconds()
+        if self._pacer.compute_delay_s(now_s) > 0:
+            return
         roster = self._deployment.roster
         self._interval_count += 1
         digest = self._deployment.build_digest(now_s)
@@ -118,8 +122,9 @@
         """
         if self.transport is None or self._announcement is not None:
             return
+        now_s = self._reactor.seconds()
         due_s = self._sent_s + MIN_ANNOUNCEMENT_INTERVAL_S
-        delay_s = max(0.0, due_s - self._reactor.seconds())
+        delay_s = max(0.0, due_s - now_s, self._pacer.compute_delay_s(now_s))
         self._announcement = self._reactor.callLater(delay_s, self._announce)
 
     def _announce(self):
@@ -172,7 +177,9 @@
 
     def _send(self, digests, peers, kind=peer_traffic.Kind.DIGEST):
         data = msgspec.json.encode(members.Bundle(tuple(digests)))
-        self._traffic.count(kind, len(data) * len(peers))
+        size_bytes = len(data) * len(peers)
+        self._traffic.count(kind, size_bytes)
+        self._pacer.record_send(size_bytes, self._reactor.seconds())
         for peer in peers:
             self.transport.write(data, (peer.member.host, peer.member.port))
 
