Let callers of the soak leave, early and late, in three manners

Fifteen of a hundred do now, after 0 to 0.6 s, by a close, a reset, or a close behind 60 KB of a next request; servers record when each run ends. The check is the rule's own, at both ends: at most three requests that reach a server over 0.5 s later, at most a quarter of the runs that go on, away from faults; nothing runs twice.

--- a/packages/standins/tests/test_situations.py
+++ b/packages/standins/tests/test_situations.py
@@ -23,6 +23,7 @@
         "pauses": play("pauses", 1, 12),
         "lapses": play("lapses", 4, 10),
         "stops": play("stops", 1, 10),
+        "departures": play("departures", 1),
     }
 
     def test_sound_running_work_is_not_begun_again(self):
@@ -46,6 +47,9 @@
     def test_work_of_a_server_that_is_not_registered_for_a_while_goes_on(self):
         self.check("lapses")
 
+    def test_nothing_goes_on_for_callers_that_have_left(self):
+        self.check("departures")
+
     def test_requests_accepted_before_a_planned_stop_are_answered(self):
         self.check("stops")
 
--- a/packages/standins/wasabiknot_standins/platformworkers.py
+++ b/packages/standins/wasabiknot_standins/platformworkers.py
@@ -40,6 +40,17 @@
     at_s: float
 
 
+class RunEnd(msgspec.Struct, frozen=True):
+    """The end of one execution.
+
+    :param at_s: time in seconds.
+    :param is_abandoned: whether the connection ended before the response.
+    """
+
+    at_s: float
+    is_abandoned: bool
+
+
 class Silence(msgspec.Struct, frozen=True):
     """A time in which a sound backend server said nothing.
 
@@ -91,6 +102,8 @@
         # Ids of requests to which a server has sent events without end.
         self.flooded_ids = set()
         self.runs = collections.defaultdict(list)
+        # ``RunEnd`` by id of the request and of the backend server.
+        self.run_ends = {}
         self.silences = []
         self.violations = []
 
@@ -289,6 +302,10 @@
         self._check_headers(request, request_id)
         run = Run(request_id, self.server_id, reactor.seconds())
         self._recorder.runs[request_id].append(run)
+        request.notifyFinish().addCallbacks(
+            lambda _: self._record_run_end(run, is_abandoned=False),
+            lambda _: self._record_run_end(run, is_abandoned=True),
+        )
         self.running += 1
         request.setHeader("x-wasabiknot-server-stamp", self.server_id)
         is_harmless = request_id.startswith(HARMLESS_PREFIX)
@@ -302,6 +319,10 @@
         arguments = (respond, request, request_id, disconnects)
         reactor.callLater(delay_s, self._answer, contact, disconnects, *arguments)
 
+    def _record_run_end(self, run, is_abandoned):
+        end = RunEnd(reactor.seconds(), is_abandoned)
+        self._recorder.run_ends[run.request_id, run.server_id] = end
+
     def _find_delay_s(self, request_id):
         shortest_s, longest_s = self.plain_delays_s
         # Most requests take little time, a few much.
--- a/packages/standins/wasabiknot_standins/situations.py
+++ b/packages/standins/wasabiknot_standins/situations.py
@@ -9,6 +9,7 @@
 | ``lost-answers`` | servers run requests, and their responses are lost |
 | ``pauses`` | entries are stopped for seconds and go on, beside new versions |
 | ``lapses`` | registrations lapse and return while their servers work |
+| ``departures`` | half of the callers leave early, in three manners |
 | ``stops`` | entries get SIGTERM in turn, under load |
 """
 
@@ -38,6 +39,7 @@
 LAPSE_S = 3.0
 LAPSE_INTERVAL_S = 4.0
 STOP_INTERVAL_S = 6.0
+DEPARTURE_SHARE = 0.5
 # Bound on the share of sound repeatable requests whose running work is begun again, as
 # the dispatcher leaves what a sound server takes less often than that.
 MAX_BEGUN_AGAIN_SHARE = 0.01
@@ -56,6 +58,7 @@
     PAUSES = "pauses"
     LAPSES = "lapses"
     STOPS = "stops"
+    DEPARTURES = "departures"
 
 
 _BEHAVIOURS = {
@@ -71,6 +74,7 @@
     Situation.SLOW_STREAMS,
     Situation.LAPSES,
     Situation.STOPS,
+    Situation.DEPARTURES,
 )
 
 
@@ -104,6 +108,8 @@
     has_worker_proxies = False
 
     def __init__(self, seed, duration_s, entry_count, directory, situation):
+        if situation is Situation.DEPARTURES:
+            self.departure_share = DEPARTURE_SHARE
         super().__init__(seed, duration_s, entry_count, directory)
         self._situation = situation
         self._happening_rng = random.Random(f"situation/{seed}")
@@ -225,7 +231,7 @@
         return (
             f"{situation.value} seed {seed}: served {summary.served} of"
             f" {summary.sent}, begun again {summary.begun_again}, 502"
-            f" {summary.given_up}, late {summary.late}"
+            f" {summary.given_up}, late {summary.late}, {run.describe_departures()}"
         )
 
     return soaks.play_and_report(run, directory, describe)
--- a/packages/standins/wasabiknot_standins/soaks.py
+++ b/packages/standins/wasabiknot_standins/soaks.py
@@ -20,6 +20,7 @@
     proxies,
     soakchecks,
     soakconfigurations,
+    soakdepartures,
     soakfaults,
     soaksilences,
     soakstatements,
@@ -93,6 +94,8 @@
 
     # Whether faults can be injected into connections to backend servers.
     has_worker_proxies = True
+    # Share of the callers that leave before their response.
+    departure_share = soakdepartures.SOAK_SHARE
 
     def __init__(self, seed, duration_s, entry_count, directory):
         self._rng = random.Random(seed)
@@ -121,6 +124,9 @@
         # Servers of the services that the first configuration sends nothing to.
         self._more_workers = []
         self._silences = soaksilences.Silences(seed, self._list_workers)
+        self._departures = soakdepartures.Departures(
+            seed, self.departure_share, self._recorder
+        )
         self._harmful_caller = None
         self._entry_count = entry_count
         self._directory = directory
@@ -259,6 +265,12 @@
         request = soakconfigurations.build_request(
             f"{prefix}x", response.request_id, b"ok", key
         )
+        departure = self._departures.draw()
+        if departure is not None:
+            departure.request_id, departure.route = response.request_id, name
+            yield self._departures.send(entry.caller_address, request, departure)
+            self._in_flight -= 1
+            return
         yield self._send_request(entry.caller_address, request, response)
         sent_s = response.sent_s
         response.timeout_s = self._configurations.find_timeout_s(name, sent_s)
@@ -318,6 +330,7 @@
         deadline_s = reactor.seconds() + CALL_TIMEOUT_S + 1.0
         while self._in_flight and reactor.seconds() < deadline_s:
             yield sleep(0.05)
+        yield self._departures.wait()
 
     def _record_internal_error(self, failure):
         self.violations.append(f"soak test error: {failure.getTraceback()}")
@@ -374,10 +387,18 @@
                 self._recorder.contacts, self._responses, self._faults.signals
             )
         )
+        self.violations.extend(self._departures.list_violations(self._faults.times_s))
         if self._harmful_caller is not None:
             self._check_harmful(self._harmful_caller)
         self._check_entries()
 
+    def describe_departures(self):
+        """Describes the callers that left.
+
+        :return: short text.
+        """
+        return self._departures.describe()
+
     def _check_entries(self):
         if self.peak_mb > soakstatements.MAX_PEAK_MB:
             self.violations.append(f"an entry needed {self.peak_mb:.0f} MB")
@@ -468,6 +489,7 @@
         for response in soak._responses
     )
     print(f"seed {seed}: {dict(soak.actions)}, peak {soak.peak_mb:.0f} MB")
+    print(f"seed {seed}: {soak.describe_departures()}")
     print(f"seed {seed}: responses {dict(statuses)}")
     print(f"seed {seed}: logs in {path}")
     for violation in violations:
