Send summaries for a group without a known leader to one member at a time

A summary goes to the peer that leads the group by its own account and to the first candidate, mostly the same one; while no peer leads it, to the first candidate and the others in turn. Summaries also wait while the budget of bytes is overdrawn; the digest, which keeps the entry reachable, doesn't.

--- a/packages/entry/wasabiknot_entry/gossip.py
+++ b/packages/entry/wasabiknot_entry/gossip.py
@@ -110,7 +110,8 @@
         if self._can_skip(digest, now_s):
             return
         digests = [self._shorten(digest, now_s)]
-        if roster.has_several_groups and roster.is_leader(now_s):
+        is_leader = roster.has_several_groups and roster.is_leader(now_s)
+        if is_leader and self._pacer.has_room(now_s):
             digests.extend(self._send_summaries(now_s))
         self._sent_s = now_s
         self._send(digests, roster.list_group_peers())
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -1,5 +1,7 @@
 """Cluster membership: peers, groups, leaders and the digests they exchange."""
 
+import collections
+
 import msgspec
 
 from wasabiknot_kernel import crashes, response_stats, servers, silences, statements
@@ -207,6 +209,8 @@
         # Lets callers detect that the groups have changed.
         self.groups_version = 0
         self.group_summaries = {}
+        # Number of summaries sent to candidates for leader, by name of the group.
+        self._summary_turns = collections.Counter()
         self.group = Group("all", (member.name,))
 
     def __iter__(self):
@@ -289,19 +293,31 @@
         return [item for item in self._groups.values() if item is not self.group]
 
     def list_summary_recipients(self, group, now_s):
-        """Lists the peers that receive the summaries for another group.
+        """Lists the peers that receive the next summary for another group.
 
         :param group: ``Group``.
         :param now_s: current time in seconds.
-        :return: list with the leader of the group, or with all of its known members
-            while the leader is unknown.
+        :return: list with the peer that leads the group by its own account and the
+            first candidate, mostly the same one; while no peer leads it, the first
+            candidate every other time, and each of the others in turn.
         """
+        known = [self._peers[name] for name in group.members if name in self._peers]
+        candidates = sorted(known, key=lambda peer: peer.member.order)
         summary = self.group_summaries.get(group.name)
         if summary is not None and not summary.is_unreachable(now_s):
             leader = self._peers.get(summary.digest.name)
             if leader is not None:
-                return [leader]
-        return [self._peers[name] for name in group.members if name in self._peers]
+                return [leader, *(item for item in candidates[:1] if item != leader)]
+        return self._take_turns(group, candidates)
+
+    def _take_turns(self, group, candidates):
+        # Summaries for all of them would fill the link of an entry that hears nobody.
+        if len(candidates) < 2:
+            return candidates
+        first, *others = candidates
+        round_number, is_odd = divmod(self._summary_turns[group.name], 2)
+        self._summary_turns[group.name] += 1
+        return [others[round_number % len(others)] if is_odd else first]
 
     def find(self, name):
         """Finds a peer by name.
--- a/packages/kernel/wasabiknot_kernel/pacing.py
+++ b/packages/kernel/wasabiknot_kernel/pacing.py
@@ -38,6 +38,15 @@
         debt_s = max(0.0, -self._balance / self._rate)
         return max(0.0, min(debt_s, self._sent_s + MAX_INTERVAL_S - now_s))
 
+    def has_room(self, now_s):
+        """Tells whether more than the next digest may be sent.
+
+        :param now_s: current time in seconds.
+        :return: ``False`` while the budget is overdrawn.
+        """
+        self._refill(now_s)
+        return not self._rate or self._balance > 0
+
     def record_send(self, size_bytes, now_s):
         """Records what was sent.
 
