End the attempt of a request whose end has failed

Not seen in any log; shown by a test.

test_gateway_faults.test_work_goes_on_after_a_failure_at_the_departure_of_the_caller failed before (connection not aborted).

--- a/packages/entry/tests/test_gateway_faults.py
+++ b/packages/entry/tests/test_gateway_faults.py
@@ -140,6 +140,14 @@
                 self.assert_failed(self.send())
                 self.assert_served()
 
+    def test_work_goes_on_after_a_failure_at_the_departure_of_the_caller(self):
+        channel = self.send()
+        connection = self.accept(0)
+        self.break_step(flows.Flow, "_release_substitute", 2)
+        channel.connectionLost(gatewaycases.CLOSED)
+        self.assertTrue(connection.transport.is_aborted)
+        self.assert_logged()
+
     def test_failure_to_send_leaves_the_request_until_its_deadline(self):
         self.break_step(connections.Connection, "send")
         channel = self.send()
--- a/packages/entry/wasabiknot_entry/flows.py
+++ b/packages/entry/wasabiknot_entry/flows.py
@@ -410,6 +410,18 @@
         self._finish("left")
         self._gateway.dispatch_waiting(self.ticket.service)
 
+    def abandon(self):
+        """Ends the work on the request after a failure, without a response."""
+        self.is_ended = True
+        attempt, self._attempt = self._attempt, None
+        assignment, self._assignment = self._assignment, None
+        if attempt is not None:
+            attempt.cancel()
+        if assignment is not None:
+            now_s = self._gateway.reactor.seconds()
+            cancelled = Outcome.CANCELLED
+            self.dispatcher.record_end(self.ticket, assignment.server, cancelled, now_s)
+
     def send_error(self, error):
         """Ends the request with an error response.
 
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -275,7 +275,10 @@
         return True
 
     def _forget(self, flow):
-        flow.is_ended = True
+        try:
+            flow.abandon()
+        except Exception:
+            journal.log_failure(failure.Failure(), "end of an attempt")
         self.silent_flows.discard(flow)
         self._flows.pop(id(flow.ticket), None)
         self.get_dispatcher(flow.ticket.service).withdraw(flow.ticket)
