--- a/packages/entry/tests/test_departures.py
+++ b/packages/entry/tests/test_departures.py
@@ -3,12 +3,13 @@
 import socket
 import struct
 import unittest
+from unittest import mock
 
 import gatewaycases
 from twisted.internet import error
 from twisted.python import failure
 
-from wasabiknot_entry import sockets
+from wasabiknot_entry import journal, sockets
 
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -158,6 +159,25 @@
         self.assertLessEqual(float(rest.partition(b"\r\n")[0]), 1_000)
 
 
+class DepartureLogTests(DepartureCase):
+    def leave(self, number, accept):
+        channel = self.connect(gatewaycases.build_head(f"q{number}"))
+        if accept:
+            self.accept(number)
+        with mock.patch.object(journal, "write") as write:
+            channel.connectionLost(gatewaycases.CLOSED)
+        (phase,) = [item.kwargs["phase"] for item in write.call_args_list]
+        self.metrics.count_departure.assert_called_with(phase)
+        return phase
+
+    def test_log_tells_how_far_the_request_was(self):
+        self.assertEqual(self.leave(0, accept=True), "sent")
+        self.assertEqual(self.leave(1, accept=False), "connecting")
+        for number in (2, 3):
+            self.connect(gatewaycases.build_head(f"q{number}"))
+        self.assertEqual(self.leave(4, accept=False), "waiting")
+
+
 class SocketTests(unittest.TestCase):
     def connect(self):
         with socket.create_server(("127.0.0.1", 0)) as server:
--- a/packages/entry/wasabiknot_entry/flows.py
+++ b/packages/entry/wasabiknot_entry/flows.py
@@ -14,8 +14,9 @@
 MIN_SEND_S = 0.02
 # Interval in which a response that has begun asks for retry budget.
 BUDGET_CHECK_INTERVAL_S = 0.2
-# Phase of a request without an attempt.
+# Phase of a request without an attempt, and of one that has ended by itself.
 WAITING = "waiting"
+ENDED = send_attempts.Phase.ENDED.value
 
 
 def _answer_failures(step):
@@ -405,9 +406,10 @@
         """Cancels the request after the caller has closed the connection."""
         if self.is_ended:
             return
-        self._gateway.count_departure(self)
+        phase = self.phase
+        self._gateway.count_departure(phase)
         self._cancel_attempt(is_timed_out=False)
-        self._finish("left")
+        self._finish("left", phase)
         self._gateway.dispatch_waiting(self.ticket.service)
 
     def abandon(self):
@@ -445,7 +447,7 @@
         if channel is not None:
             channel.loseConnection()
 
-    def _finish(self, ended):
+    def _finish(self, ended, phase=ENDED):
         self.is_ended = True
         self._gateway.silent_flows.discard(self)
         if self._request.producer is not None and self._request.channel is not None:
@@ -453,4 +455,4 @@
         for timer in (self._timer, self._budget_timer):
             if timer is not None and timer.active():
                 timer.cancel()
-        self._gateway.finish_request(self, ended)
+        self._gateway.finish_request(self, ended, phase)
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -548,11 +548,12 @@
         )
         self._metrics.count_error_response(error)
 
-    def finish_request(self, flow, ended):
+    def finish_request(self, flow, ended, phase):
         """Removes a request that has its final response or was abandoned.
 
         :param flow: ``flows.Flow``.
         :param ended: how the request ended, for the log and the metrics.
+        :param phase: how far it was when its caller left, for the log.
         """
         ticket = flow.ticket
         self.get_dispatcher(ticket.service).withdraw(ticket)
@@ -570,16 +571,16 @@
             total_ms=round((now_s - ticket.arrived_s) * 1_000),
             first_ms=_measure_ms(ticket.arrived_s, flow.first_event_s),
             events=flow.event_count,
-            phase=flow.phase,
+            phase=phase,
             read_delay_ms=round(flow.read_delay_s * 1_000),
         )
 
-    def count_departure(self, flow):
+    def count_departure(self, phase):
         """Counts a request whose caller left before its response.
 
-        :param flow: ``flows.Flow``.
+        :param phase: how far it was.
         """
-        self._metrics.count_departure(flow.phase)
+        self._metrics.count_departure(phase)
 
     def record_first_event(self, flow):
         """Records the time to the first event, or to the head of a plain response.
