--- a/packages/entry/wasabiknot_entry/send_attempts.py
+++ b/packages/entry/wasabiknot_entry/send_attempts.py
@@ -269,6 +269,7 @@
         body = b"".join(self._body)
         if head.is_not_executed:
             return Result(Outcome.REJECTED, head, body, f"status {head.status}")
+        # Only a stream may continue one that has begun.
         is_error = head.status >= FIRST_SERVER_ERROR
         if is_error or self._ticket.is_begun and self._event_reader is None:
             return Result(Outcome.FAILED, head, body, f"status {head.status}")
