--- a/packages/standins/wasabiknot_standins/soakdepartures.py
+++ b/packages/standins/wasabiknot_standins/soakdepartures.py
@@ -4,7 +4,7 @@
 import random
 
 import msgspec
-from twisted.internet import defer, reactor, task
+from twisted.internet import defer, error, reactor, task
 
 from wasabiknot_entry import connections
 from wasabiknot_standins import soakchecks
@@ -132,10 +132,10 @@
         """
         try:
             connection = yield self._pool.connect(address)
-            yield _Caller(departure, connection, request).ended
-        except Exception:
+        except error.ConnectError:
             # The entry is down, so there was no request.
             return
+        yield _Caller(departure, connection, request).ended
         self._departures.append(departure)
 
     @defer.inlineCallbacks
@@ -178,9 +178,8 @@
         left = [item for item in self._departures if item.left_s is not None]
         ended, going_on = self._count_runs(left)
         late = len(self._list_late_contacts(left))
-        return (
-            f"{len(left)} left, {late} sent later, {going_on} of {ended + going_on} on"
-        )
+        runs = f"{going_on} of {ended + going_on} runs went on"
+        return f"{len(left)} callers left, {late} sent later, {runs}"
 
     def _list_late_contacts(self, left):
         left_s = {item.request_id: item.left_s for item in left}
