List the known members of a group in one place

The list in the order of candidates stood twice, for the own group and for the recipients of summaries. Behaviour is the same. Read once more and left: the delay of a request's reading is computed in the gateway for the metric and in its flow for the log.

--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -267,9 +267,11 @@
 
         :return: list of ``Peer``, the first candidate for leader first.
         """
-        names = self.group.members
-        peers = [self._peers[name] for name in names if name in self._peers]
-        return sorted(peers, key=lambda peer: peer.member.order)
+        return self._list_candidates(self.group)
+
+    def _list_candidates(self, group):
+        known = [self._peers[name] for name in group.members if name in self._peers]
+        return sorted(known, key=lambda peer: peer.member.order)
 
     def list_names(self, now_s):
         """Lists the entries that are not known to have ended, including this one.
@@ -301,8 +303,7 @@
             first candidate, mostly the same one; while no peer leads it, the first
             candidate every other time, and each of the others in turn.
         """
-        known = [self._peers[name] for name in group.members if name in self._peers]
-        candidates = sorted(known, key=lambda peer: peer.member.order)
+        candidates = self._list_candidates(group)
         summary = self.group_summaries.get(group.name)
         if summary is not None and not summary.is_unreachable(now_s):
             leader = self._peers.get(summary.digest.name)
