Name the shared parts of a prompt in the line of each send (WK1403)

Cause: nothing in the logs told what the requests under which backend servers end have in common, as their fingerprints all differ. No decision changes.

--- a/packages/entry/wasabiknot_entry/flows.py
+++ b/packages/entry/wasabiknot_entry/flows.py
@@ -15,6 +15,7 @@
     exceptions,
     members,
     outcomes,
+    prompt_parts,
     releases,
 )
 from wasabiknot_platform import headers as platform_headers
@@ -124,6 +125,7 @@
             events.Event.DISPATCHED,
             request=ticket.request_id,
             fingerprint=ticket.fingerprint,
+            parts=prompt_parts.describe(ticket.arrival),
             server=assignment.server.server_id,
             send=ticket.sends,
             customer=ticket.customer,
