--- a/packages/entry/tests/test_relays.py
+++ b/packages/entry/tests/test_relays.py
@@ -126,7 +126,7 @@
         self.assertEqual(self.read_answer(caller).status, 200)
 
     def test_refusal_of_the_peer_reaches_the_caller_with_its_retry_time(self):
-        self.helper_deployment.crashes.is_refused = lambda *_: True
+        self.helper_deployment.crashes.find_refused = lambda *_: "f"
         self.helper_deployment.try_start_trial = lambda *_: False
         self.cut_off()
         caller = self.connect(gatewaycases.build_head())
@@ -144,7 +144,7 @@
         )
         self.reactor.advance(0.5)
         self.tell()
-        self.helper_deployment.crashes.is_refused = lambda *_: True
+        self.helper_deployment.crashes.find_refused = lambda *_: "f"
         self.helper_deployment.try_start_trial = lambda *_: False
         self.cut_off()
         self.connect(gatewaycases.build_head())
@@ -390,7 +390,7 @@
         first = self.accept(0)
         first.dataReceived(STREAM_HEAD + build_event(1))
         self.cut_off_after_answer()
-        self.helper_deployment.crashes.is_refused = lambda *_: True
+        self.helper_deployment.crashes.find_refused = lambda *_: "f"
         self.helper_deployment.try_start_trial = lambda *_: False
         first.connectionLost(RESET)
         self.accept_relay(2)
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -396,15 +396,15 @@
             )
         if not self._can_finish(ticket, now_s):
             return _create_stop_refusal()
-        is_refused = deployment.crashes.is_refused(ticket.fingerprint, now_s)
-        if is_refused and not deployment.try_start_trial(ticket, now_s):
+        refused_key = deployment.crashes.find_refused(ticket, now_s)
+        if refused_key and not deployment.try_start_trial(ticket, now_s):
             refusal = dispatch.create_harmful_refusal(ticket)
             return error_responses.ErrorResponse(
                 refusal.kind,
                 503,
                 refusal.retry_after_s,
                 refusal.reason,
-                ticket.fingerprint,
+                refused_key,
             )
         return self._charge(ticket, customer, now_s)
 
--- a/packages/kernel/tests/builders.py
+++ b/packages/kernel/tests/builders.py
@@ -44,8 +44,16 @@
     return routes.Route(**{**fields, **changes})
 
 
-def build_ticket(request_id="q1", now_s=0.0, route=None, prompt=600, output=60, rank=1):
-    """Builds an admitted request."""
+def build_ticket(
+    request_id="q1",
+    now_s=0.0,
+    route=None,
+    prompt=600,
+    output=60,
+    rank=1,
+    parts=(),
+):
+    """Builds an admitted request; its parts are given by their names."""
     route = route or build_route()
     arrival = arrivals.Arrival(
         request_id=request_id,
@@ -56,6 +64,7 @@
         prompt_tokens=prompt,
         output_tokens=output,
         states_token_counts=True,
+        parts=tuple(arrivals.PromptPart(name, 100) for name in parts),
     )
     return arrivals.Ticket(
         arrival=arrival,
--- a/packages/kernel/tests/test_dispatch.py
+++ b/packages/kernel/tests/test_dispatch.py
@@ -423,8 +423,8 @@
     def setUp(self):
         self.dispatcher = builders.build_dispatcher(servers=1, slots=1)
         self.harmful = set()
-        self.dispatcher.is_refused = lambda fingerprint, now_s: (
-            fingerprint in self.harmful
+        self.dispatcher.find_refused = lambda ticket, now_s: (
+            ticket.fingerprint if ticket.fingerprint in self.harmful else None
         )
         self.running = builders.build_ticket("running")
         self.dispatcher.submit(self.running, 0.0)
@@ -557,7 +557,7 @@
         self.check_stays(self.decide())
 
     def test_request_that_crashes_servers_stays(self):
-        self.dispatcher.is_refused = lambda fingerprint, now_s: True
+        self.dispatcher.find_refused = lambda ticket, now_s: ticket.fingerprint
         self.check_stays(self.decide())
 
     def test_request_is_not_moved_to_its_own_server_if_that_answers_others(self):
--- a/packages/kernel/wasabiknot_kernel/crashes.py
+++ b/packages/kernel/wasabiknot_kernel/crashes.py
@@ -264,6 +264,16 @@
             self._record_clearance(fingerprint, suspect, reason)
         return reason is None
 
+    def find_refused(self, ticket, now_s):
+        """Finds what forbids to send a request to another backend server.
+
+        :param ticket: ``arrivals.Ticket``.
+        :param now_s: current time in seconds.
+        :return: its fingerprint if that is refused, or ``None``.
+        """
+        is_refused = self.is_refused(ticket.fingerprint, now_s)
+        return ticket.fingerprint if is_refused else None
+
     def _find_clearance_reason(self, suspect):
         if suspect.is_outweighed:
             return ClearanceReason.OUTWEIGHED
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -168,7 +168,7 @@
                 service, self._rng, chooser, self.eligibility
             )
             dispatcher.select = self.releases.select
-            dispatcher.is_refused = self.crashes.is_refused
+            dispatcher.find_refused = self.crashes.find_refused
             dispatcher.name = self.member.name
             dispatcher.domain = self.member.domain
             dispatcher.handle_load_change = self._announce_load
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -200,9 +200,9 @@
         # Function of a ticket, a list of servers and the time; returns the servers
         # whose version may run the request. None for no selection.
         self.select = None
-        # Function of a fingerprint and the time; tells whether the request must not be
-        # sent to a backend server. None for no check.
-        self.is_refused = None
+        # Function of a ticket and the time; returns what forbids to send the request to
+        # a backend server, or None. None for no check.
+        self.find_refused = None
         # Function that is called when a request is sent to an engine, or ends there.
         # None for no calls.
         self.handle_load_change = None
@@ -330,9 +330,9 @@
     def _is_harmful(self, ticket, now_s):
         if ticket.is_trial and not ticket.sends:
             return False
-        return self.is_refused is not None and self.is_refused(
-            ticket.fingerprint, now_s
-        )
+        if self.find_refused is None:
+            return False
+        return self.find_refused(ticket, now_s) is not None
 
     def _find_refusal(self, ticket, now_s):
         if self._is_harmful(ticket, now_s):
