Refuse requests by the prompt part under which backend servers have ended

After the fifth end such requests were sent to servers 4 and 9 times more.

Cause: crashes were counted under a hash of path, customer and body.

Class: evidence kept under a key that the trouble does not share.

Change: a lost response counts for each shared part of the prompt too (all but the last one; at most 32, those without a complete response first), in the same register, digests and records of the store. A complete response speaks for each part, unless its server ends within 0.15 s. A part is refused after three crashes that no complete response has followed: at once if it was never answered and the service answers others, else after 2 s and three responses to others, or five crashes over 2 s without any. What a refused request or another part with fewer responses explains doesn't count. One trial at a time of a request with a single refused part, none beyond six crashes; one response ends the blame everywhere and deletes the records.

Why it works: the harmful part has no complete response while it is harmful, and the parts that run beside it have.

--- a/packages/entry/wasabiknot_entry/crash_writers.py
+++ b/packages/entry/wasabiknot_entry/crash_writers.py
@@ -6,7 +6,7 @@
 from twisted.internet import defer
 
 from wasabiknot_entry import calls, followers, journal
-from wasabiknot_kernel import crashes, events
+from wasabiknot_kernel import crashes, events, prompt_parts
 from wasabiknot_platform import stores
 
 RETRY_DELAY_S = 1.0
@@ -73,13 +73,16 @@
     return msgspec.json.encode(msgspec.structs.replace(crash, at_s=time.time()))
 
 
-def log_observations(register):
-    """Logs the crashes, unattributed losses and clearances since the last call.
+def log_observations(register, metrics):
+    """Logs what the register has learnt and decided since the last call.
 
     :param register: ``crashes.CrashRegister``.
+    :param metrics: ``crash_metrics.CrashMetrics``.
     """
     for observation in register.pop_observations():
         is_crash = observation.evidence is not crashes.Evidence.NONE
+        if is_crash:
+            metrics.count_crash(observation.crash, observation.evidence)
         event = (
             events.Event.CRASH_RECORDED if is_crash else events.Event.LOSS_UNATTRIBUTED
         )
@@ -98,3 +101,21 @@
             responses=clearance.responses,
             reason=clearance.reason.value,
         )
+    for verdict in register.pop_verdicts():
+        metrics.count_verdict(verdict)
+        _log_verdict(verdict)
+
+
+def _log_verdict(verdict):
+    part, service = prompt_parts.split_key(verdict.key)
+    event = (
+        events.Event.PART_REFUSED if verdict.is_refused else events.Event.PART_SERVED
+    )
+    journal.write(
+        event,
+        part=part,
+        service=service,
+        fingerprint=verdict.key,
+        count=verdict.count,
+        responses=verdict.responses,
+    )
--- a/packages/entry/wasabiknot_entry/edge_entries.py
+++ b/packages/entry/wasabiknot_entry/edge_entries.py
@@ -19,6 +19,7 @@
     calls,
     change_logs,
     clocks,
+    crash_metrics,
     crash_writers,
     deployment_views,
     edge_settings,
@@ -136,6 +137,8 @@
             reactor, self._deployment.eligibility
         )
         metrics.add_collector(self._server_metrics)
+        self._crash_metrics = crash_metrics.CrashMetrics()
+        metrics.add_collector(self._crash_metrics)
         metrics.add_collector(self._peer_traffic)
         metrics.add_collector(input_scheduler)
         self._restorations = restorations.RestorationHandler(
@@ -262,7 +265,7 @@
             change_logs.log_brittle(change)
         self._reader_role.update()
         self._crash_writer.check()
-        crash_writers.log_observations(self._deployment.crashes)
+        crash_writers.log_observations(self._deployment.crashes, self._crash_metrics)
         self._restorations.check_era()
         for change in self._deployment.eligibility.pop_changes():
             change_logs.log_statement(change)
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -398,13 +398,13 @@
             return _create_stop_refusal()
         refused_key = deployment.crashes.find_refused(ticket, now_s)
         if refused_key and not deployment.try_start_trial(ticket, now_s):
-            refusal = dispatch.create_harmful_refusal(ticket)
+            refusal = dispatch.create_harmful_refusal(ticket, refused_key)
             return error_responses.ErrorResponse(
                 refusal.kind,
                 503,
                 refusal.retry_after_s,
                 refusal.reason,
-                refused_key,
+                ticket.fingerprint,
             )
         return self._charge(ticket, customer, now_s)
 
--- a/packages/kernel/tests/partplays.py
+++ b/packages/kernel/tests/partplays.py
@@ -13,6 +13,7 @@
 SOUND_INTERVAL_S = 0.1
 INTERVAL_S = 0.4
 SLOW_INTERVAL_S = 2.5
+POWER_INTERVAL_S = 6.0
 # Number of crashes after which the bound on further sends holds.
 CRASHES = 5
 SETTLING_S = 3.0
@@ -32,6 +33,7 @@
     FIRST = "the part is the first one"
     SILENT = "servers end silently"
     LATER = "the part is sound at first"
+    POWER = "all servers end together, now and then, and no part is harmful"
 
 
 class PartWorld(harmfulplays.World):
@@ -56,6 +58,8 @@
             self.send_harmful()
         if count % round(SOUND_INTERVAL_S / harmfulplays.STEP_S) == 0:
             self.send_sound()
+        if self.shape is Shape.POWER:
+            self.cut_power(count)
         if self.kills_after and len(self.harmful_runs) >= CRASHES:
             self.kills_after = False
             self.disturb("restart all", 0.0)
@@ -63,9 +67,15 @@
             if entry is not None:
                 self.exchange(number, entry)
 
+    def cut_power(self, count):
+        if count % round(POWER_INTERVAL_S / harmfulplays.STEP_S) == 0:
+            for server_id, due_s in self.dead_until_s.items():
+                if not due_s:
+                    self.crash(server_id)
+
     def count_harmful(self, count):
         elapsed_s = self.now_s - self.start_s
-        if elapsed_s < WARMUP_S:
+        if elapsed_s < WARMUP_S or self.shape is Shape.POWER:
             return 0
         is_slow = self.shape in (Shape.SLOW, Shape.SILENT)
         interval_s = SLOW_INTERVAL_S if is_slow else INTERVAL_S
@@ -128,6 +138,21 @@
                 for _, entry, server, ticket in end[1]:
                     entry.crash_monitor.record_loss(ticket, server, self.now_s)
 
+    def exchange(self, number, entry):
+        entry.tick(self.now_s)
+        if self.is_cut(number):
+            return
+        if self.store_is_up:
+            self.synchronize(entry)
+        elif not entry.has_crashes:
+            self.copy_from_peer(entry)
+        digest = entry.build_digest(self.now_s)
+        for other_number, other in enumerate(self.entries):
+            if other is None or other is entry or self.is_cut(other_number):
+                continue
+            if self.rng.random() >= harmfulplays.DIGEST_LOSS:
+                other.apply_digest(digest, self.now_s)
+
     def list_late(self, crashes=CRASHES):
         """Lists the harmful runs that began long after so many crashes."""
         if len(self.harmful_runs) < crashes:
--- a/packages/kernel/tests/test_crashes.py
+++ b/packages/kernel/tests/test_crashes.py
@@ -339,7 +339,7 @@
 
     def test_any_loss_of_a_trial_is_a_crash(self):
         ticket = builders.build_ticket("f")
-        ticket.is_trial = True
+        ticket.trial_key = "f"
         self.entry.crash_monitor.record_loss(ticket, self.server, 0.0)
         self.assertEqual(self.count(), 1)
 
--- a/packages/kernel/wasabiknot_kernel/arrivals.py
+++ b/packages/kernel/wasabiknot_kernel/arrivals.py
@@ -84,7 +84,9 @@
     :param charge: tokens charged to the customer.
     :param is_canary: whether the request goes to the new version of a release;
         ``None`` before this is drawn.
-    :param is_trial: whether it is sent once although its fingerprint is refused.
+    :param trial_key: fingerprint or key of a part that is refused, and for which the
+        request is sent once all the same; empty for none.
+    :param part_keys: keys of its shared parts; ``None`` before they are needed.
     :param is_taken_over: whether a peer has handed it over; it goes to no other one.
     :param unreached: number of connections to backend servers that failed for it.
     :param handovers: number of times that it was handed over to a peer.
@@ -108,7 +110,8 @@
     is_begun: bool = False
     charge: float = 0.0
     is_canary: bool | None = None
-    is_trial: bool = False
+    trial_key: str = ""
+    part_keys: tuple[str, ...] | None = None
     is_taken_over: bool = False
     unreached: int = 0
     handovers: int = 0
@@ -119,6 +122,11 @@
         """Id of the request."""
         return self.arrival.request_id
 
+    @property
+    def is_trial(self):
+        """Whether it is sent once although it is refused."""
+        return bool(self.trial_key)
+
     @property
     def returnable_to(self):
         """Ids of the backend servers that may complete the response it has begun.
--- a/packages/kernel/wasabiknot_kernel/attribution.py
+++ b/packages/kernel/wasabiknot_kernel/attribution.py
@@ -8,6 +8,8 @@
 
 import collections
 
+import msgspec
+
 # Time between a lost response and the evidence of the end, in either order. Without an
 # attempt to connect, three missed heartbeats pass before a registration is removed.
 ATTRIBUTION_S = 10.0
@@ -20,6 +22,19 @@
 MAX_LOSSES = 1_024
 
 
+class Loss(msgspec.Struct, frozen=True):
+    """A request that a backend server has not answered completely.
+
+    :param fingerprint: hash of path, caller and body of the request.
+    :param parts: keys of parts of its prompt.
+    :param server: id of the backend server and its start time.
+    """
+
+    fingerprint: str
+    parts: tuple[str, ...]
+    server: str
+
+
 class Attribution:
     """Lost responses and ends of backend servers, matched by id and start time."""
 
@@ -44,17 +59,17 @@
         life = self._lives.get(start, 0)
         return f"{start}/{life}" if life else start
 
-    def record_loss(self, crash, now_s):
+    def record_loss(self, loss, now_s):
         """Records a request that was sent and got no complete response.
 
-        :param crash: ``crashes.Crash`` that it is if the backend server has ended.
+        :param loss: ``Loss``; a crash if the backend server has ended.
         :param now_s: current time in seconds.
         :return: whether the backend server is known to have ended.
         """
-        ended_s = self._ended_s.get(crash.server)
+        ended_s = self._ended_s.get(loss.server)
         if ended_s is not None and now_s - ended_s < ATTRIBUTION_S:
             return True
-        self._losses.append((now_s, crash))
+        self._losses.append((now_s, loss))
         return False
 
     def should_check(self, server_key, now_s):
@@ -76,10 +91,10 @@
 
         :param server_key: id and start time.
         :param now_s: current time in seconds.
-        :return: list of ``crashes.Crash``, one for each response that it lost.
+        :return: list of ``Loss``, one for each response that it lost.
         """
         self._ended_s[server_key] = now_s
-        lost = [crash for _, crash in self._losses if crash.server == server_key]
+        lost = [loss for _, loss in self._losses if loss.server == server_key]
         self._losses = collections.deque(
             item for item in self._losses if item[1].server != server_key
         )
@@ -107,7 +122,7 @@
             del self._ended_s[server_key]
             start = f"{registration.server_id}/{registration.started_ms}"
             self._lives[start] = self._lives.get(start, 0) + 1
-        if any(crash.server == server_key for _, crash in self._losses):
+        if any(loss.server == server_key for _, loss in self._losses):
             self._losses = collections.deque(
                 item
                 for item in self._losses
@@ -146,7 +161,7 @@
         """Drops the losses and ends that are too old to be matched.
 
         :param now_s: current time in seconds.
-        :return: list of ``crashes.Crash`` that were not attributed.
+        :return: list of ``Loss`` that were not attributed.
         """
         expired = []
         while self._losses and (
--- a/packages/kernel/wasabiknot_kernel/crash_monitors.py
+++ b/packages/kernel/wasabiknot_kernel/crash_monitors.py
@@ -1,11 +1,35 @@
 """Tells from lost responses and ended backend servers which requests crash servers."""
 
-from wasabiknot_kernel import attribution, crashes
+import collections
+
+import msgspec
+
+from wasabiknot_kernel import attribution, crashes, prompt_parts
 
 # Interval between two searches for crashes that no longer count.
 EXPIRY_INTERVAL_S = 60.0
 
 
+# Time after a complete response in which an end of its backend server may still be its
+# own fault, and in which it speaks for no prompt part.
+RESPONSE_PROBATION_S = 0.15
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """A complete response, which speaks for the prompt parts of its request.
+
+    :param at_s: time in seconds.
+    :param server: id of the backend server and its start time.
+    :param service: name of the service.
+    :param parts: keys of the parts.
+    """
+
+    at_s: float
+    server: str
+    service: str
+    parts: tuple[str, ...]
+
+
 class CrashMonitor:
     """Records the crashes that this entry and its peers observe.
 
@@ -17,6 +41,8 @@
         self._attribution = attribution.Attribution()
         self._ids_by_address = {}
         self._expired_s = None
+        # Complete responses whose servers may have ended right after them.
+        self._answers = collections.deque()
 
     def record_loss(self, ticket, server, now_s):
         """Records that a request was sent and got no complete response.
@@ -26,12 +52,19 @@
         :param now_s: current time in seconds.
         """
         server_key = self._attribution.get_server_key(server.registration)
-        crash = crashes.Crash(ticket.fingerprint, server_key)
         if ticket.is_trial:
             # Without waiting for evidence: the next trial must not repeat a crash.
+            crash = crashes.Crash(ticket.trial_key, server_key)
             self._register.record(crash, now_s, crashes.Evidence.TRIAL)
-        elif self._attribution.record_loss(crash, now_s):
-            self._register.record(crash, now_s, crashes.Evidence.ENDED_BEFORE)
+            return
+        parts = self._register.select_parts(ticket)
+        loss = attribution.Loss(ticket.fingerprint, parts, server_key)
+        if self._attribution.record_loss(loss, now_s):
+            self._record_crash(loss, now_s, crashes.Evidence.ENDED_BEFORE)
+
+    def _record_crash(self, loss, now_s, evidence):
+        for key in (loss.fingerprint, *loss.parts):
+            self._register.record(crashes.Crash(key, loss.server), now_s, evidence)
 
     def should_check(self, server, now_s):
         """Tells whether to check that a backend server still accepts connections.
@@ -71,6 +104,14 @@
         self._attribution.record_life(server.registration, now_s)
         if is_success:
             self._register.record_response(ticket.fingerprint, ticket.is_trial)
+            self._answers.append(
+                Answer(
+                    now_s,
+                    self._attribution.get_server_key(server.registration),
+                    ticket.service,
+                    prompt_parts.list_keys(ticket),
+                )
+            )
 
     def record_restart(self, server, now_s):
         """Records that a backend server is registered with another start time.
@@ -131,8 +172,21 @@
         self._record_crashes(server_key, now_s, evidence)
 
     def _record_crashes(self, server_key, now_s, evidence):
-        for crash in self._attribution.record_end(server_key, now_s):
-            self._register.record(crash, now_s, evidence)
+        for loss in self._attribution.record_end(server_key, now_s):
+            self._record_crash(loss, now_s, evidence)
+        self._answers = collections.deque(
+            answer for answer in self._answers if answer.server != server_key
+        )
+
+    def _record_due_answers(self, now_s):
+        while self._answers:
+            answer = self._answers[0]
+            if now_s - answer.at_s < RESPONSE_PROBATION_S:
+                return
+            self._answers.popleft()
+            self._register.record_answered_parts(
+                answer.service, answer.parts, answer.at_s
+            )
 
     def apply_digest(self, source, digest, now_s):
         """Applies what a peer or group reports.
@@ -144,7 +198,7 @@
         channel = digest.find_channel()
         for crash in digest.recent_crashes:
             self._register.add(crash, now_s, channel)
-        self._register.apply_responses(source, digest.responses)
+        self._register.apply_responses(source, digest.responses, now_s)
         refused = self._attribution.apply_report(source, digest.refused_servers)
         for server_key in refused:
             self._record_crashes(server_key, now_s, crashes.Evidence.PEER_REFUSED)
@@ -164,7 +218,11 @@
         :param is_reader: whether this entry also deletes crashes that no longer count
             from the store.
         """
-        for crash in self._attribution.drop_expired(now_s):
+        self._record_due_answers(now_s)
+        # A change of verdict is logged also while no request asks for it.
+        self._register.list_refused_parts(now_s)
+        for loss in self._attribution.drop_expired(now_s):
+            crash = crashes.Crash(loss.fingerprint, loss.server)
             self._register.record_unattributed(crash)
         if self._expired_s is None:
             self._expired_s = now_s
--- a/packages/kernel/wasabiknot_kernel/crashes.py
+++ b/packages/kernel/wasabiknot_kernel/crashes.py
@@ -6,16 +6,29 @@
 
 import collections
 import enum
+import itertools
 import math
 
 import msgspec
 
-from wasabiknot_kernel import decoding, statements, suspects
+from wasabiknot_kernel import (
+    decoding,
+    part_suspects,
+    prompt_parts,
+    statements,
+    suspect_tables,
+    suspects,
+)
 
 # Time for which a crash counts, from when an entry learns of it. Clocks of VMs differ,
 # so the time of day that is stored with it decides nothing.
 RETENTION_S = 3_600.0
+# The same for the crashes of a part that was answered since.
+ANSWERED_RETENTION_S = 60.0
 MAX_REQUESTS = 2_048
+MAX_PARTS = 4_096
+# Parts of one lost request whose crashes are counted.
+MAX_PARTS_PER_LOSS = 32
 MAX_OBSERVATIONS = 256
 # Time for which digests include a crash, even if it is already stored, and interval
 # of these reports. Beyond it, those that aren't stored are reported less often.
@@ -36,7 +49,8 @@
 class Crash(msgspec.Struct, frozen=True, array_like=True):
     """A crash of a backend server while it ran a request.
 
-    :param fingerprint: hash of path, caller and body of the request.
+    :param fingerprint: hash of path, caller and body of the request, or the key of a
+        part of its prompt.
     :param server: id of the backend server and its start time.
     :param at_s: time of day at which it was stored, in Unix seconds, for operators; 0
         before.
@@ -90,6 +104,21 @@
     reason: ClearanceReason
 
 
+class PartVerdict(msgspec.Struct, frozen=True):
+    """A prompt part that is refused from now on, or no longer.
+
+    :param key: key of the part.
+    :param is_refused: whether requests with it are refused.
+    :param count: crashes that are known.
+    :param responses: complete responses since shortly before the first of them.
+    """
+
+    key: str
+    is_refused: bool
+    count: int
+    responses: int
+
+
 class Observation(msgspec.Struct, frozen=True):
     """A crash that was recorded, or a lost response that was not attributed to one.
 
@@ -104,15 +133,21 @@
 
 
 class CrashRegister:
-    """Counts the backend servers that each request has crashed.
+    """Counts the backend servers that each request and each prompt part has crashed.
 
-    Protects against a caller that resends a harmful request after each crash.
+    Protects against a harmful request that is sent again after each crash, and against
+    different requests that have a harmful part of their prompts in common.
     """
 
     def __init__(self):
-        self._requests = collections.OrderedDict()
-        # Those of them with more than one crash.
-        self._repeated = {}
+        self._requests = suspect_tables.SuspectTable(
+            lambda _: suspects.Suspect(), MAX_REQUESTS
+        )
+        self._judge = part_suspects.PartJudge(self._requests)
+        self._parts = suspect_tables.SuspectTable(self._judge.create_suspect, MAX_PARTS)
+        self._judge.parts = self._parts
+        self._refused_parts = frozenset()
+        self._verdicts = collections.deque(maxlen=MAX_OBSERVATIONS)
         self._deletions = {}
         # Stored crashes that no longer count, while others read the store.
         self._expired = {}
@@ -148,31 +183,36 @@
         self.mark_stored([crash])
 
     def _add(self, crash, now_s, evidence, channel):
-        suspect = self._requests.setdefault(crash.fingerprint, suspects.Suspect())
-        self._requests.move_to_end(crash.fingerprint)
+        table = self._find_table(crash.fingerprint)
+        suspect = table.provide(crash.fingerprint)
         if crash.server in suspect.crashes:
             return
-        suspect.crashes[crash.server] = suspects.KnownCrash(crash, now_s, channel)
-        if len(suspect.crashes) > 1:
-            self._repeated[crash.fingerprint] = suspect
-        for known in suspect.crashes.values():
-            if not known.is_stored:
-                self._reported[known.crash.key] = known
-        if len(self._requests) > MAX_REQUESTS:
-            # The oldest of those with the fewest crashes.
-            self._forget(min(self._requests, key=self.count))
-        self._observe(crash, evidence)
-
-    def _forget(self, fingerprint):
-        for known in self._pop(fingerprint).crashes.values():
+        if suspect.is_part:
+            self._judge.record_crash(suspect)
+        known = suspects.KnownCrash(crash, now_s, channel)
+        table.add_crash(crash.fingerprint, known)
+        for item in suspect.crashes.values() if suspect.is_doubtful else (known,):
+            if not item.is_stored:
+                self._reported[item.crash.key] = item
+        surplus = table.find_surplus()
+        if surplus is not None:
+            self._forget(surplus)
+        # Most parts that are in flight during a crash are in common use.
+        if suspect.is_doubtful or not suspect.is_part:
+            self._observe(crash, evidence)
+
+    def _find_table(self, key):
+        return self._parts if prompt_parts.is_key(key) else self._requests
+
+    def _find(self, key):
+        return self._find_table(key).get(key)
+
+    def _forget(self, key):
+        for known in self._find_table(key).pop(key).crashes.values():
             self._reported.pop(known.crash.key, None)
             if known.is_stored:
                 self._deletions[known.crash.key] = None
 
-    def _pop(self, fingerprint):
-        self._repeated.pop(fingerprint, None)
-        return self._requests.pop(fingerprint)
-
     def record_unattributed(self, crash):
         """Records a lost response for which no end of the backend server was seen.
 
@@ -203,31 +243,57 @@
         if suspect is not None:
             suspect.responses += suspect.trial_weight if is_trial else 1
 
-    def apply_responses(self, source, responses):
+    def select_parts(self, ticket):
+        """Selects the parts of a lost request whose crashes are counted.
+
+        :param ticket: ``arrivals.Ticket``.
+        :return: tuple of keys.
+        """
+        keys = prompt_parts.list_keys(ticket)
+        return tuple(self._judge.select(keys, MAX_PARTS_PER_LOSS))
+
+    def record_answered_parts(self, service, keys, at_s):
+        """Records a complete response, which speaks for the parts of its prompt.
+
+        :param service: name of the service.
+        :param keys: keys of the parts.
+        :param at_s: time of the response in seconds.
+        """
+        self._judge.record_response(service, keys, at_s)
+        for key in keys if len(self._parts) else ():
+            suspect = self._parts.get(key)
+            for known in suspect.crashes.values() if suspect is not None else ():
+                if known.is_stored:
+                    self._deletions[known.crash.key] = None
+
+    def apply_responses(self, source, responses, now_s=0.0):
         """Applies the numbers of complete responses that a peer reports.
 
         :param source: name of the peer or group.
-        :param responses: mapping of fingerprints to numbers.
+        :param responses: mapping of fingerprints and keys of parts to numbers.
+        :param now_s: current time in seconds.
         """
-        for fingerprint, count in responses.items():
-            suspect = self._requests.get(fingerprint)
-            if suspect is not None:
-                suspect.peer_responses[source] = count
+        for key, count in responses.items():
+            suspect = self._find(key)
+            if suspect is None:
+                continue
+            if suspect.is_part:
+                self._judge.record_peer_responses(suspect, source, count, now_s)
+            suspect.peer_responses[source] = count
 
     def list_responses(self):
-        """Lists the complete responses through this entry to requests with crashes.
+        """Lists the complete responses through this entry to what has crashed servers.
 
-        :return: mapping of at most ``MAX_REPORTED`` fingerprints to numbers.
+        :return: mapping of fingerprints and keys of parts, at most ``MAX_REPORTED`` of
+            each, to numbers.
         """
-        counts = {
-            fingerprint: suspect.responses
-            for fingerprint, suspect in self._repeated.items()
-            if suspect.responses
-        }
-        ranked = sorted(counts, key=lambda fingerprint: -self.count(fingerprint))
-        return {
-            fingerprint: counts[fingerprint] for fingerprint in ranked[:MAX_REPORTED]
-        }
+        counts = {}
+        for table in (self._requests, self._parts):
+            answered = [key for key, item in table.repeated.items() if item.responses]
+            answered.sort(key=lambda key: -self.count(key))
+            for key in answered[:MAX_REPORTED]:
+                counts[key] = table.get(key).responses
+        return counts
 
     def remove_stored(self, key):
         """Removes a crash that the store no longer keeps.
@@ -238,20 +304,22 @@
         self._expired.pop(key, None)
         self._reported.pop(key, None)
         fingerprint, _, server = key.partition("/")
-        suspect = self._requests.get(fingerprint)
+        suspect = self._find(fingerprint)
         if suspect is not None:
             suspect.crashes.pop(server, None)
             if not suspect.crashes:
-                self._pop(fingerprint)
+                self._find_table(fingerprint).pop(fingerprint)
 
     def is_refused(self, fingerprint, now_s):
         """Tells whether a request must not be sent to another backend server.
 
-        :param fingerprint: hash of path, caller and body.
+        :param fingerprint: hash of path, caller and body, or key of a part.
         :param now_s: current time in seconds.
         :return: ``True`` after ``suspects.MAX_CRASHES`` crashes within
             ``RETENTION_S`` that are neither outweighed nor explained.
         """
+        if prompt_parts.is_key(fingerprint):
+            return fingerprint in self.list_refused_parts(now_s)
         suspect = self._requests.get(fingerprint)
         if suspect is None or len(suspect.crashes) < suspects.MAX_CRASHES:
             return False
@@ -259,7 +327,7 @@
         recent = sum(item.known_s > oldest_s for item in suspect.crashes.values())
         if recent < suspects.MAX_CRASHES:
             return False
-        reason = self._find_clearance_reason(suspect)
+        reason = self._find_clearance_reason(suspect, now_s)
         if reason is not None:
             self._record_clearance(fingerprint, suspect, reason)
         return reason is None
@@ -269,42 +337,96 @@
 
         :param ticket: ``arrivals.Ticket``.
         :param now_s: current time in seconds.
-        :return: its fingerprint if that is refused, or ``None``.
+        :return: its fingerprint, or the key of a part of its prompt; ``None`` if it
+            may be sent.
+        """
+        return next(self._iterate_refused(ticket, now_s), None)
+
+    def list_refused(self, ticket, now_s):
+        """Lists all that forbids to send a request to another backend server.
+
+        :param ticket: ``arrivals.Ticket``.
+        :param now_s: current time in seconds.
+        :return: list of its fingerprint and keys of parts of its prompt.
+        """
+        return list(self._iterate_refused(ticket, now_s))
+
+    def _iterate_refused(self, ticket, now_s):
+        if self.is_refused(ticket.fingerprint, now_s):
+            yield ticket.fingerprint
+        refused = self.list_refused_parts(now_s)
+        if refused:
+            yield from refused.intersection(prompt_parts.list_keys(ticket))
+
+    def list_refused_parts(self, now_s):
+        """Lists the prompt parts that no request may be sent with.
+
+        :param now_s: current time in seconds.
+        :return: frozen set of keys.
+        """
+        refused = self._judge.list_refused(now_s)
+        for key in sorted(refused ^ self._refused_parts):
+            self._verdicts.append(self._describe_verdict(key, key in refused))
+        self._refused_parts = refused
+        return refused
+
+    def _describe_verdict(self, key, is_refused):
+        suspect = self._parts.get(key)
+        count = len(suspect.crashes) if suspect is not None else 0
+        responses = suspect.response_count if suspect is not None else 0
+        return PartVerdict(key, is_refused, count, responses)
+
+    def pop_verdicts(self):
+        """Returns the changes of refused prompt parts since the last call, for the log.
+
+        :return: list of ``PartVerdict``.
         """
-        is_refused = self.is_refused(ticket.fingerprint, now_s)
-        return ticket.fingerprint if is_refused else None
+        verdicts = list(self._verdicts)
+        self._verdicts.clear()
+        return verdicts
 
-    def _find_clearance_reason(self, suspect):
+    def _find_clearance_reason(self, suspect, now_s):
         if suspect.is_outweighed:
             return ClearanceReason.OUTWEIGHED
-        unexplained = suspects.count_unexplained(suspect, self._repeated.values())
+        parts = [self._parts.get(key) for key in self.list_refused_parts(now_s)]
+        others = itertools.chain(self._requests.repeated.values(), parts)
+        unexplained = suspects.count_unexplained(suspect, others)
         if unexplained < suspects.MAX_CRASHES:
             return ClearanceReason.EXPLAINED
         return None
 
-    def is_suspected(self, fingerprint):
+    def is_suspected(self, ticket):
         """Tells whether failures of a request may be its own fault.
 
-        :param fingerprint: hash of path, caller and body.
+        :param ticket: ``arrivals.Ticket``.
         :return: ``True`` after a crash that complete responses do not outweigh.
         """
-        suspect = self._requests.get(fingerprint)
-        return suspect is not None and not suspect.is_outweighed
+        suspect = self._requests.get(ticket.fingerprint)
+        if suspect is not None and suspect.is_doubtful:
+            return True
+        keys = prompt_parts.list_keys(ticket) if len(self._parts) else ()
+        known = [self._parts.get(key) for key in keys]
+        return any(item is not None and item.is_doubtful for item in known)
 
     def try_start_trial(self, fingerprint, now_s):
         """Starts a trial of a refused request, if one is due.
 
-        :param fingerprint: hash of path, caller and body.
+        :param fingerprint: hash of path, caller and body, or key of a part.
         :param now_s: current time in seconds.
         :return: whether the request may be sent once.
         """
-        suspect = self._requests.get(fingerprint)
-        if suspect is None or not suspect.is_due_for_trial(now_s):
+        suspect = self._find(fingerprint)
+        if suspect is None or not self._is_due_for_trial(suspect, now_s):
             return False
         suspect.trial_s = now_s
         self._record_clearance(fingerprint, suspect, ClearanceReason.TRIAL)
         return True
 
+    def _is_due_for_trial(self, suspect, now_s):
+        if suspect.is_part:
+            return self._judge.is_due_for_trial(suspect, now_s)
+        return suspect.is_due_for_trial(now_s)
+
     def pop_clearances(self):
         """Returns the clearances since the last call, for the log.
 
@@ -324,12 +446,12 @@
             self._clearances.append(clearance)
 
     def count(self, fingerprint):
-        """Counts the crashes of a request.
+        """Counts the crashes of a request or a prompt part.
 
-        :param fingerprint: hash of path, caller and body.
+        :param fingerprint: hash of path, caller and body, or key of a part.
         :return: number of distinct backend servers that crashed.
         """
-        suspect = self._requests.get(fingerprint)
+        suspect = self._find(fingerprint)
         return len(suspect.crashes) if suspect is not None else 0
 
     def list_reported(self, now_s, channels=ALL_CHANNELS):
@@ -358,10 +480,13 @@
         return listed
 
     def _rank(self, crashes):
-        repeated = [item for item in crashes if item.fingerprint in self._repeated]
-        repeated.sort(key=lambda item: -self.count(item.fingerprint))
-        single = [item for item in crashes if item.fingerprint not in self._repeated]
-        return repeated + single
+        # Of those with one crash, and of others with as many, the newest first.
+        return sorted(crashes, key=self._compute_rank)
+
+    def _compute_rank(self, crash):
+        suspect = self._find(crash.fingerprint)
+        is_common = suspect.is_part and not suspect.is_doubtful
+        return (is_common, -len(suspect.crashes))
 
     def list_due(self, now_s, is_reader):
         """Lists the crashes that this entry should store.
@@ -388,7 +513,9 @@
         return age_s > STORE_DELAY_S or self.count(known.crash.fingerprint) > 1
 
     def _needs_storing(self, known):
-        suspect = self._requests[known.crash.fingerprint]
+        suspect = self._find(known.crash.fingerprint)
+        if suspect.is_part:
+            return self._judge.has_evidence(suspect)
         return len(suspect.crashes) > 1 or not suspect.response_count
 
     def drop_expired(self, now_s, is_reader):
@@ -397,20 +524,26 @@
         :param now_s: current time in seconds.
         :param is_reader: whether this entry also deletes them from the store.
         """
-        for fingerprint, suspect in list(self._requests.items()):
-            for server, known in list(suspect.crashes.items()):
-                if now_s - known.known_s < RETENTION_S:
-                    continue
-                del suspect.crashes[server]
-                self._reported.pop(known.crash.key, None)
-                if known.is_stored:
-                    self._expired[known.crash.key] = None
-            if not suspect.crashes:
-                self._pop(fingerprint)
+        for table in (self._requests, self._parts):
+            for key, suspect in table.items():
+                self._drop_expired_crashes(suspect, now_s)
+                if not suspect.crashes:
+                    table.pop(key)
         if is_reader:
             self._deletions.update(self._expired)
             self._expired.clear()
 
+    def _drop_expired_crashes(self, suspect, now_s):
+        is_common = suspect.is_part and suspect.is_outweighed
+        retention_s = ANSWERED_RETENTION_S if is_common else RETENTION_S
+        for server, known in list(suspect.crashes.items()):
+            if now_s - known.known_s < retention_s:
+                continue
+            del suspect.crashes[server]
+            self._reported.pop(known.crash.key, None)
+            if known.is_stored:
+                self._expired[known.crash.key] = None
+
     def mark_stored(self, stored):
         """Marks crashes that the store has acknowledged.
 
@@ -422,7 +555,7 @@
                 known.is_stored = True
 
     def _find_known(self, fingerprint, server):
-        suspect = self._requests.get(fingerprint)
+        suspect = self._find(fingerprint)
         return suspect.crashes.get(server) if suspect is not None else None
 
     def mark_lost(self, keys, now_s):
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -389,7 +389,7 @@
         :param event_count: number of events received.
         :param now_s: current time in seconds.
         """
-        if self.crashes.is_suspected(ticket.fingerprint):
+        if self.crashes.is_suspected(ticket):
             return
         is_timeout = outcome is outcomes.Outcome.TIMED_OUT
         if is_timeout and self.silences.hold(ticket, server, elapsed_s, now_s):
@@ -415,10 +415,14 @@
         :param now_s: current time in seconds.
         :return: whether the request may be sent once.
         """
-        if not self._is_trial_entry(ticket.fingerprint, now_s):
+        refused = self.crashes.list_refused(ticket, now_s)
+        # With two of them, a crash would not tell which one is harmful.
+        if len(refused) != 1 or not self._is_trial_entry(refused[0], now_s):
             return False
-        ticket.is_trial = self.crashes.try_start_trial(ticket.fingerprint, now_s)
-        return ticket.is_trial
+        if not self.crashes.try_start_trial(refused[0], now_s):
+            return False
+        ticket.trial_key = refused[0]
+        return True
 
     def _is_trial_entry(self, fingerprint, now_s):
         # One entry for each request, so that trials don't happen at the same time.
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -20,6 +20,7 @@
     exceptions,
     group_servers,
     outcomes,
+    prompt_parts,
     servers,
     service_times,
     slot_shares,
@@ -159,14 +160,19 @@
     reason: str
 
 
-def create_harmful_refusal(ticket):
+def create_harmful_refusal(ticket, key):
     """Creates the refusal of a request that crashes backend servers.
 
     :param ticket: ``arrivals.Ticket``.
+    :param key: its fingerprint, or the key of the harmful part of its prompt.
     :return: ``Refusal``.
     """
     kind = exceptions.ErrorKind.QUARANTINED
-    return Refusal(ticket, kind, HARMFUL_RETRY_AFTER_S, "crashes backend servers")
+    reason = "crashes backend servers"
+    if prompt_parts.is_key(key):
+        name, _ = prompt_parts.split_key(key)
+        reason = f"prompt part {name} crashes backend servers"
+    return Refusal(ticket, kind, HARMFUL_RETRY_AFTER_S, reason)
 
 
 def _is_returning(ticket):
@@ -327,16 +333,16 @@
         """
         return self._waiting.pop(id(ticket), None) is not None
 
-    def _is_harmful(self, ticket, now_s):
-        if ticket.is_trial and not ticket.sends:
-            return False
-        if self.find_refused is None:
-            return False
-        return self.find_refused(ticket, now_s) is not None
+    def _find_harmful_refusal(self, ticket, now_s):
+        if ticket.is_trial and not ticket.sends or self.find_refused is None:
+            return None
+        key = self.find_refused(ticket, now_s)
+        return None if key is None else create_harmful_refusal(ticket, key)
 
     def _find_refusal(self, ticket, now_s):
-        if self._is_harmful(ticket, now_s):
-            return create_harmful_refusal(ticket)
+        harmful = self._find_harmful_refusal(ticket, now_s)
+        if harmful is not None:
+            return harmful
         if ticket.is_begun:
             return None
         if not any(not item.is_retired for item in self.servers.values()):
@@ -442,9 +448,10 @@
         for ticket in waiting:
             if decisions and not self.has_capacity(now_s):
                 break
-            if self._is_harmful(ticket, now_s):
+            harmful = self._find_harmful_refusal(ticket, now_s)
+            if harmful is not None:
                 self.withdraw(ticket)
-                decisions.append(create_harmful_refusal(ticket))
+                decisions.append(harmful)
                 continue
             decision = self._try_assign(ticket, now_s)
             if decision is not None:
@@ -461,9 +468,10 @@
         decisions = []
         for ticket in self.list_waiting():
             waited_s = now_s - ticket.arrived_s
-            if self._is_harmful(ticket, now_s):
+            harmful = self._find_harmful_refusal(ticket, now_s)
+            if harmful is not None:
                 self.withdraw(ticket)
-                decisions.append(create_harmful_refusal(ticket))
+                decisions.append(harmful)
             elif not ticket.is_begun and waited_s > compute_max_wait_s(ticket):
                 self.withdraw(ticket)
                 kind = exceptions.ErrorKind.QUEUE_FULL
@@ -543,7 +551,7 @@
         return None, None
 
     def _choose_substitute(self, ticket, now_s):
-        if self._is_harmful(ticket, now_s):
+        if self._find_harmful_refusal(ticket, now_s) is not None:
             return None
         waiting = self._waiting.values()
         if any(self._goes_first(item, ticket, now_s) for item in waiting):
--- a/packages/kernel/wasabiknot_kernel/events.py
+++ b/packages/kernel/wasabiknot_kernel/events.py
@@ -224,6 +224,18 @@
         logging.INFO,
         "server {server} is kept for {delay_ms} ms: the store was unavailable",
     )
+    PART_REFUSED = EventDefinition(
+        1319,
+        logging.WARNING,
+        "requests of {service} with prompt part {part} are refused: {count} servers"
+        " ended under them, {responses} complete responses",
+    )
+    PART_SERVED = EventDefinition(
+        1320,
+        logging.WARNING,
+        "requests of {service} with prompt part {part} are served again: {count}"
+        " servers ended under them, {responses} complete responses",
+    )
     PREEMPTED = EventDefinition(1401, logging.DEBUG, "preempted {victim} for {request}")
     REFUSED = EventDefinition(1402, logging.INFO, "refused {request}: {kind}")
     DISPATCHED = EventDefinition(1403, logging.INFO, "sending {request} to {server}")
--- a/packages/kernel/wasabiknot_kernel/suspects.py
+++ b/packages/kernel/wasabiknot_kernel/suspects.py
@@ -64,6 +64,8 @@
     trial_s: float | None = None
     logged: tuple | None = None
 
+    is_part = False
+
     @property
     def response_count(self):
         """Complete responses through all entries since the first crash."""
@@ -79,6 +81,11 @@
         """Whether there are enough crashes to refuse the request."""
         return len(self.crashes) >= MAX_CRASHES and not self.is_outweighed
 
+    @property
+    def is_doubtful(self):
+        """Whether a crash may be the fault of the request."""
+        return not self.is_outweighed
+
     @property
     def trial_weight(self):
         """Number of complete responses that one successful trial counts as."""
@@ -89,14 +96,20 @@
 
         :param other: ``Suspect``.
         :return: ``True`` if this one has more crashes and no more responses, or as
-            many crashes and fewer responses.
+            many crashes and fewer responses. Of a request and a part of its prompt
+            with the same evidence, the request.
         """
         if not self.is_convicted or self.response_count > other.response_count:
             return False
+        if other.is_part:
+            return self._rank() < other._rank()
         if len(self.crashes) == len(other.crashes):
             return self.response_count < other.response_count
         return len(self.crashes) > len(other.crashes)
 
+    def _rank(self):
+        return (self.response_count, -len(self.crashes), self.is_part)
+
     def is_due_for_trial(self, now_s):
         """Tells whether a refused request may be sent once, as a trial.
 
