Check a server after each response that is lost or ends with its connection

A response without a length that its server cut at the end of an event even counted as complete, and so spoke for the part that had ended the server.

Change: any lost response has the server checked, as a reset one had, and so has a complete response whose connection is closed with it (at most one connection in 0.5 s and server, which is kept for the next request). If the server turns out to have ended within 0.15 s of such a response, the response counts as a loss.

Fakes of connections and pools have the members that are used now; the two tests of requests after a response without a length take the second new connection, as the first one is the check.

--- a/packages/entry/tests/test_send_attempts.py
+++ b/packages/entry/tests/test_send_attempts.py
@@ -18,6 +18,7 @@
         self.is_aborted = False
         self.is_paused = False
         self.has_input = False
+        self.is_lost = False
         self.earlier_requests = []
 
     def pause(self):
--- a/packages/entry/tests/test_silent_servers.py
+++ b/packages/entry/tests/test_silent_servers.py
@@ -31,6 +31,7 @@
         self.is_aborted = False
         self.is_ended = False
         self.has_input = False
+        self.is_lost = False
         self.next_event = 0
 
     def send(self, request, handler):
@@ -95,6 +96,10 @@
         self.opened.append(Connection(address))
         return defer.succeed(self.opened[-1])
 
+    def connect(self, address):
+        # A check of a server, which goes on.
+        return defer.Deferred()
+
     def has_idle(self, address):
         return False
 
--- a/packages/entry/tests/test_truncated_heads.py
+++ b/packages/entry/tests/test_truncated_heads.py
@@ -82,7 +82,8 @@
         connection.dataReceived(b"\r\n".join(head))
         connection.connectionLost(ENDS["closed"])
         channel = self.connect(gatewaycases.build_head())
-        self.respond(self.accept(1))
+        # The first new connection only shows that the server goes on.
+        self.respond(self.accept(2))
         self.assertEqual(self.read_answer(channel).status, 200)
 
 
@@ -102,7 +103,7 @@
         connection.dataReceived(b"\r\n".join(head) + b"id: 1\ndata: x\n\n")
         connection.connectionLost(ENDS["closed"])
         channel = self.connect(gatewaycases.build_head())
-        self.respond(self.accept(1), body=b"id: 1\ndata: x\n\n")
+        self.respond(self.accept(2), body=b"id: 1\ndata: x\n\n")
         self.assertTrue(channel.transport.value().startswith(b"HTTP/1.1 200"))
 
     def test_response_without_length_that_is_closed_is_whole(self):
--- a/packages/entry/wasabiknot_entry/connections.py
+++ b/packages/entry/wasabiknot_entry/connections.py
@@ -320,6 +320,11 @@
         self.abort()
         handler.handle_loss(reason)
 
+    @property
+    def is_lost(self):
+        """Whether the backend server has closed or reset the connection."""
+        return self._is_lost
+
     def close(self):
         """Closes an idle connection."""
         self._advance(Event.CLOSE)
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -670,7 +670,7 @@
             monitor.record_failed_connection(server, result.is_refused, now_s)
         elif result.outcome in LOST_OUTCOMES:
             monitor.record_loss(ticket, server, now_s)
-            if result.detail == connections.LossReason.RESET.value:
+            if result.outcome is Outcome.RESPONSE_LOST:
                 self._check_server(server, now_s)
         elif result.head.is_misdirected:
             monitor.record_replacement(server, now_s)
@@ -679,7 +679,11 @@
             is_success = (
                 result.outcome is Outcome.COMPLETE and result.head.status < SUCCESS_END
             )
-            self._deployment.record_response(ticket, server, is_success, now_s)
+            self._deployment.record_response(
+                ticket, server, is_success, now_s, result.ends_with_connection
+            )
+            if result.ends_with_connection:
+                self._check_server(server, now_s)
         self._metrics.count_attempt(result.outcome)
 
     def record_cancel(self, ticket, server, now_s):
--- a/packages/entry/wasabiknot_entry/send_attempts.py
+++ b/packages/entry/wasabiknot_entry/send_attempts.py
@@ -55,6 +55,8 @@
     :param is_refused: whether the backend server refused the connection.
     :param is_new_connection: whether no response to an earlier request has come over
         the connection.
+    :param ends_with_connection: whether the connection was closed with the end of the
+        response, which then may not be the end that the server meant.
     """
 
     outcome: Outcome
@@ -63,6 +65,7 @@
     detail: str = ""
     is_refused: bool = False
     is_new_connection: bool = True
+    ends_with_connection: bool = False
 
 
 class SendAttempt:
@@ -306,7 +309,8 @@
         is_error = head.status >= FIRST_SERVER_ERROR or head.is_promise
         if is_error or self._ticket.is_begun and self._event_reader is None:
             return Result(Outcome.FAILED, head, body, f"status {head.status}")
-        return Result(Outcome.COMPLETE, head, body)
+        is_lost = self._connection.is_lost
+        return Result(Outcome.COMPLETE, head, body, ends_with_connection=is_lost)
 
     def handle_loss(self, reason):
         """Handles the loss of the connection."""
--- a/packages/kernel/wasabiknot_kernel/crash_monitors.py
+++ b/packages/kernel/wasabiknot_kernel/crash_monitors.py
@@ -22,12 +22,15 @@
     :param server: id of the backend server and its start time.
     :param service: name of the service.
     :param parts: keys of the parts.
+    :param possible_loss: ``attribution.Loss`` that it is if its server has ended, for
+        a response that ended with its connection.
     """
 
     at_s: float
     server: str
     service: str
     parts: tuple[str, ...]
+    possible_loss: attribution.Loss | None
 
 
 class CrashMonitor:
@@ -57,11 +60,14 @@
             crash = crashes.Crash(ticket.trial_key, server_key)
             self._register.record(crash, now_s, crashes.Evidence.TRIAL)
             return
-        parts = self._register.select_parts(ticket)
-        loss = attribution.Loss(ticket.fingerprint, parts, server_key)
+        loss = self._build_loss(ticket, server_key)
         if self._attribution.record_loss(loss, now_s):
             self._record_crash(loss, now_s, crashes.Evidence.ENDED_BEFORE)
 
+    def _build_loss(self, ticket, server_key):
+        parts = self._register.select_parts(ticket)
+        return attribution.Loss(ticket.fingerprint, parts, server_key)
+
     def _record_crash(self, loss, now_s, evidence):
         for key in (loss.fingerprint, *loss.parts):
             self._register.record(crashes.Crash(key, loss.server), now_s, evidence)
@@ -93,25 +99,27 @@
         self._attribution.record_refusal(server_key, now_s)
         self._record_end(server.registration, now_s, crashes.Evidence.REFUSED)
 
-    def record_response(self, ticket, server, is_success, now_s):
+    def record_response(
+        self, ticket, server, is_success, now_s, ends_with_connection=False
+    ):
         """Records bytes of a response.
 
         :param ticket: ``arrivals.Ticket``.
         :param server: ``servers.Server``.
         :param is_success: whether the response is complete and a success.
         :param now_s: current time in seconds.
+        :param ends_with_connection: whether the connection was closed with its end.
         """
         self._attribution.record_life(server.registration, now_s)
-        if is_success:
-            self._register.record_response(ticket.fingerprint, ticket.is_trial)
-            self._answers.append(
-                Answer(
-                    now_s,
-                    self._attribution.get_server_key(server.registration),
-                    ticket.service,
-                    prompt_parts.list_keys(ticket),
-                )
-            )
+        if not is_success:
+            return
+        self._register.record_response(ticket.fingerprint, ticket.is_trial)
+        server_key = self._attribution.get_server_key(server.registration)
+        loss = None
+        if ends_with_connection:
+            loss = self._build_loss(ticket, server_key)
+        parts = prompt_parts.list_keys(ticket)
+        self._answers.append(Answer(now_s, server_key, ticket.service, parts, loss))
 
     def record_restart(self, server, now_s):
         """Records that a backend server is registered with another start time.
@@ -172,11 +180,15 @@
         self._record_crashes(server_key, now_s, evidence)
 
     def _record_crashes(self, server_key, now_s, evidence):
-        for loss in self._attribution.record_end(server_key, now_s):
-            self._record_crash(loss, now_s, evidence)
+        lost = self._attribution.record_end(server_key, now_s)
+        for answer in self._answers:
+            if answer.server == server_key and answer.possible_loss is not None:
+                lost.append(answer.possible_loss)
         self._answers = collections.deque(
             answer for answer in self._answers if answer.server != server_key
         )
+        for loss in lost:
+            self._record_crash(loss, now_s, evidence)
 
     def _record_due_answers(self, now_s):
         while self._answers:
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -365,16 +365,21 @@
             return False
         return self.helpers.has_answered_peer(service, since_s, now_s)
 
-    def record_response(self, ticket, server, is_success, now_s):
+    def record_response(
+        self, ticket, server, is_success, now_s, ends_with_connection=False
+    ):
         """Records bytes of a response.
 
         :param ticket: ``arrivals.Ticket``.
         :param server: ``servers.Server``.
         :param is_success: whether the response is complete and a success.
         :param now_s: current time in seconds.
+        :param ends_with_connection: whether the connection was closed with its end.
         """
         self.silences.record_bytes(server.server_id, now_s)
-        self.crash_monitor.record_response(ticket, server, is_success, now_s)
+        self.crash_monitor.record_response(
+            ticket, server, is_success, now_s, ends_with_connection
+        )
 
     def record_evidence(self, ticket, server, outcome, elapsed_s, event_count, now_s):
         """Records the outcome of an attempt as evidence about a release.
