Bound what a storm of crashes costs: verdicts, records and digests of prompt parts

Cause, by reading the code: during a storm of crashes and for a minute after it, each request asked for a new verdict over all suspects; each single crash of a part that was never answered was stored, up to 32 for a lost request of a stranger; and each digest repeated up to 32 numbers of responses to parts in common use.

--- a/packages/kernel/wasabiknot_kernel/crashes.py
+++ b/packages/kernel/wasabiknot_kernel/crashes.py
@@ -36,6 +36,8 @@
 REPORT_INTERVAL_S = 0.4
 UNSTORED_REPORT_INTERVAL_S = 2.0
 ALL_CHANNELS = frozenset(statements.Channel)
+# Time after the newest crash of a part for which digests include its responses.
+PART_RESPONSES_REPORT_S = 10.0
 MAX_REPORTED = 32
 # Time after which another entry stores a crash that its observer has not stored.
 TAKEOVER_S = 3.0
@@ -282,18 +284,24 @@
             suspect.peer_responses[source] = count
 
     def list_responses(self):
-        """Lists the complete responses through this entry to what has crashed servers.
+        """Lists the complete responses through this entry to requests with crashes.
 
-        :return: mapping of fingerprints and keys of parts, at most ``MAX_REPORTED`` of
-            each, to numbers.
+        :return: mapping of at most ``MAX_REPORTED`` fingerprints to numbers.
         """
-        counts = {}
-        for table in (self._requests, self._parts):
-            answered = [key for key, item in table.repeated.items() if item.responses]
-            answered.sort(key=lambda key: -self.count(key))
-            for key in answered[:MAX_REPORTED]:
-                counts[key] = table.get(key).responses
-        return counts
+        return _list_most_suspected(self._requests.repeated)
+
+    def list_part_responses(self, now_s):
+        """Lists the complete responses with parts that have lately crashed servers.
+
+        :param now_s: current time in seconds.
+        :return: mapping of at most ``MAX_REPORTED`` keys of parts to numbers.
+        """
+        recent = {
+            key: suspect
+            for key, suspect in self._parts.repeated.items()
+            if now_s - suspect.newest_s <= PART_RESPONSES_REPORT_S
+        }
+        return _list_most_suspected(recent)
 
     def remove_stored(self, key):
         """Removes a crash that the store no longer keeps.
@@ -515,7 +523,7 @@
     def _needs_storing(self, known):
         suspect = self._find(known.crash.fingerprint)
         if suspect.is_part:
-            return self._judge.has_evidence(suspect)
+            return self._judge.needs_storing(suspect)
         return len(suspect.crashes) > 1 or not suspect.response_count
 
     def drop_expired(self, now_s, is_reader):
@@ -596,6 +604,12 @@
             self._deletions.pop(key, None)
 
 
+def _list_most_suspected(items):
+    answered = [key for key, suspect in items.items() if suspect.responses]
+    answered.sort(key=lambda key: -len(items[key].crashes))
+    return {key: items[key].responses for key in answered[:MAX_REPORTED]}
+
+
 def _is_report_due(known, now_s, channels):
     age_s = now_s - known.known_s
     is_forsaken = age_s > TAKEOVER_S and not known.is_stored
--- a/packages/kernel/wasabiknot_kernel/digest_builders.py
+++ b/packages/kernel/wasabiknot_kernel/digest_builders.py
@@ -38,7 +38,7 @@
             now_s,
             self._list_loads(),
             self._entry.allowances.used,
-            self._entry.crashes.list_responses(),
+            self._list_responses(now_s),
             OWN_CHANNELS,
             self._list_silences(now_s),
         )
@@ -62,6 +62,10 @@
             heard_ms=self._list_heard_ms(now_s),
         )
 
+    def _list_responses(self, now_s):
+        register = self._entry.crashes
+        return register.list_responses() | register.list_part_responses(now_s)
+
     def _list_heard_ms(self, now_s):
         heard_ms = {}
         for service in self._entry.helpers.list_asked_services(now_s):
@@ -80,7 +84,7 @@
             self._entry.roster.list_group_peers(), now_s
         )
         loads = self._list_loads()
-        responses = collections.Counter(self._entry.crashes.list_responses())
+        responses = collections.Counter(self._list_responses(now_s))
         for digest in digests.values():
             _add_loads(loads, digest.loads)
             responses.update(digest.responses)
--- a/packages/kernel/wasabiknot_kernel/part_suspects.py
+++ b/packages/kernel/wasabiknot_kernel/part_suspects.py
@@ -27,6 +27,8 @@
 TRIAL_INTERVAL_S = 3.0
 CERTAIN_TRIAL_INTERVAL_S = 30.0
 MAX_CRASHES_BEFORE_TRIAL = 6
+# Interval of the verdicts, unless something new is known.
+JUDGE_INTERVAL_S = 0.1
 
 
 class PartSuspect(suspects.Suspect):
@@ -163,11 +165,16 @@
         suspect.mark_answered(at_s)
         self._judged_s = None
 
-    def has_evidence(self, suspect):
-        """Tells whether the service answers, but no request with the part.
+    def needs_storing(self, suspect):
+        """Tells whether the crashes of a part must outlive this entry.
 
         :param suspect: ``PartSuspect``.
+        :return: ``False`` for a single crash, which most parts of lost requests have.
         """
+        return len(suspect.crashes) > 1 and self._has_evidence(suspect)
+
+    def _has_evidence(self, suspect):
+        # The service answers, but no request with the part.
         if suspect.answered_s is not None:
             return False
         count = self._response_counts[suspect.service]
@@ -181,7 +188,7 @@
         """
         if not self.parts.repeated:
             self._refused = frozenset()
-        elif self._judged_s != now_s:
+        elif self._judged_s is None or now_s - self._judged_s >= JUDGE_INTERVAL_S:
             self._judged_s = now_s
             self._refused = frozenset(self._judge(now_s))
         return self._refused
@@ -198,7 +205,7 @@
     def _is_ripe(self, suspect, convicted, now_s):
         if suspect.answered_s is None and not _has_rival(suspect, convicted):
             stored = sum(known.is_stored for known in suspect.crashes.values())
-            return stored >= suspects.MAX_CRASHES or self.has_evidence(suspect)
+            return stored >= suspects.MAX_CRASHES or self._has_evidence(suspect)
         others = self._response_counts[suspect.service] - suspect.answer_mark
         streak = suspect.list_streak()
         if others >= MIN_OTHER_RESPONSES:
@@ -215,12 +222,11 @@
         """
         if len(suspect.crashes) > MAX_CRASHES_BEFORE_TRIAL:
             return False
-        latest_s = max(known.known_s for known in suspect.crashes.values())
         others = self.parts.repeated.values()
         convicted = [item for item in others if item.is_convicted]
         is_certain = suspect.answered_s is None and not _has_rival(suspect, convicted)
         interval_s = CERTAIN_TRIAL_INTERVAL_S if is_certain else TRIAL_INTERVAL_S
-        return now_s - max(latest_s, suspect.trial_s or 0.0) >= interval_s
+        return now_s - max(suspect.newest_s, suspect.trial_s or 0.0) >= interval_s
 
 
 def _has_rival(suspect, convicted):
--- a/packages/kernel/wasabiknot_kernel/suspects.py
+++ b/packages/kernel/wasabiknot_kernel/suspects.py
@@ -76,6 +76,11 @@
         """Whether the complete responses outweigh the crashes."""
         return self.response_count >= RESPONSES_PER_CRASH ** len(self.crashes)
 
+    @property
+    def newest_s(self):
+        """Time at which the newest crash became known, in seconds."""
+        return max(known.known_s for known in self.crashes.values())
+
     @property
     def is_convicted(self):
         """Whether there are enough crashes to refuse the request."""
@@ -119,8 +124,7 @@
             return False
         if len(self.crashes) >= MAX_CRASHES + MAX_TRIAL_CRASHES:
             return False
-        latest_s = max(known.known_s for known in self.crashes.values())
-        return now_s - max(latest_s, self.trial_s or 0.0) >= TRIAL_INTERVAL_S
+        return now_s - max(self.newest_s, self.trial_s or 0.0) >= TRIAL_INTERVAL_S
 
 
 def count_unexplained(suspect, others):
