Tell a harmful part from a request with the same crashes, also after a restart

Cause: sound requests with the same content had been in flight at the same three crashes. The entries that had seen their responses knew better, but both stood in the store with three crashes, and an entry that reads them knows no responses. On a tie the request was taken for the cause, so the part was served; and a request without a response is never tried again.

Change: on a tie neither explains the other, and stored crashes of a part are believed at once; a refused part stays refused as a rival shows up; the records of a request that a refused part explains are deleted; such a request is tried again; a trial has nothing else in it that is suspected.

Ruled out: trials of parts without end (bounded by the crashes since the refusal).

--- a/packages/kernel/tests/test_part_suspects.py
+++ b/packages/kernel/tests/test_part_suspects.py
@@ -132,6 +132,47 @@
             self.register.record(crash, 3.0, Evidence.REFUSED)
         self.assertFalse(self.register.is_refused("sound", 3.0))
 
+    def test_part_stays_refused_as_a_request_is_found_at_the_same_crashes(self):
+        self.answer(SHARED, count=30)
+        for number in range(3):
+            self.crash(HARMFUL, at_s=number)
+        self.assertEqual(self.list_refused(2.5), {HARMFUL})
+        for number in range(3):
+            crash = crashes.Crash("sound", f"w{number + 1}/1")
+            self.register.record(crash, 3.0, Evidence.REFUSED)
+        self.assertEqual(self.list_refused(3.0), {HARMFUL})
+
+    def build_tie(self):
+        # What an entry reads after a restart, without the responses that others got.
+        register = crashes.CrashRegister()
+        for fingerprint in ("sound", build_key(HARMFUL)):
+            for number in range(3):
+                register.add_stored(crashes.Crash(fingerprint, f"w{number}/1"), 0.0)
+        return register
+
+    def test_part_is_refused_after_a_restart_beside_a_request_with_its_crashes(self):
+        self.register = self.build_tie()
+        self.assertEqual(self.list_refused(0.0), {HARMFUL})
+
+    def test_request_with_the_crashes_of_a_refused_part_is_tried(self):
+        self.register = self.build_tie()
+        self.assertTrue(self.register.is_refused("sound", 0.0))
+        self.assertFalse(self.register.try_start_trial("sound", 2.9))
+        self.assertTrue(self.register.try_start_trial("sound", 3.0))
+
+    def test_crashes_of_a_request_that_a_part_explains_leave_the_store(self):
+        self.answer(SHARED, count=30)
+        for number in range(3):
+            crash = crashes.Crash("sound", f"w{number + 1}/1")
+            self.register.record(crash, number, Evidence.REFUSED)
+            self.register.mark_stored([crash])
+            self.register.record_response("sound")
+            self.crash(HARMFUL, at_s=number)
+        self.assertEqual(self.list_refused(2.5), {HARMFUL})
+        self.assertEqual(len(self.register.list_deletions()), 3)
+        due = {item.fingerprint for item in self.register.list_due(9.0, True)}
+        self.assertEqual(due, {build_key(HARMFUL)})
+
     def test_stored_crashes_are_believed_by_an_entry_that_has_just_started(self):
         for number in range(3):
             crash = crashes.Crash(build_key(HARMFUL), f"w{number}/1")
@@ -226,6 +267,17 @@
         self.assertTrue(entry.try_start_trial(single, 60.0))
         self.assertEqual(single.trial_key, build_key("bad1"))
 
+    def test_request_with_another_suspected_part_is_not_tried(self):
+        entry = builders.build_deployment()
+        for number in range(3):
+            crash = crashes.Crash(build_key(HARMFUL), f"w{number}/1")
+            entry.crashes.add_stored(crash, 0.0)
+        other = crashes.Crash(build_key("bad1"), "w7/1")
+        entry.crashes.record(other, 0.0, Evidence.REFUSED)
+        suspected = self.build_ticket(HARMFUL, "bad1")
+        self.assertFalse(entry.try_start_trial(suspected, 60.0))
+        self.assertTrue(entry.try_start_trial(self.build_ticket(HARMFUL), 60.0))
+
 
 class CrashMonitorTests(unittest.TestCase):
     def setUp(self):
--- a/packages/kernel/wasabiknot_kernel/crashes.py
+++ b/packages/kernel/wasabiknot_kernel/crashes.py
@@ -264,9 +264,8 @@
         self._judge.record_response(service, keys, at_s)
         for key in keys if len(self._parts) else ():
             suspect = self._parts.get(key)
-            for known in suspect.crashes.values() if suspect is not None else ():
-                if known.is_stored:
-                    self._deletions[known.crash.key] = None
+            if suspect is not None:
+                self._delete_stored(suspect)
 
     def apply_responses(self, source, responses, now_s=0.0):
         """Applies the numbers of complete responses that a peer reports.
@@ -350,14 +349,17 @@
         """
         return next(self._iterate_refused(ticket, now_s), None)
 
-    def list_refused(self, ticket, now_s):
-        """Lists all that forbids to send a request to another backend server.
+    def find_trial_key(self, ticket, now_s):
+        """Finds what a request that is refused can be a trial of.
 
         :param ticket: ``arrivals.Ticket``.
         :param now_s: current time in seconds.
-        :return: list of its fingerprint and keys of parts of its prompt.
+        :return: its fingerprint or the key of a part; ``None`` if a crash would not
+            tell which of several is harmful.
         """
-        return list(self._iterate_refused(ticket, now_s))
+        refused = set(self._iterate_refused(ticket, now_s))
+        suspected = refused.union(self.list_doubtful(ticket))
+        return refused.pop() if len(suspected) == 1 and refused else None
 
     def _iterate_refused(self, ticket, now_s):
         if self.is_refused(ticket.fingerprint, now_s):
@@ -373,11 +375,27 @@
         :return: frozen set of keys.
         """
         refused = self._judge.list_refused(now_s)
-        for key in sorted(refused ^ self._refused_parts):
-            self._verdicts.append(self._describe_verdict(key, key in refused))
-        self._refused_parts = refused
+        if refused != self._refused_parts:
+            for key in sorted(refused ^ self._refused_parts):
+                self._verdicts.append(self._describe_verdict(key, key in refused))
+            self._refused_parts = refused
+            self._mark_explained_requests()
         return refused
 
+    def _mark_explained_requests(self):
+        # An entry that reads their crashes after a restart knows no responses.
+        parts = [self._parts.get(key) for key in self._refused_parts]
+        for suspect in self._requests.repeated.values():
+            unexplained = suspects.count_unexplained(suspect, parts)
+            suspect.is_explained = unexplained < len(suspect.crashes)
+            if suspect.is_explained:
+                self._delete_stored(suspect)
+
+    def _delete_stored(self, suspect):
+        for known in suspect.crashes.values():
+            if known.is_stored:
+                self._deletions[known.crash.key] = None
+
     def _describe_verdict(self, key, is_refused):
         suspect = self._parts.get(key)
         count = len(suspect.crashes) if suspect is not None else 0
@@ -409,12 +427,17 @@
         :param ticket: ``arrivals.Ticket``.
         :return: ``True`` after a crash that complete responses do not outweigh.
         """
-        suspect = self._requests.get(ticket.fingerprint)
-        if suspect is not None and suspect.is_doubtful:
-            return True
+        return bool(self.list_doubtful(ticket))
+
+    def list_doubtful(self, ticket):
+        """Lists all that a failure of a request may be the fault of.
+
+        :param ticket: ``arrivals.Ticket``.
+        :return: list of its fingerprint and keys of parts of its prompt.
+        """
         keys = prompt_parts.list_keys(ticket) if len(self._parts) else ()
-        known = [self._parts.get(key) for key in keys]
-        return any(item is not None and item.is_doubtful for item in known)
+        known = [(key, self._find(key)) for key in (ticket.fingerprint, *keys)]
+        return [key for key, item in known if item is not None and item.is_doubtful]
 
     def try_start_trial(self, fingerprint, now_s):
         """Starts a trial of a refused request, if one is due.
@@ -433,7 +456,8 @@
     def _is_due_for_trial(self, suspect, now_s):
         if suspect.is_part:
             return self._judge.is_due_for_trial(suspect, now_s)
-        return suspect.is_due_for_trial(now_s)
+        parts = [self._parts.get(key) for key in self.list_refused_parts(now_s)]
+        return suspect.is_due_for_trial(now_s, suspects.has_rival(suspect, parts))
 
     def pop_clearances(self):
         """Returns the clearances since the last call, for the log.
@@ -524,6 +548,8 @@
         suspect = self._find(known.crash.fingerprint)
         if suspect.is_part:
             return self._judge.needs_storing(suspect)
+        if suspect.is_explained:
+            return False
         return len(suspect.crashes) > 1 or not suspect.response_count
 
     def drop_expired(self, now_s, is_reader):
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -420,13 +420,12 @@
         :param now_s: current time in seconds.
         :return: whether the request may be sent once.
         """
-        refused = self.crashes.list_refused(ticket, now_s)
-        # With two of them, a crash would not tell which one is harmful.
-        if len(refused) != 1 or not self._is_trial_entry(refused[0], now_s):
+        key = self.crashes.find_trial_key(ticket, now_s)
+        if key is None or not self._is_trial_entry(key, now_s):
             return False
-        if not self.crashes.try_start_trial(refused[0], now_s):
+        if not self.crashes.try_start_trial(key, now_s):
             return False
-        ticket.trial_key = refused[0]
+        ticket.trial_key = key
         return True
 
     def _is_trial_entry(self, fingerprint, now_s):
--- a/packages/kernel/wasabiknot_kernel/part_suspects.py
+++ b/packages/kernel/wasabiknot_kernel/part_suspects.py
@@ -22,11 +22,13 @@
 # is refused even if the service has completed no response at all.
 MIN_OUTAGE_CRASHES = 5
 MIN_OUTAGE_S = 2.0
-# A refused part is tried again after this time without a crash: soon if the evidence
-# may deceive, and until so many crashes in all.
-TRIAL_INTERVAL_S = 3.0
+# A refused part is tried again after this time without a crash, and until so many
+# crashes in all.
 CERTAIN_TRIAL_INTERVAL_S = 30.0
 MAX_CRASHES_BEFORE_TRIAL = 6
+# The same for evidence that may deceive, and crashes since the part was refused.
+TRIAL_INTERVAL_S = 3.0
+MAX_CRASHES_SINCE_REFUSAL = 2
 # Interval of the verdicts, unless something new is known.
 JUDGE_INTERVAL_S = 0.1
 
@@ -39,11 +41,13 @@
         known here; ``None`` for none.
     :param answer_mark: complete responses of the service when the crashes began that
         no complete response with the part has followed.
+    :param refused_count: number of its crashes when it was refused.
     """
 
     service: str = ""
     answered_s: float | None = None
     answer_mark: int = 0
+    refused_count: int = 0
 
     is_part = True
 
@@ -193,19 +197,31 @@
             self._refused = frozenset(self._judge(now_s))
         return self._refused
 
-    def _judge(self, now_s):
+    def _list_convicted(self):
         everyone = [*self._requests.repeated.values(), *self.parts.repeated.values()]
-        convicted = [item for item in everyone if item.is_convicted]
+        return [item for item in everyone if item.is_convicted]
+
+    def _judge(self, now_s):
+        convicted = self._list_convicted()
         for key, suspect in self.parts.repeated.items():
-            if suspect.is_convicted and self._is_ripe(suspect, convicted, now_s):
-                unexplained = suspects.count_unexplained(suspect, convicted)
-                if unexplained >= suspects.MAX_CRASHES:
-                    yield key
+            if not suspect.is_convicted:
+                continue
+            # A rival that shows up later speaks for no part that is refused already.
+            is_ripe = key in self._refused or self._is_ripe(suspect, convicted, now_s)
+            unexplained = suspects.count_unexplained(suspect, convicted)
+            if not is_ripe or unexplained < suspects.MAX_CRASHES:
+                continue
+            if key not in self._refused:
+                suspect.refused_count = len(suspect.crashes)
+            yield key
 
     def _is_ripe(self, suspect, convicted, now_s):
-        if suspect.answered_s is None and not _has_rival(suspect, convicted):
+        if suspect.answered_s is None:
             stored = sum(known.is_stored for known in suspect.crashes.values())
-            return stored >= suspects.MAX_CRASHES or self._has_evidence(suspect)
+            if stored >= suspects.MAX_CRASHES:
+                return True
+            if not suspects.has_rival(suspect, convicted):
+                return self._has_evidence(suspect)
         others = self._response_counts[suspect.service] - suspect.answer_mark
         streak = suspect.list_streak()
         if others >= MIN_OTHER_RESPONSES:
@@ -220,20 +236,14 @@
         :param suspect: ``PartSuspect``.
         :param now_s: current time in seconds.
         """
-        if len(suspect.crashes) > MAX_CRASHES_BEFORE_TRIAL:
+        count = len(suspect.crashes)
+        has_rival = suspects.has_rival(suspect, self._list_convicted())
+        if suspect.answered_s is None and not has_rival:
+            interval_s = CERTAIN_TRIAL_INTERVAL_S
+            may_crash = count <= MAX_CRASHES_BEFORE_TRIAL
+        else:
+            interval_s = TRIAL_INTERVAL_S
+            may_crash = count - suspect.refused_count < MAX_CRASHES_SINCE_REFUSAL
+        if not may_crash:
             return False
-        others = self.parts.repeated.values()
-        convicted = [item for item in others if item.is_convicted]
-        is_certain = suspect.answered_s is None and not _has_rival(suspect, convicted)
-        interval_s = CERTAIN_TRIAL_INTERVAL_S if is_certain else TRIAL_INTERVAL_S
         return now_s - max(suspect.newest_s, suspect.trial_s or 0.0) >= interval_s
-
-
-def _has_rival(suspect, convicted):
-    return any(
-        item is not suspect
-        and item.is_part
-        and item.answered_s is None
-        and not item.crashes.keys().isdisjoint(suspect.crashes)
-        for item in convicted
-    )
--- a/packages/kernel/wasabiknot_kernel/suspects.py
+++ b/packages/kernel/wasabiknot_kernel/suspects.py
@@ -56,6 +56,7 @@
     :param peer_responses: the same through peers, by name of the peer or group.
     :param trial_s: time of the latest trial of this entry, in seconds.
     :param logged: number of crashes and reason of the latest logged clearance.
+    :param is_explained: whether a refused part of other requests explains its crashes.
     """
 
     crashes: dict[str, KnownCrash] = {}
@@ -63,6 +64,7 @@
     peer_responses: dict[str, int] = {}
     trial_s: float | None = None
     logged: tuple | None = None
+    is_explained: bool = False
 
     is_part = False
 
@@ -101,8 +103,8 @@
 
         :param other: ``Suspect``.
         :return: ``True`` if this one has more crashes and no more responses, or as
-            many crashes and fewer responses. Of a request and a part of its prompt
-            with the same evidence, the request.
+            many crashes and fewer responses; for a part, if this one has fewer
+            responses, or as many and more crashes.
         """
         if not self.is_convicted or self.response_count > other.response_count:
             return False
@@ -113,20 +115,39 @@
         return len(self.crashes) > len(other.crashes)
 
     def _rank(self):
-        return (self.response_count, -len(self.crashes), self.is_part)
+        return (self.response_count, -len(self.crashes))
 
-    def is_due_for_trial(self, now_s):
+    def is_due_for_trial(self, now_s, has_rival=False):
         """Tells whether a refused request may be sent once, as a trial.
 
         :param now_s: current time in seconds.
+        :param has_rival: whether a refused part of other requests was in flight at the
+            same crashes.
         """
-        if not self.response_count:
+        if not self.response_count and not has_rival:
             return False
         if len(self.crashes) >= MAX_CRASHES + MAX_TRIAL_CRASHES:
             return False
         return now_s - max(self.newest_s, self.trial_s or 0.0) >= TRIAL_INTERVAL_S
 
 
+def has_rival(suspect, others):
+    """Tells whether another suspect may as well have caused the crashes of one.
+
+    It has had no complete response and shares some crashes, which aren't explained.
+
+    :param suspect: ``Suspect``.
+    :param others: iterable of ``Suspect`` items.
+    """
+    return any(
+        item is not suspect
+        and not item.response_count
+        and not item.crashes.keys().isdisjoint(suspect.crashes)
+        and not suspect.explains(item)
+        for item in others
+    )
+
+
 def count_unexplained(suspect, others):
     """Counts the crashes of a request that no other request explains.
 
