Draw harmful prompt parts in the soak, and send prompt parts in all rigs

Half of the soak's harmful callers now send different requests with one harmful part in common, on a route drawn by the seed (other draws of a seed stay); the server that begins to answer one ends. 'harmful DISTURBANCE ... part' plays them alone and checks that at most 0.05 of the sound requests are refused. All requests of the soak, the strangers and the other rigs have a first part that they share, and a last one of their own.

--- a/packages/standins/wasabiknot_standins/harmful.py
+++ b/packages/standins/wasabiknot_standins/harmful.py
@@ -1,7 +1,7 @@
-"""Counts the backend servers that one harmful request reaches after three crashes.
+"""Counts the backend servers that harmful requests reach after some crashes.
 
-A caller sends the same harmful body beside ordinary requests, while entries are
-restarted or paused.
+A caller sends the same harmful body, or different requests with a harmful part of
+their prompts, beside ordinary requests, while entries are restarted or paused.
 """
 
 import enum
@@ -22,6 +22,10 @@
 REGISTRATION_DELAY_S = 1.0
 # Plain backend servers beside those of every soak.
 MORE_SERVERS = 3
+# Body of the response to a request that is refused as harmful, and the largest share of
+# the sound requests that may get it.
+REFUSED_BODY = b"quarantined\n"
+MAX_REFUSED_SHARE = 0.05
 
 
 class Disturbance(enum.Enum):
@@ -57,9 +61,11 @@
         super().__init__(seed, duration_s, entry_count, directory)
         self._disturbance = disturbance
         self._load_per_s = load_per_s
-        self.caller = harmfulcallers.HarmfulCaller(
-            self._send_harmful, self._recorder, harm
-        )
+        # Share of the sound requests that were refused as harmful.
+        self.refused_share = 0.0
+        self._harm = harm
+        self._has_harmful_part = harm is harmfulcallers.Harm.PART
+        self.caller = self._create_harmful_caller()
 
     def _start_platform(self):
         super()._start_platform()
@@ -113,6 +119,13 @@
         if not self.caller.has_been_refused():
             self.violations.append(f"only {len(self.caller.list_runs())} runs")
         self._check_harmful(self.caller)
+        self._check_sound_requests()
+
+    def _check_sound_requests(self):
+        refused = [item for item in self._responses if item.body == REFUSED_BODY]
+        self.refused_share = len(refused) / max(1, len(self._responses))
+        if self.refused_share > MAX_REFUSED_SHARE:
+            self.violations.append(f"{self.refused_share:.3f} of the others refused")
 
 
 def play(
@@ -143,6 +156,7 @@
     print(f"{disturbance.value} seed {seed}: runs at {times_s}")
     late_sends = run.caller.list_late_sends()
     print(f"{len(late_sends)} late sends, {violations or 'bound kept'}")
+    print(f"{run.refused_share:.3f} of the sound requests refused")
     print(f"logs in {directory}")
     return violations
 
--- a/packages/standins/wasabiknot_standins/harmfulcallers.py
+++ b/packages/standins/wasabiknot_standins/harmfulcallers.py
@@ -13,16 +13,26 @@
 # Sends that may follow even later.
 MAX_LATE_SENDS = 3
 PREFIX = "harmful-"
+# For different requests with a harmful part of their prompts in common.
+PART_PREFIX = "part-"
+PART_CRASHES_BEFORE_BOUND = 5
 HARMLESS_S = 3.0
 HARMLESS_SHARE = 4
 
 
 class Harm(enum.Enum):
-    """Which sends of the request end the backend server that runs them."""
+    """Which sends end the backend server that runs them.
+
+    ``PART`` is for requests that have only a part of their prompts in common.
+    """
 
     ALWAYS = "always"
     LATER = "later"
     MIXED = "mixed"
+    PART = "part"
+
+
+REQUEST_HARMS = (Harm.ALWAYS, Harm.LATER, Harm.MIXED)
 
 
 class HarmfulCaller:
@@ -33,6 +43,10 @@
     :param harm: ``Harm``.
     """
 
+    prefix = PREFIX
+    # Number of crashes after which the bound on further sends holds.
+    crashes_before_bound = CRASHES_BEFORE_REFUSAL
+
     def __init__(self, send, recorder, harm=Harm.ALWAYS):
         self._send = send
         self._recorder = recorder
@@ -49,7 +63,8 @@
         self._started_s = reactor.seconds()
         while reactor.seconds() < end_s:
             self._count += 1
-            prefix = PREFIX if self._is_harmful() else platformworkers.HARMLESS_PREFIX
+            harmless = platformworkers.HARMLESS_PREFIX
+            prefix = self.prefix if self._is_harmful() else harmless
             self._send(f"{prefix}{self._count}")
             yield task.deferLater(reactor, SEND_INTERVAL_S)
 
@@ -68,7 +83,7 @@
         return sorted(
             run.at_s
             for request_id, runs in self._recorder.runs.items()
-            if request_id.startswith(PREFIX)
+            if request_id.startswith(self.prefix)
             for run in runs
         )
 
@@ -80,12 +95,19 @@
         return len(self.list_runs()) >= CRASHES_BEFORE_REFUSAL
 
     def list_late_sends(self):
-        """Lists the runs that began long after the third crash.
+        """Lists the runs that began long after the crash from which the bound holds.
 
         :return: list of seconds.
         """
         runs = self.list_runs()
-        if not self.has_been_refused():
+        if len(runs) < self.crashes_before_bound:
             return []
-        settled_s = runs[CRASHES_BEFORE_REFUSAL - 1] + SETTLING_S
+        settled_s = runs[self.crashes_before_bound - 1] + SETTLING_S
         return [at_s for at_s in runs if at_s > settled_s]
+
+
+class PartCaller(HarmfulCaller):
+    """Sends different requests with the same harmful part of their prompts."""
+
+    prefix = PART_PREFIX
+    crashes_before_bound = PART_CRASHES_BEFORE_BOUND
--- a/packages/standins/wasabiknot_standins/platformworkers.py
+++ b/packages/standins/wasabiknot_standins/platformworkers.py
@@ -18,6 +18,11 @@
 HARMFUL_BODY = b"harmful"
 HARMLESS_PREFIX = "harmless-"
 CRASH_DELAY_S = 0.05
+# Part of a prompt that ends each backend server which begins to answer a request with
+# it, and the number of the parts that sound requests share.
+HARMFUL_PART = "5c1e07a2"
+SHARED_PARTS = 4
+PARTS_HEADER = "x-wasabiknot-prefix-hash"
 # Sent after a complete response by the fault "extra".
 EXTRA_BYTES = b"HTTP/1.1 200 OK\r\n\r\n"
 # Time after a crash until the registration lapses.
@@ -120,6 +125,27 @@
     return hashlib.sha256(request_id.encode()).hexdigest().encode() * 4
 
 
+def build_parts(request_id, more=()):
+    """Builds the header that names the parts of a request's prompt.
+
+    :param request_id: id of the request.
+    :param more: further parts that the request shares with others.
+    :return: text; the first part is one of ``SHARED_PARTS``, the last one its own.
+    """
+    digest = hashlib.sha256(request_id.encode()).hexdigest()
+    shared = f"e44{int(digest[0], 16) % SHARED_PARTS}"
+    return ",".join(f"{name}:20" for name in (shared, *more, digest[:8]))
+
+
+def has_harmful_part(request):
+    """Tells whether a request has the harmful part of a prompt.
+
+    :param request: ``Request``.
+    """
+    parts = (request.getHeader(PARTS_HEADER) or "").split(",")
+    return HARMFUL_PART in (part.partition(":")[0] for part in parts[:-1])
+
+
 def count_events(request_id):
     """Returns the number of events in the stream of a request.
 
@@ -350,6 +376,10 @@
         if request.content.read() == HARMFUL_BODY and not is_harmless:
             reactor.callLater(CRASH_DELAY_S, self._crash_and_restart, self.server_id)
             return
+        if has_harmful_part(request):
+            self._begin_answer(request, request_id)
+            reactor.callLater(CRASH_DELAY_S, self._crash_and_restart, self.server_id)
+            return
         delay_s = (
             FIRST_EVENT_DELAY_S if self.is_engine else self._find_delay_s(request_id)
         )
@@ -357,6 +387,16 @@
         arguments = (respond, request, request_id, disconnects)
         reactor.callLater(delay_s, self._answer, contact, disconnects, *arguments)
 
+    def _begin_answer(self, request, request_id):
+        if self.is_engine:
+            request.setHeader("content-type", "text/event-stream")
+            first = int(request.getHeader("last-event-id") or 0) + 1
+            request.write(build_event(request_id, first))
+            return
+        body = build_body(request_id)
+        request.setHeader("content-length", str(len(body)))
+        request.write(body[:1])
+
     def _is_misdirected(self, request):
         return request.getHeader("x-wasabiknot-expect-instance") != self.server_id
 
--- a/packages/standins/wasabiknot_standins/soakconfigurations.py
+++ b/packages/standins/wasabiknot_standins/soakconfigurations.py
@@ -6,6 +6,7 @@
 from twisted.internet import reactor
 
 from wasabiknot_entry import connections
+from wasabiknot_standins import platformworkers
 
 HOST = "soak.example"
 API_KEY = "soak-key"
@@ -255,20 +256,24 @@
     }
 
 
-def build_request(path, request_id, body, key=API_KEY):
+def build_request(path, request_id, body, key=API_KEY, more_parts=()):
     """Builds a request of a caller.
 
     :param path: path of the request.
     :param request_id: id of the request.
     :param body: body bytes.
     :param key: API key of the caller.
+    :param more_parts: parts of its prompt beside that which all requests share, and
+        its own.
     :return: ``connections.Request``.
     """
+    parts = platformworkers.build_parts(request_id, more_parts)
     headers = (
         (b"host", HOST.encode()),
         (b"x-wasabiknot-attempt-id", request_id.encode()),
         (b"x-wasabiknot-deadline-ms", str(CALLER_TIMEOUT_MS).encode()),
         (b"x-wasabiknot-token-count", b"200,132"),
+        (platformworkers.PARTS_HEADER.encode(), parts.encode()),
         (b"x-api-key", key.encode()),
         (b"content-length", str(len(body)).encode()),
     )
--- a/packages/standins/wasabiknot_standins/soaks.py
+++ b/packages/standins/wasabiknot_standins/soaks.py
@@ -39,6 +39,8 @@
 RECENT_KEYS = 5
 # Fraction of the requests that go to a route that versions add and drop.
 OPTIONAL_SHARE = 0.2
+# Share of the runs whose harmful requests have only a part of their prompts in common.
+HARMFUL_PART_SHARE = 0.5
 # A long soak begins with a time in which only planned operations take place.
 MIN_DURATION_WITH_CALM_S = 15.0
 CALM_S = (4.0, 8.0)
@@ -105,7 +107,11 @@
     def __init__(self, seed, duration_s, entry_count, directory):
         self._rng = random.Random(seed)
         # Drawn apart, so that a seed keeps its other draws.
-        self._harm = random.Random(f"harm/{seed}").choice(list(harmfulcallers.Harm))
+        self._harm = random.Random(f"harm/{seed}").choice(harmfulcallers.REQUEST_HARMS)
+        part_rng = random.Random(f"part/{seed}")
+        self._has_harmful_part = part_rng.random() < HARMFUL_PART_SHARE
+        # All its requests have this route, so they run on servers of one service.
+        self._part_path = part_rng.choice(soakconfigurations.ROUTES)[1]
         self._seed = seed
         self._optional_rng = random.Random(f"optional/{seed}")
         self._duration_s = duration_s
@@ -357,14 +363,34 @@
     def _start_harmful_caller(self):
         if self._harmful_caller is not None:
             return
-        self._harmful_caller = harmfulcallers.HarmfulCaller(
-            self._send_harmful, self._recorder, self._harm
-        )
+        self._harmful_caller = self._create_harmful_caller()
         running = self._harmful_caller.run(reactor.seconds() + self._duration_s)
         running.addErrback(self._record_internal_error)
 
-    @defer.inlineCallbacks
+    def _create_harmful_caller(self):
+        if self._has_harmful_part:
+            return harmfulcallers.PartCaller(self._send_harmful_part, self._recorder)
+        return harmfulcallers.HarmfulCaller(
+            self._send_harmful, self._recorder, self._harm
+        )
+
+    def _send_harmful_part(self, request_id):
+        more_parts = (platformworkers.HARMFUL_PART,)
+        request = soakconfigurations.build_request(
+            f"{self._part_path}x",
+            request_id,
+            request_id.encode(),
+            more_parts=more_parts,
+        )
+        return self._send_crashing(request_id, request)
+
     def _send_harmful(self, request_id):
+        body = platformworkers.HARMFUL_BODY
+        request = soakconfigurations.build_request("/cash/harmful", request_id, body)
+        return self._send_crashing(request_id, request)
+
+    @defer.inlineCallbacks
+    def _send_crashing(self, request_id, request):
         if self._faults.is_over:
             return
         # Each run of the request crashes a backend server.
@@ -373,16 +399,14 @@
         response = soakchecks.Response(
             request_id, "cash", entry.number, reactor.seconds()
         )
-        body = platformworkers.HARMFUL_BODY
-        request = soakconfigurations.build_request("/cash/harmful", request_id, body)
         yield self._send_request(entry.caller_address, request, response)
 
     def _check_harmful(self, caller):
         late_sends = caller.list_late_sends()
         if len(late_sends) > harmfulcallers.MAX_LATE_SENDS:
             self.violations.append(
-                f"harmful request: {len(late_sends)} sends long after the third crash,"
-                f" {len(caller.list_runs())} in all"
+                f"{caller.prefix}requests: {len(late_sends)} sends long after crash"
+                f" {caller.crashes_before_bound}, {len(caller.list_runs())} in all"
             )
 
     def _build_checker(self):
