--- a/packages/kernel/wasabiknot_kernel/part_suspects.py
+++ b/packages/kernel/wasabiknot_kernel/part_suspects.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import math
 
 from wasabiknot_kernel import prompt_parts, suspects
 
@@ -64,7 +65,9 @@
     @property
     def is_outweighed(self):
         """Whether a complete response has followed all but the newest crashes."""
-        return len(self.list_streak()) < suspects.MAX_CRASHES
+        answered_s = -math.inf if self.answered_s is None else self.answered_s
+        times_s = (known.known_s for known in self.crashes.values())
+        return sum(time_s > answered_s for time_s in times_s) < suspects.MAX_CRASHES
 
     @property
     def is_doubtful(self):
--- a/packages/kernel/wasabiknot_kernel/suspects.py
+++ b/packages/kernel/wasabiknot_kernel/suspects.py
@@ -106,13 +106,15 @@
             many crashes and fewer responses; for a part, if this one has fewer
             responses, or as many and more crashes.
         """
-        if not self.is_convicted or self.response_count > other.response_count:
-            return False
         if other.is_part:
-            return self._rank() < other._rank()
-        if len(self.crashes) == len(other.crashes):
-            return self.response_count < other.response_count
-        return len(self.crashes) > len(other.crashes)
+            is_better = self._rank() < other._rank()
+        elif self.response_count > other.response_count:
+            is_better = False
+        elif len(self.crashes) == len(other.crashes):
+            is_better = self.response_count < other.response_count
+        else:
+            is_better = len(self.crashes) > len(other.crashes)
+        return is_better and self.is_convicted
 
     def _rank(self):
         return (self.response_count, -len(self.crashes))
