--- a/packages/standins/wasabiknot_standins/strangeplays.py
+++ b/packages/standins/wasabiknot_standins/strangeplays.py
@@ -25,6 +25,7 @@
     CLOCKS = "clocks that jump"
     HERD = "many requests at once"
     CALLERS = "callers that send input without end"
+    HARM = "requests with a harmful part of their prompts"
     LONG_BODIES = "long bodies"
     ENDLESS = "responses without end"
     LATE_READS = "bodies that are read late"
--- a/packages/standins/wasabiknot_standins/strangers.py
+++ b/packages/standins/wasabiknot_standins/strangers.py
@@ -16,6 +16,7 @@
     entryprocesses,
     floods,
     soakchecks,
+    soakconfigurations,
     soaks,
     strangebehaviours,
     strangecallers,
@@ -37,6 +38,8 @@
 # What a play prints once its checks were made.
 JUDGED = " violations\n"
 HERD_SHARE = 0.3
+# Share of the plays with unsound servers in which requests with a harmful part come.
+HARM_SHARE = 0.3
 HERD_REQUESTS = 100
 # Time that an entry may take for its part of a herd and what comes behind, in seconds.
 HERD_S = 1.5
@@ -62,6 +65,10 @@
         self._input = None
         if play.has(Part.CALLERS):
             self._input = strangecallers.draw_input(seed)
+        harm_rng = strangebehaviours.create_random(seed, "harm")
+        # Sound servers are to answer all requests.
+        may_harm = not self.is_sound and play.has(Part.HARM)
+        self._has_harm = may_harm and harm_rng.random() < HARM_SHARE
         self._body_rng = strangebehaviours.create_random(seed, "bodies")
         herd_rng = strangebehaviours.create_random(seed, "herd")
         self._has_herd = herd_rng.random() < HERD_SHARE and play.has(Part.HERD)
@@ -77,6 +84,14 @@
         super().__init__(
             seed, play.duration_s, play.entry_count, directory, None, flooder
         )
+        self._has_harmful_part = True
+        self._part_path = harm_rng.choice(
+            [
+                path
+                for _, path, _, service, *_ in soakconfigurations.ROUTES
+                if service == self.strange_service
+            ]
+        )
         self._operations = strangeoperations.Operations(self._events, self._faults)
 
     def describe(self):
@@ -87,6 +102,7 @@
         manner = "sound" if self.is_sound else "unsound"
         callers = f", callers {self._input.value}" if self._input else ""
         herd = ", herd" if self._has_herd else ""
+        herd += f", harm {self._part_path}" if self._has_harm else ""
         events = "".join(f", {item.operation.value}" for item in self._events)
         return (
             f"{self.strange_service} {manner}, share {self._share}{callers}"
@@ -132,6 +148,8 @@
         reactor.callLater(START_S, self._start_behaviours, end_s - QUIET_S)
         reactor.callLater(START_S, self._start_strange_callers, end_s - QUIET_S)
         reactor.callLater(START_S, self._operations.start)
+        if self._has_harm:
+            reactor.callLater(START_S, self._start_harmful_caller)
         if self._has_herd:
             reactor.callLater(self._duration_s / 2, self._send_herd)
         yield self._send_requests(end_s, floods.LOAD_PER_S)
@@ -185,6 +203,8 @@
     def _check_results(self):
         super()._check_results()
         self.violations.extend(self._build_checker().list_violations())
+        if self._harmful_caller is not None:
+            self._check_harmful(self._harmful_caller)
         if self.is_sound:
             self._check_all_served()
 
