Blame a prompt part only if servers ended under different requests with it

Cause: a tie between a request and its part is not decided by the numbers of crashes and responses.

Change: each crash of a part has the fingerprint of the request that had it, in digests and in the store as well; a part is blamed from two different requests on. Requests with a harmful part differ, so nothing else changes: test_part_load as before. test_part_suspects.test_part_of_a_harmful_request_is_served_to_other_requests.

--- a/packages/kernel/wasabiknot_kernel/crash_monitors.py
+++ b/packages/kernel/wasabiknot_kernel/crash_monitors.py
@@ -57,7 +57,7 @@
         server_key = self._attribution.get_server_key(server.registration)
         if ticket.is_trial:
             # Without waiting for evidence: the next trial must not repeat a crash.
-            crash = crashes.Crash(ticket.trial_key, server_key)
+            crash = _build_crash(ticket.trial_key, server_key, ticket.fingerprint)
             self._register.record(crash, now_s, crashes.Evidence.TRIAL)
             return
         loss = self._build_loss(ticket, server_key)
@@ -70,7 +70,8 @@
 
     def _record_crash(self, loss, now_s, evidence):
         for key in (loss.fingerprint, *loss.parts):
-            self._register.record(crashes.Crash(key, loss.server), now_s, evidence)
+            crash = _build_crash(key, loss.server, loss.fingerprint)
+            self._register.record(crash, now_s, evidence)
 
     def should_check(self, server, now_s):
         """Tells whether to check that a backend server still accepts connections.
@@ -241,3 +242,8 @@
         elif now_s - self._expired_s > EXPIRY_INTERVAL_S:
             self._expired_s = now_s
             self._register.drop_expired(now_s, is_reader)
+
+
+def _build_crash(key, server_key, fingerprint):
+    request = fingerprint if prompt_parts.is_key(key) else ""
+    return crashes.Crash(key, server_key, request=request)
--- a/packages/kernel/wasabiknot_kernel/crashes.py
+++ b/packages/kernel/wasabiknot_kernel/crashes.py
@@ -56,11 +56,13 @@
     :param server: id of the backend server and its start time.
     :param at_s: time of day at which it was stored, in Unix seconds, for operators; 0
         before.
+    :param request: for a part, the fingerprint of the request that had it.
     """
 
     fingerprint: str
     server: str
     at_s: decoding.Number = 0.0
+    request: str = ""
 
     @property
     def key(self):
--- a/packages/kernel/wasabiknot_kernel/part_suspects.py
+++ b/packages/kernel/wasabiknot_kernel/part_suspects.py
@@ -13,6 +13,9 @@
 # Parts with a complete response that are remembered, and those of one response.
 MAX_ANSWERED = 4_096
 MAX_ANSWERED_PER_RESPONSE = 32
+# Different requests under which servers ended: a part that only one request has had is
+# that request's own fault.
+MIN_REQUESTS = 2
 # Complete responses of a service that show which parts are in common use.
 MIN_HISTORY = 20
 # Time and complete responses without the part before a part is refused that was
@@ -69,6 +72,14 @@
         times_s = (known.known_s for known in self.crashes.values())
         return sum(time_s > answered_s for time_s in times_s) < suspects.MAX_CRASHES
 
+    @property
+    def is_convicted(self):
+        """Whether there are enough crashes, under different requests, to refuse it."""
+        if len(self.crashes) < suspects.MAX_CRASHES or self.is_outweighed:
+            return False
+        requests = {known.crash.request for known in self.crashes.values()}
+        return len(requests) >= MIN_REQUESTS
+
     @property
     def is_doubtful(self):
         """Whether a crash may be the fault of the part."""
