Take a fingerprint that only begins like the key of a part for none

A record or digest with the fingerprint 'part:' raised ValueError in the entry that read it. Found by reading the diff; no caller has seen it.

--- a/packages/kernel/wasabiknot_kernel/prompt_parts.py
+++ b/packages/kernel/wasabiknot_kernel/prompt_parts.py
@@ -80,7 +80,7 @@
 
     :param key: text.
     """
-    return key.startswith(KEY_PREFIX)
+    return key.startswith(KEY_PREFIX) and ":" in key[len(KEY_PREFIX) :]
 
 
 def split_key(key):
