Keep the crashes of a part that was never answered for as long as those of a request

Callers would have lost one server after another to a part that comes rarely: a crash was forgotten after a minute while there were fewer than three, as if the part had been answered since, so crashes minutes apart never added up. Found by reading the diff; test_part_that_ends_a_server_every_few_minutes_is_refused failed before (200 s apart).

The judge owns the table of parts now, which the register had set from outside.

--- a/packages/kernel/tests/test_part_suspects.py
+++ b/packages/kernel/tests/test_part_suspects.py
@@ -215,6 +215,20 @@
         reported = self.register.list_reported(0.1)
         self.assertEqual(reported[0].fingerprint, build_key(HARMFUL))
 
+    def test_part_that_ends_a_server_every_few_minutes_is_refused(self):
+        self.answer(SHARED, count=30)
+        for number in range(3):
+            now_s = 200.0 * number
+            self.register.drop_expired(now_s, True)
+            self.crash(HARMFUL, at_s=now_s)
+        self.assertEqual(self.list_refused(400.0), {HARMFUL})
+
+    def test_crashes_of_an_answered_part_are_forgotten_soon(self):
+        self.crash(SHARED)
+        self.answer(SHARED, at_s=1.0)
+        self.register.drop_expired(crashes.ANSWERED_RETENTION_S, True)
+        self.assertEqual(self.register.count(build_key(SHARED)), 0)
+
     def test_change_of_verdict_is_reported_once(self):
         self.answer(SHARED, count=30)
         for _ in range(3):
@@ -329,11 +343,11 @@
     def test_parts_without_end_are_forgotten_but_not_the_harmful_one(self):
         self.answer(SHARED, count=30)
         self.crash(HARMFUL)
-        for number in range(2 * crashes.MAX_PARTS):
+        for number in range(2 * part_suspects.MAX_PARTS):
             if number in (100, 200):
                 self.crash(HARMFUL)
             self.crash(f"{number:08x}")
-        self.assertLessEqual(len(self.register._parts), crashes.MAX_PARTS)
+        self.assertLessEqual(len(self.register._parts), part_suspects.MAX_PARTS)
         self.assertEqual(self.list_refused(0.0), {HARMFUL})
 
     def test_answered_parts_without_end_are_bounded(self):
@@ -406,6 +420,12 @@
         self.assertTrue(prompt_parts.is_key(key))
         self.assertEqual(prompt_parts.split_key(key)[1], service_of(service))
 
+    def test_fingerprint_that_only_begins_like_a_key_is_none(self):
+        register = crashes.CrashRegister()
+        for fingerprint in ("part:", "part", "part:5c1e"):
+            register.add(crashes.Crash(fingerprint, "w1/1"), 0.0)
+            self.assertEqual(register.count(fingerprint), 1)
+
     def test_same_part_in_capitals_has_the_same_key(self):
         self.assertEqual(build_key("5C1E"), build_key("5c1e"))
 
--- a/packages/kernel/wasabiknot_kernel/crashes.py
+++ b/packages/kernel/wasabiknot_kernel/crashes.py
@@ -26,7 +26,6 @@
 # The same for the crashes of a part that was answered since.
 ANSWERED_RETENTION_S = 60.0
 MAX_REQUESTS = 2_048
-MAX_PARTS = 4_096
 # Parts of one lost request whose crashes are counted.
 MAX_PARTS_PER_LOSS = 32
 MAX_OBSERVATIONS = 256
@@ -148,8 +147,7 @@
             lambda _: suspects.Suspect(), MAX_REQUESTS
         )
         self._judge = part_suspects.PartJudge(self._requests)
-        self._parts = suspect_tables.SuspectTable(self._judge.create_suspect, MAX_PARTS)
-        self._judge.parts = self._parts
+        self._parts = self._judge.parts
         self._refused_parts = frozenset()
         self._verdicts = collections.deque(maxlen=MAX_OBSERVATIONS)
         self._deletions = {}
@@ -570,8 +568,9 @@
             self._expired.clear()
 
     def _drop_expired_crashes(self, suspect, now_s):
-        is_common = suspect.is_part and suspect.is_outweighed
-        retention_s = ANSWERED_RETENTION_S if is_common else RETENTION_S
+        retention_s = RETENTION_S
+        if suspect.is_part and not suspect.is_doubtful and suspect.is_outweighed:
+            retention_s = ANSWERED_RETENTION_S
         for server, known in list(suspect.crashes.items()):
             if now_s - known.known_s < retention_s:
                 continue
--- a/packages/kernel/wasabiknot_kernel/part_suspects.py
+++ b/packages/kernel/wasabiknot_kernel/part_suspects.py
@@ -8,8 +8,10 @@
 import collections
 import math
 
-from wasabiknot_kernel import prompt_parts, suspects
+from wasabiknot_kernel import prompt_parts, suspect_tables, suspects
 
+# Suspected parts.
+MAX_PARTS = 4_096
 # Parts with a complete response that are remembered, and those of one response.
 MAX_ANSWERED = 4_096
 MAX_ANSWERED_PER_RESPONSE = 32
@@ -106,22 +108,18 @@
     """Decides which prompt parts are refused.
 
     :param requests: ``suspect_tables.SuspectTable`` of whole requests.
+    :ivar parts: ``suspect_tables.SuspectTable`` of parts.
     """
 
     def __init__(self, requests):
         self._requests = requests
-        self.parts = None
+        self.parts = suspect_tables.SuspectTable(self._create_suspect, MAX_PARTS)
         self._answered = collections.OrderedDict()
         self._response_counts = collections.Counter()
         self._refused = frozenset()
         self._judged_s = None
 
-    def create_suspect(self, key):
-        """Creates the suspect of a part.
-
-        :param key: key of the part.
-        :return: ``PartSuspect``.
-        """
+    def _create_suspect(self, key):
         _, service = prompt_parts.split_key(key)
         suspect = PartSuspect(service=service)
         if key in self._answered:
