Skip a refused prompt part that was forgotten since the verdict

A request with three crashes that was asked about within 0.1 s of the deletion of a refused part's records met AttributeError ('NoneType' object has no attribute 'explains'); its caller would have got an internal error. Found by reading the diff: a list of refused suspects stood three times, each without that case.

One function now lists them and leaves out what is no longer there. test_refused_part_whose_records_are_deleted_explains_nothing failed before with that error; test_crashes, test_part_suspects, test_part_load, test_harmful_load pass.

--- a/packages/kernel/tests/test_part_suspects.py
+++ b/packages/kernel/tests/test_part_suspects.py
@@ -229,6 +229,15 @@
         self.register.drop_expired(crashes.ANSWERED_RETENTION_S, True)
         self.assertEqual(self.register.count(build_key(SHARED)), 0)
 
+    def test_refused_part_whose_records_are_deleted_explains_nothing(self):
+        self.register = self.build_tie()
+        for _ in range(2):
+            self.crash("0dd0")
+        self.assertEqual(self.list_refused(0.0), {HARMFUL})
+        for number in range(3):
+            self.register.remove_stored(f"{build_key(HARMFUL)}/w{number}/1")
+        self.assertTrue(self.register.is_refused("sound", 0.0))
+
     def test_change_of_verdict_is_reported_once(self):
         self.answer(SHARED, count=30)
         for _ in range(3):
--- a/packages/kernel/wasabiknot_kernel/crashes.py
+++ b/packages/kernel/wasabiknot_kernel/crashes.py
@@ -379,12 +379,17 @@
             for key in sorted(refused ^ self._refused_parts):
                 self._verdicts.append(self._describe_verdict(key, key in refused))
             self._refused_parts = refused
-            self._mark_explained_requests()
+            self._mark_explained_requests(now_s)
         return refused
 
-    def _mark_explained_requests(self):
+    def _list_refused_suspects(self, now_s):
+        # One may have been forgotten since the verdict.
+        known = [self._parts.get(key) for key in self.list_refused_parts(now_s)]
+        return [suspect for suspect in known if suspect is not None]
+
+    def _mark_explained_requests(self, now_s):
         # An entry that reads their crashes after a restart knows no responses.
-        parts = [self._parts.get(key) for key in self._refused_parts]
+        parts = self._list_refused_suspects(now_s)
         for suspect in self._requests.repeated.values():
             unexplained = suspects.count_unexplained(suspect, parts)
             suspect.is_explained = unexplained < len(suspect.crashes)
@@ -414,7 +419,7 @@
     def _find_clearance_reason(self, suspect, now_s):
         if suspect.is_outweighed:
             return ClearanceReason.OUTWEIGHED
-        parts = [self._parts.get(key) for key in self.list_refused_parts(now_s)]
+        parts = self._list_refused_suspects(now_s)
         others = itertools.chain(self._requests.repeated.values(), parts)
         unexplained = suspects.count_unexplained(suspect, others)
         if unexplained < suspects.MAX_CRASHES:
@@ -456,7 +461,7 @@
     def _is_due_for_trial(self, suspect, now_s):
         if suspect.is_part:
             return self._judge.is_due_for_trial(suspect, now_s)
-        parts = [self._parts.get(key) for key in self.list_refused_parts(now_s)]
+        parts = self._list_refused_suspects(now_s)
         return suspect.is_due_for_trial(now_s, suspects.has_rival(suspect, parts))
 
     def pop_clearances(self):
