Share the exchange of the plays of harmful requests and of harmful parts

PartWorld had a copy of World.exchange to build one digest for all peers, as entries do. World draws the recipients now, and only the sending differs. No draw changes: test_harmful_load and test_part_load pass.

--- a/packages/kernel/tests/partplays.py
+++ b/packages/kernel/tests/partplays.py
@@ -138,20 +138,10 @@
                 for _, entry, server, ticket in end[1]:
                     entry.crash_monitor.record_loss(ticket, server, self.now_s)
 
-    def exchange(self, number, entry):
-        entry.tick(self.now_s)
-        if self.is_cut(number):
-            return
-        if self.store_is_up:
-            self.synchronize(entry)
-        elif not entry.has_crashes:
-            self.copy_from_peer(entry)
+    def send_digests(self, entry):
         digest = entry.build_digest(self.now_s)
-        for other_number, other in enumerate(self.entries):
-            if other is None or other is entry or self.is_cut(other_number):
-                continue
-            if self.rng.random() >= harmfulplays.DIGEST_LOSS:
-                other.apply_digest(digest, self.now_s)
+        for other in self.draw_recipients(entry):
+            other.apply_digest(digest, self.now_s)
 
     def list_late(self, crashes=CRASHES):
         """Lists the harmful runs that began long after so many crashes."""
--- a/packages/kernel/tests/test_harmful_load.py
+++ b/packages/kernel/tests/test_harmful_load.py
@@ -190,11 +190,18 @@
             self.synchronize(entry)
         elif not entry.has_crashes:
             self.copy_from_peer(entry)
-        for other_number, other in enumerate(self.entries):
-            if other is None or other is entry or self.is_cut(other_number):
+        self.send_digests(entry)
+
+    def send_digests(self, entry):
+        for other in self.draw_recipients(entry):
+            other.apply_digest(entry.build_digest(self.now_s), self.now_s)
+
+    def draw_recipients(self, entry):
+        for number, other in enumerate(self.entries):
+            if other is None or other is entry or self.is_cut(number):
                 continue
             if self.rng.random() >= DIGEST_LOSS:
-                other.apply_digest(entry.build_digest(self.now_s), self.now_s)
+                yield other
 
     def synchronize(self, entry):
         entry.store_reads.record_read(self.now_s)
