--- a/packages/kernel/tests/silent_rollouts.py
+++ b/packages/kernel/tests/silent_rollouts.py
@@ -47,6 +47,7 @@
         self.count = 0
         self.credit = 0.0
         self.kind = kind
+        self.first_event_s = None
 
 
 class RolloutWorld:
@@ -63,6 +64,7 @@
         their side responds.
     :param events: mean number of events of a stream.
     :param is_plain: whether the requests are plain and idempotent instead of streams.
+    :param servers_per_side: servers of each version.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         moves_always=False,
         events=100,
         is_plain=False,
+        servers_per_side=SERVERS_PER_SIDE,
     ):
         self.rng = random.Random(seed)
         self.load_per_s = load_per_s
@@ -110,7 +113,7 @@
         for entry in self.entries:
             entry.apply_configuration(table, self.now_s)
             for version in ("v1", "v2"):
-                for number in range(SERVERS_PER_SIDE):
+                for number in range(servers_per_side):
                     entry.apply_registration(
                         builders.build_registration(
                             f"{version}-{number}",
@@ -214,11 +217,10 @@
             if isinstance(decision, dispatch.Refusal):
                 continue
             decision.ticket.sends += 1
-            kind = ""
             if self.is_new(decision.server):
                 self.sent_to_new += 1
                 self.sent_to_new_s.append(self.now_s - self.start_s)
-                kind = self.draw_fault(self.rng)
+            kind = self.draw_kind(decision.server)
             events = self.rng.randint(self.events // 2, self.events * 3 // 2)
             first_s = 0.08
             if self.is_plain:
@@ -229,6 +231,14 @@
                 )
             )
 
+    def draw_kind(self, server):
+        """Draws how a server responds to a request, as ``draw_fault`` does."""
+        return self.draw_fault(self.rng) if self.is_new(server) else ""
+
+    def find_slowness(self, stream):
+        """Finds by how much a request is slower now than on an idle sound server."""
+        return 1.0 if stream.kind == "stall" else stream.kind or 1.0
+
     def advance(self, stream):
         if self.is_silent(stream.server) or stream.kind == "hang":
             self.wait(stream)
@@ -236,8 +246,7 @@
         if stream.kind == "stall" and stream.count > 5:
             self.wait(stream)
             return
-        slowness = stream.kind or 1.0
-        pace = STEP_S / (1.0 if stream.kind == "stall" else slowness)
+        pace = STEP_S / self.find_slowness(stream)
         if stream.first_s > 0:
             stream.first_s -= pace
             self.wait(stream)
@@ -253,6 +262,8 @@
             stream.left -= 1
             stream.count += 1
             stream.heard_s = self.now_s
+            if stream.first_event_s is None:
+                stream.first_event_s = self.now_s - stream.sent_s
             dispatcher.record_first_event(stream.ticket, stream.server, self.now_s)
             dispatcher.record_progress(
                 stream.ticket, stream.server, stream.count, self.now_s
--- a/packages/kernel/tests/test_releases.py
+++ b/packages/kernel/tests/test_releases.py
@@ -393,6 +393,41 @@
         self.assertIs(restarted.find_phase("pool"), releases.Phase.ROLLED_BACK)
         self.assertEqual(restarted.list_active(), [])
 
+    def read_again(self, tracker):
+        order = registrations.ReleaseOrder(
+            "pool", "v2", 16.0, positions.create_position(2, 3)
+        )
+        tracker.apply_order(order, 5.0)
+        tracker.block_bad_versions()
+
+    def record_failures(self, tracker, count=8):
+        new = [item for item in build_servers() if is_new(item)]
+        for number in range(count):
+            ticket = builders.build_ticket(f"q{number}")
+            tracker.record_outcome(ticket, new[number % 3], Outcome.FAILED, None)
+
+    def test_blocked_version_gets_no_requests_after_its_order_is_read_again(self):
+        self.record_failures(self.tracker)
+        self.tracker.block_bad_versions()
+        self.read_again(self.tracker)
+        self.assertTrue(self.tracker.is_blocked("pool"))
+
+    def test_evidence_of_an_order_is_kept_when_it_is_read_again(self):
+        self.record_failures(self.tracker)
+        peer = build_releases(2)
+        peer.apply_evidence("e1", self.tracker.list_evidence())
+        self.read_again(self.tracker)
+        self.assertTrue(self.tracker.is_blocked("pool"))
+        self.read_again(peer)
+        self.assertTrue(peer.is_blocked("pool"))
+
+    def test_evidence_of_peers_that_have_not_read_the_order_again_counts(self):
+        peer = build_releases(2)
+        self.record_failures(peer)
+        self.read_again(self.tracker)
+        self.tracker.apply_evidence("e2", peer.list_evidence())
+        self.assertTrue(self.tracker.analyze("pool").is_bad)
+
     def test_other_order_of_a_later_era_begins_anew(self):
         self.apply(releases.Phase.ROLLED_BACK)
         order = registrations.ReleaseOrder(
