Keep the evidence and the block of a release whose order is read again

Callers of a service got answers of a version that all entries had blocked, once the store had been put back to an older copy and the order was read in the new era before the phase was written: each entry dropped the block and the evidence, so the canary went on. Cause: evidence is kept under the position of the order, and a new position was taken for a new order; only its age was carried over. Now an order that is read again goes on: the entry keeps its own evidence under the new position, counts that of peers under either, and keeps the block.

--- a/packages/kernel/wasabiknot_kernel/releases.py
+++ b/packages/kernel/wasabiknot_kernel/releases.py
@@ -119,6 +119,8 @@
     started_s: float
     # Whether this entry has read the order when it was new.
     is_start_known: bool
+    # Positions at which the order was read in earlier eras of the store.
+    earlier_offsets: tuple[int, ...] = ()
 
     def is_read_again(self, order):
         """Tells whether an order is this one, read after the store was restored."""
@@ -163,14 +165,28 @@
         if previous is not None and previous.order.offset >= order.offset:
             return False
         tracked = _TrackedOrder(order, now_s, is_news)
-        if previous is not None and previous.is_read_again(order):
-            tracked.started_s = previous.started_s
-            tracked.is_start_known = previous.is_start_known
         self._orders[order.service] = tracked
+        if previous is not None and previous.is_read_again(order):
+            self._continue(tracked, previous)
+            return True
         self._drop_evidence(order.service)
         self._block_reasons.pop(order.service, None)
         return True
 
+    def _continue(self, tracked, previous):
+        tracked.started_s = previous.started_s
+        tracked.is_start_known = previous.is_start_known
+        tracked.earlier_offsets = (
+            *previous.earlier_offsets,
+            previous.order.offset,
+        )
+        # Peers that have started since know the order by its new position only.
+        prefix = _create_prefix(previous.order)
+        for key in [key for key in self._own_evidence if key.startswith(prefix)]:
+            subject = key.removeprefix(prefix)
+            stats = self._own_evidence.pop(key)
+            self._own_evidence[_create_prefix(tracked.order) + subject] = stats
+
     def _drop_evidence(self, service):
         for evidence in (self._own_evidence, *self._peer_evidence.values()):
             for key in [key for key in evidence if key.startswith(f"{service}/")]:
@@ -321,13 +337,10 @@
             return
         if outcome is Outcome.UNREACHABLE:
             return
-        is_new = server.registration.version == tracked.order.target
-        side = "new" if is_new else "old"
         is_good = outcome is Outcome.COMPLETE
         # Results are counted by route and by backend server: "r/" and "s/" in the keys.
         for subject in (f"r/{ticket.route.name}", f"s/{server.server_id}"):
-            key = f"{ticket.service}/{tracked.order.offset}/{side}/{subject}"
-            stats = self._own_evidence.setdefault(key, response_stats.ResponseStats())
+            stats = self._find_own_stats(tracked.order, server, subject)
             if is_good:
                 stats.successes += 1
             else:
@@ -335,14 +348,17 @@
             if is_good and duration_ratio:
                 stats.add_duration_ratio(duration_ratio)
 
+    def _find_own_stats(self, order, server, subject):
+        side = "new" if server.registration.version == order.target else "old"
+        key = f"{_create_prefix(order)}{side}/{subject}"
+        return self._own_evidence.setdefault(key, response_stats.ResponseStats())
+
     def list_evidence(self):
         """Lists the evidence of this entry about active releases.
 
         :return: mapping of keys to ``response_stats.ResponseStats``.
         """
-        active_prefixes = {
-            f"{item.service}/{item.offset}/" for item in self.list_active()
-        }
+        active_prefixes = {_create_prefix(item) for item in self.list_active()}
         return {
             key: stats
             for key, stats in self._own_evidence.items()
@@ -377,12 +393,17 @@
         :param service: service name.
         :return: ``analyses.Analysis``.
         """
+        return analyses.compare_versions(*self._find_evidence(service))
+
+    def _find_evidence(self, service):
         tracked = self._orders[service]
-        prefix = f"{service}/{tracked.order.offset}/"
         total = self.merge_evidence(self._peer_evidence)
-        new = _filter_by_prefix(total, f"{prefix}new/")
-        old = _filter_by_prefix(total, f"{prefix}old/")
-        return analyses.compare_versions(new, old)
+        prefixes = [_create_prefix(tracked.order)]
+        # Peers may not have read the order again yet.
+        for offset in tracked.earlier_offsets:
+            earlier = msgspec.structs.replace(tracked.order, offset=offset)
+            prefixes.append(_create_prefix(earlier))
+        return [_merge_by_prefix(total, prefixes, side) for side in ("new/", "old/")]
 
     def describe_evidence(self, service):
         """Describes the duration ratios of the new and old backend servers.
@@ -390,11 +411,13 @@
         :param service: service name.
         :return: text for the log, with ``MEAN~DEVIATIONxSAMPLES`` for each server.
         """
-        prefix = f"{service}/{self._orders[service].order.offset}/"
-        total = self.merge_evidence(self._peer_evidence)
         sides = []
-        for side in ("new", "old"):
-            stats_list = _filter_by_prefix(total, f"{prefix}{side}/s/").values()
+        for side, evidence in zip(
+            ("new", "old"), self._find_evidence(service), strict=True
+        ):
+            stats_list = [
+                stats for key, stats in evidence.items() if key.startswith("s/")
+            ]
             sides.append(f"{side} {analyses.describe_durations(stats_list)}")
         return "; ".join(sides)
 
@@ -489,9 +512,15 @@
     reason: str
 
 
-def _filter_by_prefix(total, prefix):
-    return {
-        key.removeprefix(prefix): stats
-        for key, stats in total.items()
-        if key.startswith(prefix)
-    }
+def _create_prefix(order):
+    return f"{order.service}/{order.offset}/"
+
+
+def _merge_by_prefix(total, prefixes, side):
+    merged = {}
+    for prefix in prefixes:
+        for key, stats in total.items():
+            if key.startswith(prefix + side):
+                subject = key.removeprefix(prefix + side)
+                merged.setdefault(subject, response_stats.ResponseStats()).add(stats)
+    return merged
