Compare failures of a release by kind, and leave out broken servers

Callers got the answers of a version that fails while anything else failed on the old side, and a good version was taken back where servers that fail were among its own. Cause: failed answers, lost ones and timeouts of all old servers were one rate, to which the new version's was compared. Now each kind is compared with its own, and servers that fail far more often than the rest of their side (by likelihood) are left out on both; where the old side has such servers, up to half of the new ones may be. Failures come sooner than complete answers, so requests in flight count as answers. The number of failures is judged by its exact chance instead of five standard deviations, which few answers never reach.

--- a/packages/kernel/tests/test_releases.py
+++ b/packages/kernel/tests/test_releases.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings, strategies
 
 from wasabiknot_kernel import (
-    analyses,
+    failure_rates,
     outcomes,
     positions,
     registrations,
@@ -269,7 +269,7 @@
         self.assertFalse(tracker.analyze("pool").is_bad)
 
     def test_evidence_of_peers_is_included(self):
-        trackers = [build_releases(seed) for seed in range(analyses.MIN_FAILURES)]
+        trackers = [build_releases(seed) for seed in range(failure_rates.MIN_FAILURES)]
         new = [item for item in build_servers() if is_new(item)]
         for number, tracker in enumerate(trackers):
             ticket = builders.build_ticket(f"q{number}")
--- a/packages/kernel/wasabiknot_kernel/analyses.py
+++ b/packages/kernel/wasabiknot_kernel/analyses.py
@@ -9,14 +9,8 @@
 
 import msgspec
 
-from wasabiknot_kernel import response_stats
-
-# A version is failing if it has this many failures and if its failure rate exceeds
-# that of the old versions by this many standard deviations.
-MIN_FAILURES = 5
-MAX_FAILURE_Z_SCORE = 5.0
-# Lower bound of the failure rate that is expected of any version.
-MIN_BASELINE_FAILURE_RATE = 0.03
+from wasabiknot_kernel import failure_rates, response_stats
+
 # A version is slow if it has this many timed responses and if they take longer than
 # those of the slowest old backend server by this factor.
 MIN_DURATION_SAMPLES = 5
@@ -45,18 +39,19 @@
     reason: str = ""
 
 
-def compare_versions(new, old):
+def compare_versions(new, old, running):
     """Compares a new version with the old versions.
 
     :param new: evidence of the new version.
     :param old: evidence of the old versions.
+    :param running: requests in flight at the servers of the new version.
     :return: ``Analysis``.
     """
     successes = sum(
         stats.successes for key, stats in new.items() if key.startswith("r/")
     )
     reason = (
-        _check_failures(new, old)
+        failure_rates.find_excess(new, old, running)
         or _check_durations(new, old)
         or _check_deviation(new, old)
     )
@@ -82,37 +77,6 @@
     return " ".join(texts)
 
 
-def _check_failures(new, old):
-    servers = {key: item for key, item in new.items() if key.startswith("s/")}
-    busy = [
-        item
-        for item in servers.values()
-        if item.successes + item.failures >= MIN_FAILURES
-    ]
-    failing = [item for item in servers.values() if item.failures]
-    if len(busy) > 1 and len(failing) == 1:
-        # A single failing backend server indicates a fault of that server, not of
-        # the version.
-        return ""
-    for key, stats in new.items():
-        if not key.startswith("r/"):
-            continue
-        old_stats = old.get(key, response_stats.ResponseStats())
-        rate = stats.failures / max(1, stats.successes + stats.failures)
-        old_rate = old_stats.failures / max(1, old_stats.successes + old_stats.failures)
-        if stats.failures < MIN_FAILURES:
-            continue
-        expected_rate = min(max(old_rate, MIN_BASELINE_FAILURE_RATE), 0.5)
-        deviation = math.sqrt(
-            expected_rate * (1 - expected_rate) / (stats.successes + stats.failures)
-        )
-        if (rate - expected_rate) / deviation > MAX_FAILURE_Z_SCORE:
-            return (
-                f"{key[2:]}: {stats.failures} failed, {rate:.0%} against {old_rate:.0%}"
-            )
-    return ""
-
-
 def _check_durations(new, old):
     old_means = _list_log_means(old)
     if not old_means:
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -79,6 +79,7 @@
         self.crashes = crashes.CrashRegister()
         self.crash_monitor = crash_monitors.CrashMonitor(self.crashes)
         self.releases = releases.Releases(policy.canary_share, rng)
+        self.releases.count_running = self.count_running_on_new_version
         self.silences = silences.SilenceTracker()
         self.paths = paths.PathMonitor()
         self.brittleness = brittleness.BrittlenessTable()
@@ -445,10 +446,21 @@
         :param order: ``registrations.ReleaseOrder``.
         :return: number of requests of this entry and all reachable peers.
         """
+        return self._count_running(order, is_target=False)
+
+    def count_running_on_new_version(self, order):
+        """Counts the requests on backend servers of the target version.
+
+        :param order: ``registrations.ReleaseOrder``.
+        :return: number of requests of this entry and all reachable peers.
+        """
+        return self._count_running(order, is_target=True)
+
+    def _count_running(self, order, is_target):
         return sum(
             server.count_running()
             for server in self.get_dispatcher(order.service).servers.values()
-            if server.registration.version != order.target
+            if (server.registration.version == order.target) == is_target
         )
 
     def build_digest(self, now_s):
--- a/packages/kernel/wasabiknot_kernel/releases.py
+++ b/packages/kernel/wasabiknot_kernel/releases.py
@@ -41,6 +41,14 @@
 UNORDERED_VERSION_DELAY_S = 2.0
 
 
+_FAILURE_KINDS = {
+    Outcome.FAILED: response_stats.FailureKind.FAILED,
+    Outcome.RESPONSE_LOST: response_stats.FailureKind.LOST,
+    Outcome.ENDLESS: response_stats.FailureKind.LOST,
+    Outcome.TIMED_OUT: response_stats.FailureKind.SILENT,
+}
+
+
 class Phase(enum.Enum):
     """The phases of a release."""
 
@@ -151,6 +159,8 @@
         self._first_seen_s = {}
         # Services whose record the store may have lost.
         self._lost_records = set()
+        # Function of an order that counts the requests in flight of its version.
+        self.count_running = lambda order: 0
 
     def apply_order(self, order, now_s, is_news=False):
         """Applies an order; older orders of the same service are ignored.
@@ -344,7 +354,7 @@
             if is_good:
                 stats.successes += 1
             else:
-                stats.failures += 1
+                stats.add_failure(_FAILURE_KINDS[outcome])
             if is_good and duration_ratio:
                 stats.add_duration_ratio(duration_ratio)
 
@@ -393,7 +403,8 @@
         :param service: service name.
         :return: ``analyses.Analysis``.
         """
-        return analyses.compare_versions(*self._find_evidence(service))
+        running = self.count_running(self._orders[service].order)
+        return analyses.compare_versions(*self._find_evidence(service), running)
 
     def _find_evidence(self, service):
         tracked = self._orders[service]
--- a/packages/kernel/wasabiknot_kernel/response_stats.py
+++ b/packages/kernel/wasabiknot_kernel/response_stats.py
@@ -1,10 +1,19 @@
 """Counts and durations of responses, as evidence about a version."""
 
+import enum
 import math
 
 import msgspec
 
 
+class FailureKind(enum.Enum):
+    """Kinds of failures, which have different causes. The values appear in logs."""
+
+    FAILED = "failed"
+    LOST = "lost"
+    SILENT = "silent"
+
+
 class ResponseStats(msgspec.Struct, array_like=True):
     """Counts and durations of responses.
 
@@ -15,6 +24,8 @@
     :param samples: responses with a known duration ratio.
     :param log_ratio_sum: sum of the logarithms of the duration ratios.
     :param log_ratio_square_sum: sum of the squares of these logarithms.
+    :param losses: those of the failures that lost their response.
+    :param timeouts: those of the failures that timed out.
     """
 
     successes: int = 0
@@ -22,6 +33,29 @@
     samples: int = 0
     log_ratio_sum: float = 0.0
     log_ratio_square_sum: float = 0.0
+    losses: int = 0
+    timeouts: int = 0
+
+    def add_failure(self, kind):
+        """Adds a response that failed or did not arrive.
+
+        :param kind: ``FailureKind``.
+        """
+        self.failures += 1
+        self.losses += kind is FailureKind.LOST
+        self.timeouts += kind is FailureKind.SILENT
+
+    def count_failures(self, kind):
+        """Counts the failures of one kind.
+
+        :param kind: ``FailureKind``.
+        :return: number of failures.
+        """
+        if kind is FailureKind.LOST:
+            return self.losses
+        if kind is FailureKind.SILENT:
+            return self.timeouts
+        return self.failures - self.losses - self.timeouts
 
     def add_duration_ratio(self, duration_ratio):
         """Adds the duration ratio of a response.
@@ -54,6 +88,8 @@
         self.samples += other.samples
         self.log_ratio_sum += other.log_ratio_sum
         self.log_ratio_square_sum += other.log_ratio_square_sum
+        self.losses += other.losses
+        self.timeouts += other.timeouts
 
 
 def compute_log_deviation(stats_list):
