Compare the paces of a release's servers at equal load

Failed before: 19 plays of BadVersionTests (slow versions). Callers were handed to a version whose answers take 1.4 to 1.8 times as long: it was promoted, and the old servers stopped. Cause: an engine slows down with each further request that it runs. A canary's servers run one, the old ones seven, so that slow ones on their own are as fast as busy sound ones, and the durations that were compared were equal (means 0.90 and 0.93). At one request: 12.9 ms between events for sound servers of both versions, 18.1 and 23.3 for the slow ones. Now the interval between events is kept for each server with the mean number of requests that ran there meanwhile. The old servers' own busy and idle times give the slope by which their pace is carried over to the load of the new one. A version is slow if its fastest server is 1.25 times slower than the fastest old one, and if that can't be for want of fast ones. Two plays remain red: they take until after the promotion, or never tell, as three of five old servers are slow.

--- a/packages/entry/wasabiknot_entry/flows.py
+++ b/packages/entry/wasabiknot_entry/flows.py
@@ -79,6 +79,8 @@
         # Time of the send or of the newest event, as the server has it, in seconds.
         self._heard_s = 0.0
         self._received_count = 0
+        # Time from the send to the first event.
+        self._first_event_s = None
         self.first_event_s = None
         self.last_event_id = ticket.arrival.last_event_id
         self.event_count = 0
@@ -151,6 +153,7 @@
         self._sent_s = self._gateway.reactor.seconds()
         self._heard_s = self._sent_s
         self._received_count = 0
+        self._first_event_s = None
         return True
 
     def _compute_remaining_ms(self):
@@ -268,6 +271,8 @@
         self._silence_decision = None
         self._gateway.record_answer(server, False, now_s)
         self._heard_s = now_s
+        if self._first_event_s is None:
+            self._first_event_s = now_s - self._sent_s
         self.dispatcher.record_first_event(self.ticket, server, now_s)
         self.dispatcher.record_progress(
             self.ticket, server, self._received_count, now_s
@@ -375,6 +380,7 @@
             elapsed_s,
             self._received_count,
             now_s,
+            self._first_event_s,
         )
         if result.head is not None and result.head.load is not None:
             load = result.head.load
--- a/packages/kernel/tests/silent_rollouts.py
+++ b/packages/kernel/tests/silent_rollouts.py
@@ -315,7 +315,13 @@
         )
         elapsed_s = self.now_s - stream.sent_s
         entry.record_evidence(
-            stream.ticket, stream.server, outcome, elapsed_s, stream.count, self.now_s
+            stream.ticket,
+            stream.server,
+            outcome,
+            elapsed_s,
+            stream.count,
+            self.now_s,
+            stream.first_event_s,
         )
         if outcome is Outcome.COMPLETE:
             entry.record_response(stream.ticket, stream.server, True, self.now_s)
--- a/packages/kernel/wasabiknot_kernel/analyses.py
+++ b/packages/kernel/wasabiknot_kernel/analyses.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from wasabiknot_kernel import failure_rates, response_stats
+from wasabiknot_kernel import engine_paces, failure_rates, response_stats
 
 # A version is slow if it has this many timed responses and if they take longer than
 # those of the slowest old backend server by this factor.
@@ -52,6 +52,7 @@
     )
     reason = (
         failure_rates.find_excess(new, old, running)
+        or _check_paces(new, old)
         or _check_durations(new, old)
         or _check_deviation(new, old)
     )
@@ -77,6 +78,17 @@
     return " ".join(texts)
 
 
+def _check_paces(new, old):
+    slowdown = engine_paces.find_slowdown(_list_paces(new), _list_paces(old))
+    return f"{slowdown:.1f} times slower at equal load" if slowdown else ""
+
+
+def _list_paces(evidence):
+    return [
+        item.pace_stats for item in evidence.values() if item.pace_stats is not None
+    ]
+
+
 def _check_durations(new, old):
     old_means = _list_log_means(old)
     if not old_means:
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -12,11 +12,13 @@
     digest_builders,
     dispatch,
     eligibility,
+    engine_paces,
     facts,
     group_servers,
     helpers,
     limit_candidates,
     limits,
+    load_histories,
     members,
     outcomes,
     paths,
@@ -81,6 +83,7 @@
         self.releases = releases.Releases(policy.canary_share, rng)
         self.releases.count_running = self.count_running_on_new_version
         self.silences = silences.SilenceTracker()
+        self._load_histories = load_histories.LoadHistories()
         self.paths = paths.PathMonitor()
         self.brittleness = brittleness.BrittlenessTable()
         self.helpers = helpers.Helpers(self.roster, rng)
@@ -382,7 +385,16 @@
             ticket, server, is_success, now_s, ends_with_connection
         )
 
-    def record_evidence(self, ticket, server, outcome, elapsed_s, event_count, now_s):
+    def record_evidence(
+        self,
+        ticket,
+        server,
+        outcome,
+        elapsed_s,
+        event_count,
+        now_s,
+        first_event_s=None,
+    ):
         """Records the outcome of an attempt as evidence about a release.
 
         Requests that are suspected to crash backend servers are not counted, and what
@@ -394,6 +406,7 @@
         :param elapsed_s: time in seconds since the request was sent.
         :param event_count: number of events received.
         :param now_s: current time in seconds.
+        :param first_event_s: time in seconds from the send to the first event.
         """
         if self.crashes.is_suspected(ticket):
             return
@@ -412,8 +425,18 @@
                 * 1_000
                 / service_times.predict_total_ms(ticket.prompt_tokens, event_count)
             )
+            self._record_pace(server, elapsed_s, event_count, now_s, first_event_s)
         self.releases.record_outcome(ticket, server, outcome, duration_ratio)
 
+    def _record_pace(self, server, elapsed_s, event_count, now_s, first_event_s):
+        since_s = now_s - elapsed_s + (first_event_s or 0.0)
+        load = self._load_histories.compute_mean(server.server_id, since_s, now_s)
+        pace_ms = engine_paces.compute_pace_ms(
+            elapsed_s, first_event_s, event_count, server.is_engine
+        )
+        if load is not None and pace_ms is not None:
+            self.releases.record_pace(server, load, pace_ms)
+
     def try_start_trial(self, ticket, now_s):
         """Starts a trial of a refused request, if this entry may and it is due.
 
@@ -627,7 +650,9 @@
 
     def _record_due_timeouts(self, now_s):
         timed_out = outcomes.Outcome.TIMED_OUT
-        for held in self.silences.tick(self.list_released_servers(), now_s):
+        released = self.list_released_servers()
+        self._load_histories.sample(released, now_s)
+        for held in self.silences.tick(released, now_s):
             self.releases.record_outcome(held.ticket, held.server, timed_out, None)
 
     def tick(self, now_s):
--- /dev/null
+++ b/packages/kernel/wasabiknot_kernel/engine_paces.py
@@ -0,0 +1,193 @@
+"""Compares the paces of the backend servers of two versions at equal load.
+
+An engine slows down with each further request that it runs, and a new version has few
+of them. So the paces of the old version are carried over to the load of the new one,
+by the slope that the servers themselves show between their busy and their idle times.
+"""
+
+import math
+import statistics
+
+import msgspec
+
+# Events of a stream from which the interval between them is a sample.
+MIN_EVENTS = 4
+# Samples that a backend server needs to be compared.
+MIN_NEW_SAMPLES = 3
+MIN_OLD_SAMPLES = 8
+# Backend servers needed on each side, as single ones may differ in speed.
+MIN_SERVERS_PER_SIDE = 3
+# Sum of the squared deviations of the load from which its slope is known.
+MIN_LOAD_SPREAD = 20.0
+MAX_SLOPE = 0.3
+# A version is slow if its paces are longer by this factor and this many standard
+# errors.
+MAX_SLOWDOWN = 1.25
+MAX_Z_SCORE = 3.0
+# Lower bound of the standard deviation of logarithmic paces.
+MIN_DEVIATION = 0.1
+# Chance below which a version isn't slow just because none of its backend servers
+# happens to be one of the fast ones.
+MIN_CHANCE = 0.02
+_DECIMALS = 3
+
+
+class PaceStats(msgspec.Struct, array_like=True):
+    """Sums over the samples of one backend server, as for a linear regression.
+
+    :param samples: number of samples.
+    :param load_sum: sum of the mean loads, in requests.
+    :param load_square_sum: sum of their squares.
+    :param pace_sum: sum of the logarithms of the paces.
+    :param pace_square_sum: sum of the squares of these logarithms.
+    :param product_sum: sum of the products of load and logarithm.
+    """
+
+    samples: int = 0
+    load_sum: float = 0.0
+    load_square_sum: float = 0.0
+    pace_sum: float = 0.0
+    pace_square_sum: float = 0.0
+    product_sum: float = 0.0
+
+    def add_sample(self, load, pace_ms):
+        """Adds a sample.
+
+        :param load: mean number of requests at the backend server.
+        :param pace_ms: time between two events, or of a plain request, in milliseconds.
+        """
+        pace = math.log(pace_ms)
+        self.add(PaceStats(1, load, load * load, pace, pace * pace, load * pace))
+
+    def add(self, other):
+        """Adds the sums of other statistics.
+
+        :param other: ``PaceStats``.
+        """
+        for name in self.__struct_fields__:
+            total = getattr(self, name) + getattr(other, name)
+            # Digits that make no difference are not worth their bytes in a digest.
+            setattr(self, name, round(total, _DECIMALS))
+
+    @property
+    def mean_load(self):
+        """Mean load of the samples, in requests."""
+        return self.load_sum / self.samples
+
+    @property
+    def load_spread(self):
+        """Sum of the squared deviations of the load from its mean."""
+        return max(0.0, self.load_square_sum - self.load_sum**2 / self.samples)
+
+    @property
+    def pace_spread(self):
+        """Sum of the squared deviations of the logarithmic pace from its mean."""
+        return max(0.0, self.pace_square_sum - self.pace_sum**2 / self.samples)
+
+    @property
+    def joint_spread(self):
+        """Sum of the products of both deviations."""
+        return self.product_sum - self.load_sum * self.pace_sum / self.samples
+
+    def find_level(self, slope, load):
+        """Estimates the logarithmic pace at a load.
+
+        :param slope: increase of the logarithm with each request.
+        :param load: number of requests.
+        :return: logarithm of the pace in milliseconds.
+        """
+        return self.pace_sum / self.samples + slope * (load - self.mean_load)
+
+
+class Level(msgspec.Struct, frozen=True, order=True):
+    """The pace of a backend server at the load of the new version.
+
+    :param log_pace: logarithm of the pace in milliseconds.
+    :param samples: number of samples.
+    """
+
+    log_pace: float
+    samples: int
+
+
+def compute_pace_ms(elapsed_s, first_event_s, event_count, is_stream):
+    """Computes the pace of a complete response.
+
+    :param elapsed_s: time in seconds since the request was sent.
+    :param first_event_s: time in seconds from the send to the first event.
+    :param event_count: number of events.
+    :param is_stream: whether the response is a stream.
+    :return: milliseconds; ``None`` if the stream is too short to tell.
+    """
+    if not is_stream:
+        return max(1.0, elapsed_s * 1_000)
+    if event_count < MIN_EVENTS or first_event_s is None:
+        return None
+    return max(0.1, (elapsed_s - first_event_s) * 1_000 / (event_count - 1))
+
+
+def find_slowdown(new, old):
+    """Finds by which factor a new version is slower than the old ones.
+
+    :param new: list of the ``PaceStats`` of its backend servers.
+    :param old: list of the ``PaceStats`` of the other backend servers.
+    :return: factor; 0 if it isn't slower, or if that isn't certain.
+    """
+    new = [item for item in new if item.samples >= MIN_NEW_SAMPLES]
+    old = [item for item in old if item.samples >= MIN_OLD_SAMPLES]
+    if min(len(new), len(old)) < MIN_SERVERS_PER_SIDE:
+        return 0.0
+    slope = _find_slope(old)
+    if slope is None:
+        return 0.0
+    load = sum(item.load_sum for item in new) / sum(item.samples for item in new)
+    new_levels = _list_levels(new, slope, load)
+    old_levels = _list_levels(old, slope, load)
+    excess = new_levels[0].log_pace - old_levels[0].log_pace
+    error = _compute_deviation([*new, *old], slope) * math.sqrt(
+        1 / new_levels[0].samples + 1 / old_levels[0].samples
+    )
+    if excess < max(math.log(MAX_SLOWDOWN), MAX_Z_SCORE * error):
+        return 0.0
+    if not _is_whole_version(new_levels, old_levels):
+        return 0.0
+    return math.exp(excess)
+
+
+def _find_slope(stats_list):
+    spread = sum(item.load_spread for item in stats_list)
+    if spread < MIN_LOAD_SPREAD:
+        return None
+    slope = sum(item.joint_spread for item in stats_list) / spread
+    return min(max(slope, 0.0), MAX_SLOPE)
+
+
+def _list_levels(stats_list, slope, load):
+    return sorted(
+        Level(item.find_level(slope, load), item.samples) for item in stats_list
+    )
+
+
+def _compute_deviation(stats_list, slope):
+    squares = sum(
+        item.pace_spread
+        - 2 * slope * item.joint_spread
+        + slope * slope * item.load_spread
+        for item in stats_list
+    )
+    count = sum(item.samples - 1 for item in stats_list)
+    return max(MIN_DEVIATION, math.sqrt(max(0.0, squares) / count))
+
+
+def _is_whole_version(new_levels, old_levels):
+    # The fastest old server may be one of few fast ones, which the new version lacks.
+    limit = old_levels[0].log_pace + math.log(MAX_SLOWDOWN)
+    fast = sum(item.log_pace < limit for item in old_levels)
+    chance = (1 - fast / len(old_levels)) ** len(new_levels)
+    if chance < MIN_CHANCE:
+        return True
+    medians = [
+        statistics.median(item.log_pace for item in levels)
+        for levels in (new_levels, old_levels)
+    ]
+    return medians[0] - medians[1] > math.log(MAX_SLOWDOWN)
--- a/packages/kernel/wasabiknot_kernel/releases.py
+++ b/packages/kernel/wasabiknot_kernel/releases.py
@@ -358,6 +358,19 @@
             if is_good and duration_ratio:
                 stats.add_duration_ratio(duration_ratio)
 
+    def record_pace(self, server, load, pace_ms):
+        """Records the pace of a complete response as evidence about its version.
+
+        :param server: ``servers.Server`` that has sent it.
+        :param load: mean number of requests that the server ran meanwhile.
+        :param pace_ms: time between two events, or of a plain request, in milliseconds.
+        """
+        tracked = self._orders.get(server.registration.service)
+        if tracked is not None:
+            subject = f"s/{server.server_id}"
+            stats = self._find_own_stats(tracked.order, server, subject)
+            stats.add_pace(load, pace_ms)
+
     def _find_own_stats(self, order, server, subject):
         side = "new" if server.registration.version == order.target else "old"
         key = f"{_create_prefix(order)}{side}/{subject}"
@@ -383,7 +396,7 @@
         :return: mapping of keys to ``response_stats.ResponseStats``.
         """
         own = self._own_evidence if include_own else {}
-        total = {key: msgspec.structs.replace(stats) for key, stats in own.items()}
+        total = {key: stats.copy() for key, stats in own.items()}
         for source in sources:
             for key, stats in self._peer_evidence.get(source, {}).items():
                 total.setdefault(key, response_stats.ResponseStats()).add(stats)
--- a/packages/kernel/wasabiknot_kernel/response_stats.py
+++ b/packages/kernel/wasabiknot_kernel/response_stats.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from wasabiknot_kernel import engine_paces
+
 
 class FailureKind(enum.Enum):
     """Kinds of failures, which have different causes. The values appear in logs."""
@@ -26,6 +28,7 @@
     :param log_ratio_square_sum: sum of the squares of these logarithms.
     :param losses: those of the failures that lost their response.
     :param timeouts: those of the failures that timed out.
+    :param pace_stats: ``engine_paces.PaceStats`` of a backend server, or ``None``.
     """
 
     successes: int = 0
@@ -35,6 +38,7 @@
     log_ratio_square_sum: float = 0.0
     losses: int = 0
     timeouts: int = 0
+    pace_stats: engine_paces.PaceStats | None = None
 
     def add_failure(self, kind):
         """Adds a response that failed or did not arrive.
@@ -57,6 +61,25 @@
             return self.timeouts
         return self.failures - self.losses - self.timeouts
 
+    def add_pace(self, load, pace_ms):
+        """Adds the pace of a response.
+
+        :param load: mean number of requests at the backend server.
+        :param pace_ms: time between two events, or of a plain request, in milliseconds.
+        """
+        if self.pace_stats is None:
+            self.pace_stats = engine_paces.PaceStats()
+        self.pace_stats.add_sample(load, pace_ms)
+
+    def copy(self):
+        """Copies the counts and sums.
+
+        :return: ``ResponseStats``.
+        """
+        total = ResponseStats()
+        total.add(self)
+        return total
+
     def add_duration_ratio(self, duration_ratio):
         """Adds the duration ratio of a response.
 
@@ -90,6 +113,10 @@
         self.log_ratio_square_sum += other.log_ratio_square_sum
         self.losses += other.losses
         self.timeouts += other.timeouts
+        if other.pace_stats is not None:
+            if self.pace_stats is None:
+                self.pace_stats = engine_paces.PaceStats()
+            self.pace_stats.add(other.pace_stats)
 
 
 def compute_log_deviation(stats_list):
