Let the share of a promoted version grow, and send a few requests to it early

Callers were all sent to the new version at once after 26 answers in 15 s, and the old servers were stopped as soon as they were idle, so that what shows only under load came when there was no way back. Now up to two fifths of the requests that a bad version may get on top of its share (50 on the users' sites, over all entries) are sent first, at a share of three in ten; the share of a promoted version grows over a tenth of the order's time; and the release isn't reported as finished before 0.82 of it (0.93 in any case, as before).

--- a/packages/entry/tests/test_edge_settings.py
+++ b/packages/entry/tests/test_edge_settings.py
@@ -28,6 +28,7 @@
   allowance_overrun: 0.1
   allowance_slack: 140000
   canary_share: 0.1
+  canary_slack: 50
   rollback_ms: 5000
 """
 
--- a/packages/entry/wasabiknot_entry/edge_entries.py
+++ b/packages/entry/wasabiknot_entry/edge_entries.py
@@ -534,6 +534,7 @@
         bounds.canary_share,
         settings.placement,
         bounds.leaving_ms / 1_000 / POLLS_PER_LEAVING_BOUND,
+        bounds.canary_slack,
     )
 
 
--- a/packages/entry/wasabiknot_entry/edge_settings.py
+++ b/packages/entry/wasabiknot_entry/edge_settings.py
@@ -26,6 +26,7 @@
     :param allowance_overrun: fraction by which usage may exceed a customer's limit.
     :param allowance_slack: tokens by which usage may exceed the limit on top of that.
     :param canary_share: fraction of the traffic that an unproven version may get.
+    :param canary_slack: requests beyond that which such a version may get.
     :param rollback_ms: longest time until a bad version gets no more requests.
     """
 
@@ -40,6 +41,7 @@
     allowance_slack: float
     canary_share: float
     rollback_ms: Positive
+    canary_slack: float = 0.0
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/kernel/tests/builders.py
+++ b/packages/kernel/tests/builders.py
@@ -21,6 +21,7 @@
     retry_slack=54.0,
     tolerance=TOLERANCE,
     canary_share=0.1,
+    canary_slack=50.0,
 )
 ENGINE = routes.Engine(slots=4, kv_tokens=100_000, event_tokens=6)
 
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -47,6 +47,7 @@
     :param canary_share: fraction of the requests that an unproven version may get.
     :param placement: name of the ``choosers.Chooser``.
     :param poll_interval_s: seconds between two reads of the registrations.
+    :param canary_slack: requests that such a version may get beyond that fraction.
     """
 
     retry_ratio: float
@@ -56,6 +57,7 @@
     canary_share: float
     placement: str = choosers.DEFAULT_NAME
     poll_interval_s: float = 0.5
+    canary_slack: float = 0.0
 
 
 class Deployment:
@@ -80,7 +82,7 @@
         self.allowances = allowances.Allowances(policy.tolerance)
         self.crashes = crashes.CrashRegister()
         self.crash_monitor = crash_monitors.CrashMonitor(self.crashes)
-        self.releases = releases.Releases(policy.canary_share, rng)
+        self.releases = releases.Releases(policy.canary_share, rng, policy.canary_slack)
         self.releases.count_running = self.count_running_on_new_version
         self.silences = silences.SilenceTracker()
         self._load_histories = load_histories.LoadHistories()
@@ -120,6 +122,7 @@
         """
         self.policy = policy
         self.releases.canary_share = policy.canary_share
+        self.releases.canary_slack = policy.canary_slack
         for budget in self._budgets.values():
             budget.set_bounds(
                 policy.retry_ratio, policy.retry_window_s, policy.retry_slack
@@ -682,6 +685,7 @@
         peak = self._peak_members.record(count.members, now_s)
         self._update_limits(count.reachable, peak, now_s)
         self._peak_member_count = peak
+        self.releases.entry_count = peak
         self._has_retry_slack = now_s - self._started_s > self.policy.retry_window_s
         for budget in self._budgets.values():
             budget.entry_count = peak
--- a/packages/kernel/wasabiknot_kernel/engine_paces.py
+++ b/packages/kernel/wasabiknot_kernel/engine_paces.py
@@ -17,8 +17,8 @@
 MIN_OLD_SAMPLES = 8
 # Backend servers needed on each side, as single ones may differ in speed.
 MIN_SERVERS_PER_SIDE = 3
-# Sum of the squared deviations of the load from which its slope is known.
-MIN_LOAD_SPREAD = 20.0
+# Sum of the squared deviations of a server's load from which its slope is known.
+MIN_LOAD_SPREAD = 8.0
 MAX_SLOPE = 0.3
 # A version is slow if its paces are longer by this factor and this many standard
 # errors.
@@ -155,11 +155,15 @@
 
 
 def _find_slope(stats_list):
-    spread = sum(item.load_spread for item in stats_list)
-    if spread < MIN_LOAD_SPREAD:
+    # The median, as a server that has turned slow meanwhile has a load that grew too.
+    slopes = [
+        item.joint_spread / item.load_spread
+        for item in stats_list
+        if item.load_spread >= MIN_LOAD_SPREAD
+    ]
+    if not slopes:
         return None
-    slope = sum(item.joint_spread for item in stats_list) / spread
-    return min(max(slope, 0.0), MAX_SLOPE)
+    return min(max(statistics.median_low(slopes), 0.0), MAX_SLOPE)
 
 
 def _list_levels(stats_list, slope, load):
--- a/packages/kernel/wasabiknot_kernel/failure_rates.py
+++ b/packages/kernel/wasabiknot_kernel/failure_rates.py
@@ -125,7 +125,7 @@
     if new.failures < MIN_FAILURES:
         return ""
     expected = (old.failures + 1 + math.sqrt(old.failures + 1)) / (old.total + 1)
-    if old.total < MIN_FAILURES:
+    if not old.total:
         expected = 0.0
     expected = min(max(expected, MIN_EXPECTED_RATE), MAX_EXPECTED_RATE)
     if _compute_chance(new, expected) > MAX_CHANCE:
--- a/packages/kernel/wasabiknot_kernel/releases.py
+++ b/packages/kernel/wasabiknot_kernel/releases.py
@@ -3,8 +3,10 @@
 A small share of the requests goes to the new version. Each entry stops sending
 to it as soon as the combined evidence of all entries shows that it is failing or
 slow. One entry at a time writes the phases to the store: it promotes a version
-that has stayed healthy for most of the time allowed, and reports the release as
-finished once the old backend servers are idle, because they are stopped then.
+that has stayed healthy for most of the time allowed. Its share then grows step by
+step, as some versions are bad only under load. The release is reported as finished
+once the version has had all requests for a while and the old backend servers are
+idle, because they are stopped then.
 """
 
 import enum
@@ -25,10 +27,17 @@
 # Fraction of the permitted canary share that is used, because a request may be sent
 # twice.
 CANARY_SHARE_FACTOR = 0.7
-# Fractions of an order's duration after which a healthy version gets all traffic,
-# and after which the release is reported as finished in any case.
+# Fractions of an order's duration after which a healthy version is promoted, after
+# which the release may be reported as finished, and after which it is in any case.
 PROMOTE_FRACTION = 0.62
+MIN_FINISH_FRACTION = 0.82
 FINISH_FRACTION = 0.93
+# Fraction of an order's duration in which the share of a promoted version grows.
+GROWTH_FRACTION = 0.1
+# Fraction of the permitted requests beyond the canary share that are sent early, as
+# few requests say little, and the share of the requests until then.
+EARLY_FRACTION = 0.4
+EARLY_SHARE = 0.3
 # Shortest time that old backend servers get to finish their requests.
 MIN_DRAIN_S = 1.0
 # Complete responses that a version needs to be promoted.
@@ -129,6 +138,10 @@
     is_start_known: bool
     # Positions at which the order was read in earlier eras of the store.
     earlier_offsets: tuple[int, ...] = ()
+    # Requests beyond the canary share that this entry may still send early.
+    early_left: float = 0.0
+    # Time at which this entry learned of the promotion.
+    promoted_s: float | None = None
 
     def is_read_again(self, order):
         """Tells whether an order is this one, read after the store was restored."""
@@ -146,10 +159,14 @@
     :param canary_share: fraction of the requests that a version may get before it is
         promoted.
     :param rng: random number generator.
+    :param canary_slack: requests beyond that share that all entries may send to it.
     """
 
-    def __init__(self, canary_share, rng):
+    def __init__(self, canary_share, rng, canary_slack=0.0):
         self.canary_share = canary_share
+        self.canary_slack = canary_slack
+        # Number of entries that share the slack.
+        self.entry_count = 1
         self._rng = rng
         self._orders = {}
         self._records = {}
@@ -174,7 +191,8 @@
         previous = self._orders.get(order.service)
         if previous is not None and previous.order.offset >= order.offset:
             return False
-        tracked = _TrackedOrder(order, now_s, is_news)
+        early = EARLY_FRACTION * self.canary_slack / self.entry_count
+        tracked = _TrackedOrder(order, now_s, is_news, early_left=early)
         self._orders[order.service] = tracked
         if previous is not None and previous.is_read_again(order):
             self._continue(tracked, previous)
@@ -186,6 +204,8 @@
     def _continue(self, tracked, previous):
         tracked.started_s = previous.started_s
         tracked.is_start_known = previous.is_start_known
+        tracked.early_left = previous.early_left
+        tracked.promoted_s = previous.promoted_s
         tracked.earlier_offsets = (
             *previous.earlier_offsets,
             previous.order.offset,
@@ -222,6 +242,8 @@
         tracked = self._orders.get(release.service)
         if tracked is not None and release.belongs_to(tracked.order):
             self._correct_start(tracked, release, now_s, now_ms)
+            if release.phase is Phase.PROMOTED and tracked.promoted_s is None:
+                tracked.promoted_s = now_s
         return True
 
     def _correct_start(self, tracked, release, now_s, now_ms):
@@ -307,14 +329,33 @@
         phase = self.find_phase(ticket.service)
         if phase is Phase.ROLLED_BACK or self.is_blocked(ticket.service):
             return old
-        if phase in (Phase.PROMOTED, Phase.FINISHED):
+        share = self._find_share(tracked, phase, now_s)
+        if share >= 1.0:
             return new or old
         if ticket.is_canary is None:
-            share = CANARY_SHARE_FACTOR * self.canary_share
-            ticket.is_canary = bool(new) and self._rng.random() < share
+            ticket.is_canary = bool(new) and self._draw_canary(tracked, share)
         if ticket.is_canary:
             return new or old
-        return old
+        return old if phase is Phase.CANARY else old or new
+
+    def _find_share(self, tracked, phase, now_s):
+        if phase is Phase.CANARY:
+            return CANARY_SHARE_FACTOR * self.canary_share
+        if phase is Phase.FINISHED or tracked.promoted_s is None:
+            return 1.0
+        growth_s = GROWTH_FRACTION * tracked.order.duration_s
+        growth = (now_s - tracked.promoted_s) / growth_s
+        return self.canary_share + (1.0 - self.canary_share) * growth
+
+    def _draw_canary(self, tracked, share):
+        draw = self._rng.random()
+        if draw < share:
+            return True
+        if draw > max(share, EARLY_SHARE) or tracked.early_left <= 0.0:
+            return False
+        is_early = self._rng.random() < tracked.early_left
+        tracked.early_left -= 1.0
+        return is_early
 
     def _exclude_unordered(self, service, servers, now_s):
         seen = {
@@ -503,7 +544,10 @@
             if is_due and self.analyze(service).successes >= MIN_SUCCESSES:
                 return msgspec.structs.replace(base, phase=Phase.PROMOTED)
             return None
-        min_finish_s = PROMOTE_FRACTION * tracked.order.duration_s + MIN_DRAIN_S
+        min_finish_s = max(
+            PROMOTE_FRACTION * tracked.order.duration_s + MIN_DRAIN_S,
+            MIN_FINISH_FRACTION * tracked.order.duration_s,
+        )
         is_drained = age_s >= min_finish_s and running_on_old == 0
         if is_drained or age_s >= FINISH_FRACTION * tracked.order.duration_s:
             return msgspec.structs.replace(base, phase=Phase.FINISHED)
--- a/packages/standins/wasabiknot_standins/entryprocesses.py
+++ b/packages/standins/wasabiknot_standins/entryprocesses.py
@@ -87,6 +87,7 @@
   allowance_overrun: 0.1
   allowance_slack: 140000
   canary_share: 0.1
+  canary_slack: 50
   rollback_ms: 5000
 """,
             encoding="utf-8",
