Read over a new connection when a read of the store or of a peer hangs

Callers were handled by an older configuration than one confirmed more than 2 s before, once connections had fallen silent without a reset: the long-poll of the configuration was given up after 2.5 s only, and then each copy from the reader over another silent connection after 1.2 s, more than 4 s in all, while the reader's polls of the registrations on a third connection kept it the source that all relied on. Cause: the timeout of a call that waits for news is longer than the bound on the news. Reads change nothing, and writes are never repeated. A connection that works costs nothing more.

--- a/packages/entry/wasabiknot_entry/calls.py
+++ b/packages/entry/wasabiknot_entry/calls.py
@@ -2,6 +2,7 @@
 
 import msgspec
 from twisted.internet import defer
+from twisted.python import failure
 
 from wasabiknot_entry import connections, pools
 from wasabiknot_kernel import exceptions
@@ -37,9 +38,10 @@
     :param address: host and port.
     :param request: ``connections.Request``.
     :param timeout_s: timeout of the whole call, in seconds.
+    :param is_fresh: whether to open a new connection instead of taking a pooled one.
     """
 
-    def __init__(self, reactor, pool, address, request, timeout_s):
+    def __init__(self, reactor, pool, address, request, timeout_s, is_fresh=False):
         self._pool = pool
         self._address = address
         self._request = request
@@ -49,7 +51,10 @@
         self._body = bytearray()
         self.response = defer.Deferred(self._cancel)
         self._timer = reactor.callLater(timeout_s, self._time_out)
-        self._connecting = pool.acquire(address, pools.DEFAULT_IDLE_TIMEOUT_S)
+        if is_fresh:
+            self._connecting = pool.connect(address)
+        else:
+            self._connecting = pool.acquire(address, pools.DEFAULT_IDLE_TIMEOUT_S)
         self._connecting.addCallbacks(self._send, self._handle_connect_failure)
 
     def _send(self, connection):
@@ -59,8 +64,8 @@
         self._connection = connection
         connection.send(self._request, self)
 
-    def _handle_connect_failure(self, failure):
-        self._fail(failure.getErrorMessage())
+    def _handle_connect_failure(self, reason):
+        self._fail(reason.getErrorMessage())
 
     def _time_out(self):
         self._fail("timed out")
@@ -108,7 +113,69 @@
         self.response.errback(CallError(reason))
 
 
-def call(reactor, pool, address, request, timeout_s):
+class _HedgedCall:
+    """A call that is repeated over a new connection if the first one seems to hang.
+
+    A connection may fall silent for good although the host answers on others.
+
+    :param reactor: Twisted reactor.
+    :param pool: ``pools.Pool``.
+    :param address: host and port.
+    :param request: ``connections.Request`` without side effects.
+    :param timeout_s: timeout of each of the two calls, in seconds.
+    :param hedge_s: time in seconds after which the call is repeated.
+    """
+
+    def __init__(self, reactor, pool, address, request, timeout_s, hedge_s):
+        self._reactor = reactor
+        self._pool = pool
+        self._address = address
+        self._request = request
+        self._timeout_s = timeout_s
+        self.response = defer.Deferred(self._cancel)
+        self._pending = []
+        self._is_done = False
+        self._timer = reactor.callLater(hedge_s, self._repeat)
+        self._start(is_fresh=False)
+
+    def _start(self, is_fresh):
+        sent = _Call(
+            self._reactor,
+            self._pool,
+            self._address,
+            self._request,
+            self._timeout_s,
+            is_fresh,
+        ).response
+        self._pending.append(sent)
+        sent.addBoth(self._finish, sent)
+
+    def _repeat(self):
+        self._start(is_fresh=True)
+
+    def _finish(self, result, sent):
+        self._pending.remove(sent)
+        is_failed = isinstance(result, failure.Failure)
+        if self._is_done or (is_failed and self._pending):
+            return
+        self._is_done = True
+        if self._timer.active():
+            self._timer.cancel()
+        if self._pending:
+            # Other pooled connections to the address may be unresponsive as well.
+            self._pool.close_idle(self._address)
+        self._cancel_pending()
+        self.response.callback(result)
+
+    def _cancel_pending(self):
+        for sent in list(self._pending):
+            sent.cancel()
+
+    def _cancel(self, _):
+        self._cancel_pending()
+
+
+def call(reactor, pool, address, request, timeout_s, hedge_s=None):
     """Sends a request and waits for the complete response.
 
     :param reactor: Twisted reactor.
@@ -116,8 +183,12 @@
     :param address: host and port.
     :param request: ``connections.Request``.
     :param timeout_s: timeout of the whole call, in seconds.
+    :param hedge_s: time in seconds after which a request without side effects is sent
+        once more, over a new connection; ``None`` for never.
     :return: deferred ``Response``; fails with ``CallError``, also when cancelled.
     """
+    if hedge_s is not None:
+        return _HedgedCall(reactor, pool, address, request, timeout_s, hedge_s).response
     return _Call(reactor, pool, address, request, timeout_s).response
 
 
