Judge a slow version by the fast old servers that there were before its order

Now the fraction of fast servers at the order counts, if it is higher than the present one (test_slow_version_is_found_though_most_old_servers_have_turned_slow).

--- a/packages/kernel/tests/test_engine_paces.py
+++ b/packages/kernel/tests/test_engine_paces.py
@@ -60,6 +60,17 @@
         # Only one of five old servers is a fast one.
         self.assertEqual(self.find(1, 1.0, 0.05, new_slow=5, old_slow=4), 0.0)
 
+    def test_slow_version_is_found_though_most_old_servers_have_turned_slow(self):
+        rng = random.Random(1)
+        new_speeds = [1.4] * 3 + [1.4 * SLOW_ENGINE] * 3
+        old_speeds = [1.0] * 2 + [4.0] * 2 + [SLOW_ENGINE] * 2
+        new = build_stats(rng, new_speeds, (1, 2), 0.05, 6)
+        old = build_stats(rng, old_speeds, (2, 10), 0.05, 60)
+        self.assertEqual(engine_paces.find_slowdown(new, old), 0.0)
+        fast_fraction = engine_paces.find_fast_fraction([13, 14, 13, 13, 57, 60])
+        slowdown = engine_paces.find_slowdown(new, old, fast_fraction)
+        self.assertGreater(slowdown, engine_paces.MAX_SLOWDOWN)
+
     def test_nothing_is_said_while_the_load_of_the_old_servers_stands_still(self):
         rng = random.Random(1)
         new = build_stats(rng, [2.0] * 5, (1, 1), 0.05, 20)
--- a/packages/kernel/tests/test_releases.py
+++ b/packages/kernel/tests/test_releases.py
@@ -13,6 +13,7 @@
     releases,
     response_stats,
     servers,
+    service_times,
 )
 
 Outcome = outcomes.Outcome
@@ -171,6 +172,24 @@
         self.assertIs(tracker.find_phase("pool"), releases.Phase.CANARY)
 
 
+class FastServerTests(unittest.TestCase):
+    def test_fraction_of_fast_servers_is_that_before_the_order(self):
+        entry = builders.build_deployment("e1", 1, "d1")
+        entry.releases.apply_order(ORDER, 0.0)
+        self.assertEqual(entry.releases._orders["pool"].fast_fraction, 0.0)
+        for number, pace_ms in enumerate((13.0, 14.0, 57.0, 60.0)):
+            registration = builders.build_registration(f"s{number}", version="v1")
+            entry.apply_registration(registration, 0.0)
+            server = entry.find_server(f"s{number}")
+            server.service_times = service_times.create_service_times(
+                event_interval_ms=pace_ms, plain_ms=pace_ms
+            )
+            server.service_times.plain_ms.count = service_times.MIN_SAMPLES
+        later = registrations.ReleaseOrder("pool", "v3", 16.0, 9)
+        entry.releases.apply_order(later, 1.0)
+        self.assertEqual(entry.releases._orders["pool"].fast_fraction, 0.5)
+
+
 class AnalyzeTests(unittest.TestCase):
     @settings(derandomize=True, max_examples=30, deadline=None)
     @given(strategies.floats(0.3, 1.0), strategies.integers(0, 50))
--- a/packages/kernel/wasabiknot_kernel/analyses.py
+++ b/packages/kernel/wasabiknot_kernel/analyses.py
@@ -39,12 +39,13 @@
     reason: str = ""
 
 
-def compare_versions(new, old, running):
+def compare_versions(new, old, running, fast_fraction=0.0):
     """Compares a new version with the old versions.
 
     :param new: evidence of the new version.
     :param old: evidence of the old versions.
     :param running: requests in flight at the servers of the new version.
+    :param fast_fraction: fraction of the old servers that were fast before the release.
     :return: ``Analysis``.
     """
     successes = sum(
@@ -52,7 +53,7 @@
     )
     reason = (
         failure_rates.find_excess(new, old, running)
-        or _check_paces(new, old)
+        or _check_paces(new, old, fast_fraction)
         or _check_durations(new, old)
         or _check_deviation(new, old)
     )
@@ -78,8 +79,10 @@
     return " ".join(texts)
 
 
-def _check_paces(new, old):
-    slowdown = engine_paces.find_slowdown(_list_paces(new), _list_paces(old))
+def _check_paces(new, old, fast_fraction):
+    slowdown = engine_paces.find_slowdown(
+        _list_paces(new), _list_paces(old), fast_fraction
+    )
     return f"{slowdown:.1f} times slower at equal load" if slowdown else ""
 
 
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -84,6 +84,7 @@
         self.crash_monitor = crash_monitors.CrashMonitor(self.crashes)
         self.releases = releases.Releases(policy.canary_share, rng, policy.canary_slack)
         self.releases.count_running = self.count_running_on_new_version
+        self.releases.list_paces_ms = self._list_paces_of_old_versions
         self.silences = silences.SilenceTracker()
         self._load_histories = load_histories.LoadHistories()
         self.paths = paths.PathMonitor()
@@ -482,6 +483,14 @@
         """
         return self._count_running(order, is_target=True)
 
+    def _list_paces_of_old_versions(self, order):
+        return [
+            server.pace_ms
+            for server in self.get_dispatcher(order.service).servers.values()
+            if server.registration.version != order.target
+            and server.service_times.is_measured
+        ]
+
     def _count_running(self, order, is_target):
         return sum(
             server.count_running()
--- a/packages/kernel/wasabiknot_kernel/engine_paces.py
+++ b/packages/kernel/wasabiknot_kernel/engine_paces.py
@@ -126,11 +126,25 @@
     return max(0.1, (elapsed_s - first_event_s) * 1_000 / (event_count - 1))
 
 
-def find_slowdown(new, old):
+def find_fast_fraction(paces_ms):
+    """Finds which fraction of some backend servers is as fast as the fastest.
+
+    :param paces_ms: list of their paces in milliseconds.
+    :return: fraction; 0 without any.
+    """
+    if not paces_ms:
+        return 0.0
+    limit_ms = MAX_SLOWDOWN * min(paces_ms)
+    return sum(item < limit_ms for item in paces_ms) / len(paces_ms)
+
+
+def find_slowdown(new, old, fast_fraction=0.0):
     """Finds by which factor a new version is slower than the old ones.
 
     :param new: list of the ``PaceStats`` of its backend servers.
     :param old: list of the ``PaceStats`` of the other backend servers.
+    :param fast_fraction: fraction of those that were fast before the release; some may
+        have turned slow since.
     :return: factor; 0 if it isn't slower, or if that isn't certain.
     """
     new = [item for item in new if item.samples >= MIN_NEW_SAMPLES]
@@ -149,7 +163,7 @@
     )
     if excess < max(math.log(MAX_SLOWDOWN), MAX_Z_SCORE * error):
         return 0.0
-    if not _is_whole_version(new_levels, old_levels):
+    if not _is_whole_version(new_levels, old_levels, fast_fraction):
         return 0.0
     return math.exp(excess)
 
@@ -183,11 +197,10 @@
     return max(MIN_DEVIATION, math.sqrt(max(0.0, squares) / count))
 
 
-def _is_whole_version(new_levels, old_levels):
+def _is_whole_version(new_levels, old_levels, fast_fraction):
     # The fastest old server may be one of few fast ones, which the new version lacks.
-    limit = old_levels[0].log_pace + math.log(MAX_SLOWDOWN)
-    fast = sum(item.log_pace < limit for item in old_levels)
-    chance = (1 - fast / len(old_levels)) ** len(new_levels)
+    present = find_fast_fraction([math.exp(item.log_pace) for item in old_levels])
+    chance = (1 - max(fast_fraction, present)) ** len(new_levels)
     if chance < MIN_CHANCE:
         return True
     medians = [
--- a/packages/kernel/wasabiknot_kernel/releases.py
+++ b/packages/kernel/wasabiknot_kernel/releases.py
@@ -16,6 +16,7 @@
 from wasabiknot_kernel import (
     analyses,
     decoding,
+    engine_paces,
     outcomes,
     positions,
     registrations,
@@ -142,6 +143,8 @@
     early_left: float = 0.0
     # Time at which this entry learned of the promotion.
     promoted_s: float | None = None
+    # Fraction of the old servers that were fast when the order was read.
+    fast_fraction: float = 0.0
 
     def is_read_again(self, order):
         """Tells whether an order is this one, read after the store was restored."""
@@ -178,6 +181,8 @@
         self._lost_records = set()
         # Function of an order that counts the requests in flight of its version.
         self.count_running = lambda order: 0
+        # Function of an order that lists the paces of the other versions' servers.
+        self.list_paces_ms = lambda order: []
 
     def apply_order(self, order, now_s, is_news=False):
         """Applies an order; older orders of the same service are ignored.
@@ -197,6 +202,8 @@
         if previous is not None and previous.is_read_again(order):
             self._continue(tracked, previous)
             return True
+        paces_ms = self.list_paces_ms(order)
+        tracked.fast_fraction = engine_paces.find_fast_fraction(paces_ms)
         self._drop_evidence(order.service)
         self._block_reasons.pop(order.service, None)
         return True
@@ -205,6 +212,7 @@
         tracked.started_s = previous.started_s
         tracked.is_start_known = previous.is_start_known
         tracked.early_left = previous.early_left
+        tracked.fast_fraction = previous.fast_fraction
         tracked.promoted_s = previous.promoted_s
         tracked.earlier_offsets = (
             *previous.earlier_offsets,
@@ -457,8 +465,11 @@
         :param service: service name.
         :return: ``analyses.Analysis``.
         """
-        running = self.count_running(self._orders[service].order)
-        return analyses.compare_versions(*self._find_evidence(service), running)
+        tracked = self._orders[service]
+        running = self.count_running(tracked.order)
+        return analyses.compare_versions(
+            *self._find_evidence(service), running, tracked.fast_fraction
+        )
 
     def _find_evidence(self, service):
         tracked = self._orders[service]
--- a/packages/kernel/wasabiknot_kernel/servers.py
+++ b/packages/kernel/wasabiknot_kernel/servers.py
@@ -111,6 +111,13 @@
             return True
         return self._eligibility.is_leaving(self.server_id, registration.started_ms)
 
+    @property
+    def pace_ms(self):
+        """Time between two events, or of a plain request, in milliseconds."""
+        times = self.service_times
+        average = times.event_interval_ms if self.is_engine else times.plain_ms
+        return average.value
+
     def count_running(self):
         """Counts the requests that all entries have in flight at the server.
 
