Rely on a reader only while it can read the configuration and the registrations

Failed before: test_reader_that_cannot_read_the_configuration_is_not_relied_on (no entry learned of the configuration, within any time). Callers of a whole group were handled by an older configuration for as long as its reader was turned away, or hung, on the topic of the operators alone. Cause: a read of any topic made the reader's reads count as fresh, so that the polls of the registrations kept all others from reading the configuration themselves.

--- a/packages/entry/tests/fleets.py
+++ b/packages/entry/tests/fleets.py
@@ -33,6 +33,8 @@
         self._waiting = []
         self.is_available = True
         self.turned_away = set()
+        # Pairs of an entry and a topic that it can't read.
+        self.unreadable = set()
         self.calls = 0
         self.callers = []
 
@@ -59,6 +61,9 @@
             return answered
         path, _, query = call.target.partition("?")
         fields = dict(urllib.parse.parse_qsl(query))
+        if (name, fields.get("topic")) in self.unreadable:
+            self._reply(answered, calls.Response(503, b""))
+            return answered
         if path == LIST_PATH:
             self._reply(answered, self._list(fields["topic"]))
         else:
--- a/packages/entry/tests/test_followers.py
+++ b/packages/entry/tests/test_followers.py
@@ -36,7 +36,7 @@
     def __init__(self):
         self.failures = 0
 
-    def record_success(self):
+    def record_success(self, topic_name):
         pass
 
     def record_failure(self, topic_name, error):
--- a/packages/entry/tests/test_subscriptions.py
+++ b/packages/entry/tests/test_subscriptions.py
@@ -20,6 +20,7 @@
 SETTLING_CALLS = 6
 # Time after which an entry must know what the store says.
 LEAVING_BOUND_S = 4.0
+CONFIGURATION_BOUND_S = 2.0
 
 
 class FleetTestCase(unittest.TestCase):
@@ -95,6 +96,15 @@
         fleet.play(LEAVING_BOUND_S)
         self.assertEqual(fleet.list_outdated(stores.SERVER_TOPIC), [])
 
+    def test_reader_that_cannot_read_the_configuration_is_not_relied_on(self):
+        fleet = self.start_fleet(poll_interval_s=0.5)
+        readers = {name for at_s, name in fleet.store.callers if at_s > fleet.now_s - 2}
+        fleet.store.unreadable = {(name, stores.OPERATOR_TOPIC) for name in readers}
+        fleet.play(2.0)
+        fleet.store.append(stores.OPERATOR_TOPIC, "a", b"{}")
+        fleet.play(CONFIGURATION_BOUND_S)
+        self.assertEqual(fleet.list_outdated(stores.OPERATOR_TOPIC), [])
+
     def test_another_entry_reads_when_the_reader_ends(self):
         fleet = self.start_fleet()
         readers = {name for at_s, name in fleet.store.callers if at_s > fleet.now_s - 2}
--- a/packages/entry/wasabiknot_entry/followers.py
+++ b/packages/entry/wasabiknot_entry/followers.py
@@ -101,6 +101,8 @@
         )
 
 
+# Topics that an entry must be able to read if others are to rely on its reads.
+RELIED_ON_TOPICS = frozenset({stores.OPERATOR_TOPIC, stores.SERVER_TOPIC})
 # Errors of calls to the store and of their responses.
 EXPECTED_ERRORS = (calls.CallError, StoreError, ValueError, msgspec.MsgspecError)
 
@@ -196,7 +198,7 @@
                     yield self._read()
                 else:
                     yield self._list()
-                self._health.record_success()
+                self._health.record_success(self._topic.name)
                 retry_delay_s = MIN_RETRY_DELAY_S
                 yield self._sleep(self._compute_poll_interval_s())
             except _ListingError:
@@ -320,11 +322,18 @@
         self._reactor = reactor
         self._deployment = deployment
         self._unavailable_since_s = None
+        # Topics that peers rely on and whose latest read has failed.
+        self._unread_topics = set()
 
-    def record_success(self):
-        """Records a successful call."""
+    def record_success(self, topic_name):
+        """Records a successful call.
+
+        :param topic_name: name of the topic.
+        """
         now_s = self._reactor.seconds()
-        self._deployment.store_reads.record_read(now_s)
+        self._unread_topics.discard(topic_name)
+        if not self._unread_topics:
+            self._deployment.store_reads.record_read(now_s)
         if self._unavailable_since_s is not None:
             away_ms = round((now_s - self._unavailable_since_s) * 1_000)
             journal.write(events.Event.STORE_FOUND, away_ms=away_ms)
@@ -336,6 +345,8 @@
         :param topic_name: name of the topic.
         :param error: the exception.
         """
+        if topic_name in RELIED_ON_TOPICS:
+            self._unread_topics.add(topic_name)
         if self._unavailable_since_s is None:
             self._unavailable_since_s = self._reactor.seconds()
             journal.write(events.Event.STORE_LOST, call=topic_name, error=str(error))
