Log how old the deciding configuration was, and the evidence behind a release

WK1402 and WK1403 tell the age of the latest read of the store by any entry (known_ms) beside the version that decided; WK1206 and WK1207 tell the responses of both sides by outcome and each server's pace at its load. OPERATIONS leads from a request to the configuration, and from a request or a release to the evidence.

--- a/packages/entry/tests/gatewaycases.py
+++ b/packages/entry/tests/gatewaycases.py
@@ -38,6 +38,9 @@
     def __getattr__(self, name):
         return getattr(self.deployment, name)
 
+    def compute_known_age_ms(self):
+        return 0
+
     def compute_read_age_ms(self):
         return 0
 
--- a/packages/entry/wasabiknot_entry/deployment_views.py
+++ b/packages/entry/wasabiknot_entry/deployment_views.py
@@ -61,6 +61,13 @@
         """
         return self._deployment.store_reads.compute_age_ms(reactor.seconds())
 
+    def compute_known_age_ms(self):
+        """Returns the age of the last read of the store by any entry, as known here.
+
+        :return: milliseconds, or -1 before the first read.
+        """
+        return self._deployment.store_reads.compute_known_age_ms(reactor.seconds())
+
 
 def check_pause(deployment):
     """Detects that the process has stood still, and logs it.
--- a/packages/entry/wasabiknot_entry/flows.py
+++ b/packages/entry/wasabiknot_entry/flows.py
@@ -133,6 +133,7 @@
             customer=ticket.customer,
             charge=ticket.charge,
             version=ticket.version,
+            known_ms=self._gateway.compute_known_age_ms(),
             running=assignment.server.count_running(),
             waited_ms=round(assignment.waited_s * 1_000),
             score_ms=round(assignment.score_ms),
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -139,6 +139,7 @@
         self._deployment = deployment
         self._metrics = metrics
         self.record_evidence = deployment.record_evidence
+        self.compute_known_age_ms = deployment.compute_known_age_ms
         self._flows = {}
         # Requests whose backend server is silent and that no other one can take yet.
         self.silent_flows = set()
@@ -607,6 +608,7 @@
             sends=ticket.sends if ticket else 0,
             version=self._deployment.table.version if self._deployment.table else 0,
             read_ms=self._deployment.compute_read_age_ms(),
+            known_ms=self._deployment.compute_known_age_ms(),
         )
         self._metrics.count_error_response(error)
 
--- a/packages/entry/wasabiknot_entry/release_writers.py
+++ b/packages/entry/wasabiknot_entry/release_writers.py
@@ -65,6 +65,7 @@
                 service=blocked.order.service,
                 target=blocked.order.target,
                 reason=blocked.reason,
+                evidence=tracked_releases.describe_evidence(blocked.order.service),
             )
         now_s = self._reactor.seconds()
         for order in tracked_releases.list_active():
@@ -108,7 +109,7 @@
                 target=due.target,
                 phase=due.phase.value,
                 result=result,
-                paces=self._deployment.releases.describe_evidence(due.service),
+                evidence=self._deployment.releases.describe_evidence(due.service),
             )
         except (calls.CallError, followers.StoreError, msgspec.MsgspecError) as error:
             journal.write(events.Event.STORE_LOST, call="release", error=str(error))
--- a/packages/kernel/tests/test_releases.py
+++ b/packages/kernel/tests/test_releases.py
@@ -314,6 +314,21 @@
             tracker.record_outcome(ticket, build_servers()[-1], Outcome.REJECTED, None)
         self.assertFalse(tracker.analyze("pool").is_bad)
 
+    def test_evidence_is_described_by_side_and_kind(self):
+        tracker = build_releases()
+        old, new = build_servers()[0], build_servers()[-1]
+        outcomes_of_new = (Outcome.FAILED, Outcome.RESPONSE_LOST, Outcome.TIMED_OUT)
+        for number, outcome in enumerate(outcomes_of_new):
+            ticket = builders.build_ticket(f"q{number}")
+            tracker.record_outcome(ticket, new, outcome, None)
+        tracker.record_outcome(builders.build_ticket(), old, Outcome.COMPLETE, 1.0)
+        tracker.record_pace(old, 3.0, 13.0)
+        self.assertEqual(
+            tracker.describe_evidence("pool"),
+            "new: 0 whole, 1 failed, 1 lost, 1 silent; ; ; "
+            "old: 1 whole, 0 failed, 0 lost, 0 silent; 1.00~0.00x1; 13.0@3.0",
+        )
+
     def test_evidence_of_peers_is_included(self):
         trackers = [build_releases(seed) for seed in range(failure_rates.MIN_FAILURES)]
         new = [item for item in build_servers() if is_new(item)]
--- a/packages/kernel/wasabiknot_kernel/analyses.py
+++ b/packages/kernel/wasabiknot_kernel/analyses.py
@@ -79,6 +79,30 @@
     return " ".join(texts)
 
 
+def describe_counts(stats_list):
+    """Describes the outcomes of the responses of backend servers.
+
+    :param stats_list: ``response_stats.ResponseStats`` of each backend server.
+    :return: text for the log.
+    """
+    parts = [f"{sum(item.successes for item in stats_list)} whole"]
+    for kind in response_stats.FailureKind:
+        count = sum(item.count_failures(kind) for item in stats_list)
+        parts.append(f"{count} {kind.value}")
+    return ", ".join(parts)
+
+
+def describe_paces(stats_list):
+    """Describes the paces of backend servers and the loads at which they were seen.
+
+    :param stats_list: ``response_stats.ResponseStats`` of each backend server.
+    :return: text for the log, with ``MILLISECONDS@REQUESTS`` for each server.
+    """
+    known = [item.pace_stats for item in stats_list if item.pace_stats is not None]
+    rows = sorted((item.find_level(0.0, 0.0), item.mean_load) for item in known)
+    return " ".join(f"{math.exp(level):.1f}@{load:.1f}" for level, load in rows)
+
+
 def _check_paces(new, old, fast_fraction):
     slowdown = engine_paces.find_slowdown(
         _list_paces(new), _list_paces(old), fast_fraction
--- a/packages/kernel/wasabiknot_kernel/releases.py
+++ b/packages/kernel/wasabiknot_kernel/releases.py
@@ -482,10 +482,12 @@
         return [_merge_by_prefix(total, prefixes, side) for side in ("new/", "old/")]
 
     def describe_evidence(self, service):
-        """Describes the duration ratios of the new and old backend servers.
+        """Describes what is known of the new and old backend servers.
 
         :param service: service name.
-        :return: text for the log, with ``MEAN~DEVIATIONxSAMPLES`` for each server.
+        :return: text for the log, with the number of responses of each side by their
+            outcome, and ``MEAN~DEVIATIONxSAMPLES`` of the duration ratios and
+            ``PACE@LOAD`` of each server.
         """
         sides = []
         for side, evidence in zip(
@@ -494,7 +496,10 @@
             stats_list = [
                 stats for key, stats in evidence.items() if key.startswith("s/")
             ]
-            sides.append(f"{side} {analyses.describe_durations(stats_list)}")
+            counts = analyses.describe_counts(stats_list)
+            durations = analyses.describe_durations(stats_list)
+            paces = analyses.describe_paces(stats_list)
+            sides.append(f"{side}: {counts}; {durations}; {paces}")
         return "; ".join(sides)
 
     def is_blocked(self, service):
--- a/packages/kernel/wasabiknot_kernel/store_reads.py
+++ b/packages/kernel/wasabiknot_kernel/store_reads.py
@@ -73,6 +73,16 @@
             return -1
         return round((now_s - self.last_read_s) * 1_000)
 
+    def compute_known_age_ms(self, now_s):
+        """Computes the age of the latest read by any entry, as known here.
+
+        :param now_s: current time in seconds.
+        :return: age in milliseconds; -1 before the first read.
+        """
+        if self._newest_read_s is None:
+            return -1
+        return round((now_s - self._newest_read_s) * 1_000)
+
     def try_delay_removal(self, server_id, now_s):
         """Delays the removal of a backend server, if the store may be wrong about it.
 
