--- a/packages/kernel/wasabiknot_kernel/engine_paces.py
+++ b/packages/kernel/wasabiknot_kernel/engine_paces.py
@@ -29,7 +29,17 @@
 # Chance below which a version isn't slow just because none of its backend servers
 # happens to be one of the fast ones.
 MIN_CHANCE = 0.02
-_DECIMALS = 3
+# Decimals of a sum that make a difference, and are worth their bytes in a digest.
+SUM_DECIMALS = 3
+
+
+def round_sum(total):
+    """Rounds a sum of logarithms or loads.
+
+    :param total: sum.
+    :return: the sum, for a digest.
+    """
+    return round(total, SUM_DECIMALS)
 
 
 class PaceStats(msgspec.Struct, array_like=True):
@@ -65,9 +75,7 @@
         :param other: ``PaceStats``.
         """
         for name in self.__struct_fields__:
-            total = getattr(self, name) + getattr(other, name)
-            # Digits that make no difference are not worth their bytes in a digest.
-            setattr(self, name, round(total, _DECIMALS))
+            setattr(self, name, round_sum(getattr(self, name) + getattr(other, name)))
 
     @property
     def mean_load(self):
--- a/packages/kernel/wasabiknot_kernel/response_stats.py
+++ b/packages/kernel/wasabiknot_kernel/response_stats.py
@@ -87,8 +87,13 @@
         """
         logarithm = math.log(duration_ratio)
         self.samples += 1
-        self.log_ratio_sum += logarithm
-        self.log_ratio_square_sum += logarithm * logarithm
+        self._add_log_ratios(logarithm, logarithm * logarithm)
+
+    def _add_log_ratios(self, total, square_total):
+        self.log_ratio_sum = engine_paces.round_sum(self.log_ratio_sum + total)
+        self.log_ratio_square_sum = engine_paces.round_sum(
+            self.log_ratio_square_sum + square_total
+        )
 
     def sum_squared_deviations(self):
         """Sums the squared deviations of the logarithmic ratios from their mean.
@@ -109,8 +114,7 @@
         self.successes += other.successes
         self.failures += other.failures
         self.samples += other.samples
-        self.log_ratio_sum += other.log_ratio_sum
-        self.log_ratio_square_sum += other.log_ratio_square_sum
+        self._add_log_ratios(other.log_ratio_sum, other.log_ratio_square_sum)
         self.losses += other.losses
         self.timeouts += other.timeouts
         if other.pace_stats is not None:
--- a/packages/standins/wasabiknot_standins/platformworkers.py
+++ b/packages/standins/wasabiknot_standins/platformworkers.py
@@ -207,6 +207,7 @@
         self.listener = None
         self._port = 0
         self.address = ""
+        self.version = "v1"
         self.state = "ready"
         self._sequence = 0
         self._channels = set()
@@ -283,7 +284,7 @@
             "service": self.service,
             "addr": self.address,
             "zone": "here",
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": self.state,
             "warmupLeftMs": 0,
@@ -428,6 +429,9 @@
         fraction = (hashlib.sha256(request_id.encode()).digest()[1] / 255) ** 2
         return shortest_s + fraction * (longest_s - shortest_s)
 
+    def _find_interval_s(self, request_id):
+        return EVENT_INTERVAL_S
+
     def _answer(self, contact, disconnects, respond, *arguments):
         # A server that is silent holds the response, unless its caller has left.
         if self.is_silent and not disconnects:
@@ -526,7 +530,7 @@
             request.finish()
             return
         reactor.callLater(
-            EVENT_INTERVAL_S,
+            self._find_interval_s(request_id),
             self._write_event,
             request,
             request_id,
