Take the error of the slope into account when paces are compared

Now that error is part of the standard error, and no slope above 0.12 is believed (0.04 to 0.06 were seen).

--- a/packages/kernel/tests/test_engine_paces.py
+++ b/packages/kernel/tests/test_engine_paces.py
@@ -8,15 +8,15 @@
 SLOW_ENGINE = 4.4
 
 
-def build_stats(rng, speeds, loads, slope, count):
+def build_stats(rng, speeds, loads, slope, count, noise=0.1):
     """Builds the statistics of servers whose pace grows with their load."""
     servers = []
     for speed in speeds:
         stats = engine_paces.PaceStats()
         for _ in range(count):
             load = rng.uniform(*loads)
-            pace_ms = 13.0 * speed * (1 + slope * (load - 1)) * rng.uniform(0.9, 1.1)
-            stats.add_sample(load, pace_ms)
+            pace_ms = 13.0 * speed * (1 + slope * (load - 1))
+            stats.add_sample(load, pace_ms * rng.uniform(1 - noise, 1 + noise))
         servers.append(stats)
     return servers
 
@@ -56,6 +56,14 @@
         found = self.find(seed, slowness, slope, new_slow, old_slow, new_loads)
         self.assertEqual(found, 0.0)
 
+    @settings(max_examples=300, deadline=None)
+    @given(strategies.integers(0, 1_000), strategies.integers(8, 14))
+    def test_few_answers_of_old_servers_do_not_make_a_version_slow(self, seed, count):
+        rng = random.Random(seed)
+        new = build_stats(rng, [1.0] * 3 + [SLOW_ENGINE] * 2, (1, 2), 0.05, 5)
+        old = build_stats(rng, [1.0] * 4 + [SLOW_ENGINE], (3, 7), 0.05, count, 0.35)
+        self.assertEqual(engine_paces.find_slowdown(new, old, 0.8), 0.0)
+
     def test_version_without_fast_servers_is_not_taken_for_slow(self):
         # Only one of five old servers is a fast one.
         self.assertEqual(self.find(1, 1.0, 0.05, new_slow=5, old_slow=4), 0.0)
--- a/packages/kernel/wasabiknot_kernel/engine_paces.py
+++ b/packages/kernel/wasabiknot_kernel/engine_paces.py
@@ -19,7 +19,9 @@
 MIN_SERVERS_PER_SIDE = 3
 # Sum of the squared deviations of a server's load from which its slope is known.
 MIN_LOAD_SPREAD = 8.0
-MAX_SLOPE = 0.3
+MAX_SLOPE = 0.12
+# Standard error of a median, as a multiple of that of a mean.
+MEDIAN_ERROR = 1.25
 # A version is slow if its paces are longer by this factor and this many standard
 # errors.
 MAX_SLOWDOWN = 1.25
@@ -107,15 +109,28 @@
         return self.pace_sum / self.samples + slope * (load - self.mean_load)
 
 
+class Slope(msgspec.Struct, frozen=True):
+    """By how much the logarithm of a pace grows with each request.
+
+    :param value: increase with each request.
+    :param spread: sum of the squared deviations of the load that it was found from.
+    """
+
+    value: float
+    spread: float
+
+
 class Level(msgspec.Struct, frozen=True, order=True):
     """The pace of a backend server at the load of the new version.
 
     :param log_pace: logarithm of the pace in milliseconds.
     :param samples: number of samples.
+    :param distance: requests by which the load of the samples differs.
     """
 
     log_pace: float
     samples: int
+    distance: float
 
 
 def compute_pace_ms(elapsed_s, first_event_s, event_count, is_stream):
@@ -163,12 +178,11 @@
     if slope is None:
         return 0.0
     load = sum(item.load_sum for item in new) / sum(item.samples for item in new)
-    new_levels = _list_levels(new, slope, load)
-    old_levels = _list_levels(old, slope, load)
+    new_levels = _list_levels(new, slope.value, load)
+    old_levels = _list_levels(old, slope.value, load)
     excess = new_levels[0].log_pace - old_levels[0].log_pace
-    error = _compute_deviation([*new, *old], slope) * math.sqrt(
-        1 / new_levels[0].samples + 1 / old_levels[0].samples
-    )
+    deviation = _compute_deviation([*new, *old], slope.value)
+    error = deviation * _compute_relative_error(new_levels[0], old_levels[0], slope)
     if excess < max(math.log(MAX_SLOWDOWN), MAX_Z_SCORE * error):
         return 0.0
     if not _is_whole_version(new_levels, old_levels, fast_fraction):
@@ -178,19 +192,30 @@
 
 def _find_slope(stats_list):
     # The median, as a server that has turned slow meanwhile has a load that grew too.
-    slopes = [
-        item.joint_spread / item.load_spread
-        for item in stats_list
-        if item.load_spread >= MIN_LOAD_SPREAD
-    ]
-    if not slopes:
+    known = [item for item in stats_list if item.load_spread >= MIN_LOAD_SPREAD]
+    if not known:
         return None
-    return min(max(statistics.median_low(slopes), 0.0), MAX_SLOPE)
+    value = statistics.median_low(
+        item.joint_spread / item.load_spread for item in known
+    )
+    value = min(max(value, 0.0), MAX_SLOPE)
+    return Slope(value, sum(item.load_spread for item in known))
+
+
+def _compute_relative_error(new_level, old_level, slope):
+    # Of the difference of both levels, as a multiple of the deviation of a sample.
+    distance = old_level.distance - new_level.distance
+    return math.sqrt(
+        1 / new_level.samples
+        + 1 / old_level.samples
+        + (MEDIAN_ERROR * distance) ** 2 / slope.spread
+    )
 
 
 def _list_levels(stats_list, slope, load):
     return sorted(
-        Level(item.find_level(slope, load), item.samples) for item in stats_list
+        Level(item.find_level(slope, load), item.samples, item.mean_load - load)
+        for item in stats_list
     )
 
 
