--- a/packages/kernel/wasabiknot_kernel/engine_paces.py
+++ b/packages/kernel/wasabiknot_kernel/engine_paces.py
@@ -31,22 +31,15 @@
 # Chance below which a version isn't slow just because none of its backend servers
 # happens to be one of the fast ones.
 MIN_CHANCE = 0.02
-# Decimals of a sum that make a difference, and are worth their bytes in a digest.
-SUM_DECIMALS = 3
-
-
-def round_sum(total):
-    """Rounds a sum of logarithms or loads.
-
-    :param total: sum.
-    :return: the sum, for a digest.
-    """
-    return round(total, SUM_DECIMALS)
+# Unit of the sums: whole numbers add up exactly and are short in a digest.
+UNITS = 1_000
 
 
 class PaceStats(msgspec.Struct, array_like=True):
     """Sums over the samples of one backend server, as for a linear regression.
 
+    All sums are in thousandths.
+
     :param samples: number of samples.
     :param load_sum: sum of the mean loads, in requests.
     :param load_square_sum: sum of their squares.
@@ -56,11 +49,11 @@
     """
 
     samples: int = 0
-    load_sum: float = 0.0
-    load_square_sum: float = 0.0
-    pace_sum: float = 0.0
-    pace_square_sum: float = 0.0
-    product_sum: float = 0.0
+    load_sum: int = 0
+    load_square_sum: int = 0
+    pace_sum: int = 0
+    pace_square_sum: int = 0
+    product_sum: int = 0
 
     def add_sample(self, load, pace_ms):
         """Adds a sample.
@@ -69,35 +62,46 @@
         :param pace_ms: time between two events, or of a plain request, in milliseconds.
         """
         pace = math.log(pace_ms)
-        self.add(PaceStats(1, load, load * load, pace, pace * pace, load * pace))
+        values = (load, load * load, pace, pace * pace, load * pace)
+        self.add(PaceStats(1, *(round(UNITS * value) for value in values)))
 
     def add(self, other):
         """Adds the sums of other statistics.
 
         :param other: ``PaceStats``.
         """
-        for name in self.__struct_fields__:
-            setattr(self, name, round_sum(getattr(self, name) + getattr(other, name)))
+        self.samples += other.samples
+        self.load_sum += other.load_sum
+        self.load_square_sum += other.load_square_sum
+        self.pace_sum += other.pace_sum
+        self.pace_square_sum += other.pace_square_sum
+        self.product_sum += other.product_sum
 
     @property
     def mean_load(self):
         """Mean load of the samples, in requests."""
-        return self.load_sum / self.samples
+        return self.load_sum / UNITS / self.samples
+
+    @property
+    def mean_pace(self):
+        """Mean logarithm of the paces."""
+        return self.pace_sum / UNITS / self.samples
 
     @property
     def load_spread(self):
         """Sum of the squared deviations of the load from its mean."""
-        return max(0.0, self.load_square_sum - self.load_sum**2 / self.samples)
+        return max(0.0, self.load_square_sum / UNITS - self.samples * self.mean_load**2)
 
     @property
     def pace_spread(self):
         """Sum of the squared deviations of the logarithmic pace from its mean."""
-        return max(0.0, self.pace_square_sum - self.pace_sum**2 / self.samples)
+        return max(0.0, self.pace_square_sum / UNITS - self.samples * self.mean_pace**2)
 
     @property
     def joint_spread(self):
         """Sum of the products of both deviations."""
-        return self.product_sum - self.load_sum * self.pace_sum / self.samples
+        means = self.mean_load * self.mean_pace
+        return self.product_sum / UNITS - self.samples * means
 
     def find_level(self, slope, load):
         """Estimates the logarithmic pace at a load.
@@ -106,7 +110,7 @@
         :param load: number of requests.
         :return: logarithm of the pace in milliseconds.
         """
-        return self.pace_sum / self.samples + slope * (load - self.mean_load)
+        return self.mean_pace + slope * (load - self.mean_load)
 
 
 class Slope(msgspec.Struct, frozen=True):
@@ -177,7 +181,8 @@
     slope = _find_slope(old)
     if slope is None:
         return 0.0
-    load = sum(item.load_sum for item in new) / sum(item.samples for item in new)
+    samples = sum(item.samples for item in new)
+    load = sum(item.load_sum for item in new) / UNITS / samples
     new_levels = _list_levels(new, slope.value, load)
     old_levels = _list_levels(old, slope.value, load)
     excess = new_levels[0].log_pace - old_levels[0].log_pace
--- a/packages/kernel/wasabiknot_kernel/failure_rates.py
+++ b/packages/kernel/wasabiknot_kernel/failure_rates.py
@@ -104,15 +104,19 @@
 def _drop_broken(counts, min_gain):
     """Leaves out the backend servers that are broken themselves."""
     ranked = sorted(counts, key=lambda item: item.rate)
-    best, best_likelihood = ranked, _compute_likelihood(_add(ranked))
-    best_likelihood += min_gain
+    total = _add(ranked)
+    if not total.failures:
+        return ranked
+    best, best_likelihood = ranked, _compute_likelihood(total) + min_gain
+    failures = responses = 0
     for number in range(1, math.floor(MAX_BROKEN_FRACTION * len(ranked)) + 1):
-        sound, broken = ranked[:-number], ranked[-number:]
-        likelihood = _compute_likelihood(_add(sound)) + _compute_likelihood(
-            _add(broken)
-        )
+        failures += ranked[-number].failures
+        responses += ranked[-number].total
+        sound = Count(total.failures - failures, total.total - responses)
+        likelihood = _compute_likelihood(sound)
+        likelihood += _compute_likelihood(Count(failures, responses))
         if likelihood > best_likelihood:
-            best, best_likelihood = sound, likelihood
+            best, best_likelihood = ranked[:-number], likelihood
     return best
 
 
--- a/packages/kernel/wasabiknot_kernel/releases.py
+++ b/packages/kernel/wasabiknot_kernel/releases.py
@@ -473,13 +473,17 @@
 
     def _find_evidence(self, service):
         tracked = self._orders[service]
-        total = self.merge_evidence(self._peer_evidence)
         prefixes = [_create_prefix(tracked.order)]
         # Peers may not have read the order again yet.
         for offset in tracked.earlier_offsets:
             earlier = msgspec.structs.replace(tracked.order, offset=offset)
             prefixes.append(_create_prefix(earlier))
-        return [_merge_by_prefix(total, prefixes, side) for side in ("new/", "old/")]
+        sources = (self._own_evidence, *self._peer_evidence.values())
+        sides = {"new": {}, "old": {}}
+        for prefix in prefixes:
+            for evidence in sources:
+                _add_evidence(sides, evidence, prefix)
+        return sides["new"], sides["old"]
 
     def describe_evidence(self, service):
         """Describes what is known of the new and old backend servers.
@@ -600,11 +604,13 @@
     return f"{order.service}/{order.offset}/"
 
 
-def _merge_by_prefix(total, prefixes, side):
-    merged = {}
-    for prefix in prefixes:
-        for key, stats in total.items():
-            if key.startswith(prefix + side):
-                subject = key.removeprefix(prefix + side)
-                merged.setdefault(subject, response_stats.ResponseStats()).add(stats)
-    return merged
+def _add_evidence(sides, evidence, prefix):
+    for key, stats in evidence.items():
+        if not key.startswith(prefix):
+            continue
+        side, _, subject = key.removeprefix(prefix).partition("/")
+        known = sides[side].get(subject)
+        if known is None:
+            sides[side][subject] = stats.copy()
+        else:
+            known.add(stats)
--- a/packages/kernel/wasabiknot_kernel/response_stats.py
+++ b/packages/kernel/wasabiknot_kernel/response_stats.py
@@ -7,6 +7,9 @@
 
 from wasabiknot_kernel import engine_paces
 
+# Decimals of a sum of logarithms that are worth their bytes in a digest.
+SUM_DECIMALS = 3
+
 
 class FailureKind(enum.Enum):
     """Kinds of failures, which have different causes. The values appear in logs."""
@@ -87,12 +90,9 @@
         """
         logarithm = math.log(duration_ratio)
         self.samples += 1
-        self._add_log_ratios(logarithm, logarithm * logarithm)
-
-    def _add_log_ratios(self, total, square_total):
-        self.log_ratio_sum = engine_paces.round_sum(self.log_ratio_sum + total)
-        self.log_ratio_square_sum = engine_paces.round_sum(
-            self.log_ratio_square_sum + square_total
+        self.log_ratio_sum = round(self.log_ratio_sum + logarithm, SUM_DECIMALS)
+        self.log_ratio_square_sum = round(
+            self.log_ratio_square_sum + logarithm * logarithm, SUM_DECIMALS
         )
 
     def sum_squared_deviations(self):
@@ -114,7 +114,8 @@
         self.successes += other.successes
         self.failures += other.failures
         self.samples += other.samples
-        self._add_log_ratios(other.log_ratio_sum, other.log_ratio_square_sum)
+        self.log_ratio_sum += other.log_ratio_sum
+        self.log_ratio_square_sum += other.log_ratio_square_sum
         self.losses += other.losses
         self.timeouts += other.timeouts
         if other.pace_stats is not None:
