--- a/packages/kernel/wasabiknot_kernel/engine_paces.py
+++ b/packages/kernel/wasabiknot_kernel/engine_paces.py
@@ -25,7 +25,7 @@
 # A version is slow if its paces are longer by this factor and this many standard
 # errors.
 MAX_SLOWDOWN = 1.25
-MAX_Z_SCORE = 3.0
+MAX_Z_SCORE = 4.0
 # Lower bound of the standard deviation of logarithmic paces.
 MIN_DEVIATION = 0.1
 # Chance below which a version isn't slow just because none of its backend servers
