Leave out evidence of a peer that names no side, or has no paces

Failed before: test_odd_evidence_of_a_peer_is_left_out (KeyError, and a division by zero in the line of the log). The periodic check of the releases would have ended, so that nobody blocked a bad version any more. Found by reading the diff; no entry sends such evidence today, one of a later version might.

--- a/packages/kernel/tests/test_releases.py
+++ b/packages/kernel/tests/test_releases.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings, strategies
 
 from wasabiknot_kernel import (
+    engine_paces,
     failure_rates,
     outcomes,
     positions,
@@ -307,6 +308,18 @@
             )
         self.assertFalse(tracker.analyze("pool").is_bad)
 
+    def test_odd_evidence_of_a_peer_is_left_out(self):
+        tracker = build_releases()
+        odd = response_stats.ResponseStats(pace_stats=engine_paces.PaceStats())
+        evidence = {
+            "pool/5/other/s/v2-0": odd,
+            "pool/5/new": odd,
+            "pool/5/new/s/v": odd,
+        }
+        tracker.apply_evidence("e2", evidence)
+        self.assertEqual(tracker.block_bad_versions(), [])
+        self.assertIn("new: 0 whole", tracker.describe_evidence("pool"))
+
     def test_rejected_requests_are_no_evidence(self):
         tracker = build_releases()
         for number in range(60):
--- a/packages/kernel/wasabiknot_kernel/analyses.py
+++ b/packages/kernel/wasabiknot_kernel/analyses.py
@@ -98,7 +98,11 @@
     :param stats_list: ``response_stats.ResponseStats`` of each backend server.
     :return: text for the log, with ``MILLISECONDS@REQUESTS`` for each server.
     """
-    known = [item.pace_stats for item in stats_list if item.pace_stats is not None]
+    known = [
+        item.pace_stats
+        for item in stats_list
+        if item.pace_stats is not None and item.pace_stats.samples
+    ]
     rows = sorted((item.find_level(0.0, 0.0), item.mean_load) for item in known)
     return " ".join(f"{math.exp(level):.1f}@{load:.1f}" for level, load in rows)
 
--- a/packages/kernel/wasabiknot_kernel/releases.py
+++ b/packages/kernel/wasabiknot_kernel/releases.py
@@ -609,6 +609,9 @@
         if not key.startswith(prefix):
             continue
         side, _, subject = key.removeprefix(prefix).partition("/")
+        if side not in sides:
+            # An entry of another version may know more sides.
+            continue
         known = sides[side].get(subject)
         if known is None:
             sides[side][subject] = stats.copy()
