Refuse a harmful part in an outage also if nothing else was in flight at its crashes

Cause: without a rival a part was refused only after a complete response of its service; the rule for an outage (five crashes over two seconds) was asked only where there is a rival. Where all sound requests of the service are refused, no response comes, and the part goes on. Ruled out: a lost record, or digests that don't arrive: all three entries counted 9 crashes of the part (WK1305), and none refused it (no WK1319). Evidence: test_part_is_refused_in_an_outage_without_a_rival failed before. Why it works: five crashes under different requests, with no response at all, tell as much without a rival as with one.

--- a/packages/kernel/tests/test_part_suspects.py
+++ b/packages/kernel/tests/test_part_suspects.py
@@ -118,6 +118,12 @@
             self.crash(HARMFUL, at_s=1.0 + number)
         self.assertEqual(self.list_refused(6.0), {HARMFUL})
 
+    def test_part_is_refused_in_an_outage_without_a_rival(self):
+        for number in range(5):
+            self.assertEqual(self.list_refused(number), set())
+            self.crash(HARMFUL, at_s=number)
+        self.assertEqual(self.list_refused(5.0), {HARMFUL})
+
     def test_part_of_a_harmful_request_is_served_to_other_requests(self):
         self.answer(SHARED, count=30)
         for number in range(8):
--- a/packages/kernel/wasabiknot_kernel/part_suspects.py
+++ b/packages/kernel/wasabiknot_kernel/part_suspects.py
@@ -232,8 +232,9 @@
             stored = sum(known.is_stored for known in suspect.crashes.values())
             if stored >= suspects.MAX_CRASHES:
                 return True
-            if not suspects.has_rival(suspect, convicted):
-                return self._has_evidence(suspect)
+            has_rival = suspects.has_rival(suspect, convicted)
+            if not has_rival and self._has_evidence(suspect):
+                return True
         others = self._response_counts[suspect.service] - suspect.answer_mark
         streak = suspect.list_streak()
         if others >= MIN_OTHER_RESPONSES:
