Try a refused prompt part with requests that were in flight at one crash

Cause: a request was no trial of its refused part if its own content had been in flight at any crash, and in an outage each content had. Nothing could then speak for the part any more. Evidence: test_refused_part_is_tried_by_a_request_that_was_in_flight_at_a_crash failed before. Why it works: a request that isn't refused itself would be sent if the part weren't refused, so its content is no reason against a trial; what bounds the trials is the part's own crashes.

--- a/packages/kernel/tests/test_part_suspects.py
+++ b/packages/kernel/tests/test_part_suspects.py
@@ -312,6 +312,16 @@
         self.assertFalse(entry.try_start_trial(suspected, 60.0))
         self.assertTrue(entry.try_start_trial(self.build_ticket(HARMFUL), 60.0))
 
+    def test_refused_part_is_tried_by_a_request_that_was_in_flight_at_a_crash(self):
+        entry = builders.build_deployment()
+        for number in range(3):
+            crash = build_crash(SHARED, f"w{number}/1", f"q{number}")
+            entry.crashes.add_stored(crash, 0.0)
+        ticket = self.build_ticket(SHARED)
+        in_flight = crashes.Crash(ticket.fingerprint, "w7/1")
+        entry.crashes.record(in_flight, 0.0, Evidence.REFUSED)
+        self.assertTrue(entry.try_start_trial(ticket, 60.0))
+
 
 class CrashMonitorTests(unittest.TestCase):
     def setUp(self):
--- a/packages/kernel/wasabiknot_kernel/crashes.py
+++ b/packages/kernel/wasabiknot_kernel/crashes.py
@@ -358,7 +358,9 @@
             tell which of several is harmful.
         """
         refused = set(self._iterate_refused(ticket, now_s))
-        suspected = refused.union(self.list_doubtful(ticket))
+        # Its own fingerprint would not have kept it from being sent.
+        doubtful = set(self.list_doubtful(ticket)) - {ticket.fingerprint}
+        suspected = refused | doubtful
         return refused.pop() if len(suspected) == 1 and refused else None
 
     def _iterate_refused(self, ticket, now_s):
