Keep with the crashes in the store what spoke for and against those who were in flight

Cause: the store keeps who was in flight at crashes, and not who was answered since. An entry that has just started believed every accusation and knew no defence: a content in flight at three crashes was refused though it had been answered, and the harmful part itself was not stored yet, as it was written only by entries that had seen its service answer. With all contents of a service refused nothing is answered any more, so nothing could be put right. Class: evidence of one side only outlives a restart. Change: a record of a crash holds the responses known with it: to the request, or for a part those of its service without it. A request with stored responses is tried; a part's stored crashes are believed at once only with three such responses, which are written later if they come later. A part that no response has had explains the crashes of answered requests before it is refused itself, and on a tie those of a request under which it ended no server.

--- a/packages/kernel/tests/test_part_load.py
+++ b/packages/kernel/tests/test_part_load.py
@@ -40,6 +40,12 @@
             with self.subTest(shape=shape):
                 self.check(partplays.PartWorld(2, shape=shape, kills_after=True))
 
+    def test_sound_requests_of_equal_content_are_served_after_entries_restart(self):
+        for seed in (*range(8), 33, 36, 42, 47, 70):
+            with self.subTest(seed=seed):
+                self.check(partplays.EqualWorld(seed, server_count=3))
+        self.check(partplays.EqualWorld(34, server_count=4))
+
     @harmfulplays.SETTINGS
     @given(
         strategies.integers(0, 1_000),
--- a/packages/kernel/wasabiknot_kernel/crashes.py
+++ b/packages/kernel/wasabiknot_kernel/crashes.py
@@ -56,12 +56,15 @@
     :param at_s: time of day at which it was stored, in Unix seconds, for operators; 0
         before.
     :param request: for a part, the fingerprint of the request that had it.
+    :param responses: complete responses that were known when it was stored: to the
+        request since its first crash, or of the part's service and without the part.
     """
 
     fingerprint: str
     server: str
     at_s: decoding.Number = 0.0
     request: str = ""
+    responses: int = 0
 
     @property
     def key(self):
@@ -149,6 +152,8 @@
         self._judge = part_suspects.PartJudge(self._requests)
         self._parts = self._judge.parts
         self._refused_parts = frozenset()
+        # Keys of the parts that may explain crashes of whole requests.
+        self._explaining = frozenset()
         self._verdicts = collections.deque(maxlen=MAX_OBSERVATIONS)
         self._deletions = {}
         # Stored crashes that no longer count, while others read the store.
@@ -381,18 +386,23 @@
             for key in sorted(refused ^ self._refused_parts):
                 self._verdicts.append(self._describe_verdict(key, key in refused))
             self._refused_parts = refused
+        explaining = refused.union(self._judge.blamed)
+        if explaining != self._explaining:
+            self._explaining = explaining
             self._mark_explained_requests(now_s)
         return refused
 
-    def _list_refused_suspects(self, now_s):
+    def _list_explaining_parts(self, suspect, now_s):
+        refused = self.list_refused_parts(now_s)
+        blamed = self._judge.blamed if suspect.response_count else ()
         # One may have been forgotten since the verdict.
-        known = [self._parts.get(key) for key in self.list_refused_parts(now_s)]
-        return [suspect for suspect in known if suspect is not None]
+        known = [self._parts.get(key) for key in refused.union(blamed)]
+        return [part for part in known if part is not None]
 
     def _mark_explained_requests(self, now_s):
         # An entry that reads their crashes after a restart knows no responses.
-        parts = self._list_refused_suspects(now_s)
         for suspect in self._requests.repeated.values():
+            parts = self._list_explaining_parts(suspect, now_s)
             unexplained = suspects.count_unexplained(suspect, parts)
             suspect.is_explained = unexplained < len(suspect.crashes)
             if suspect.is_explained:
@@ -421,7 +431,7 @@
     def _find_clearance_reason(self, suspect, now_s):
         if suspect.is_outweighed:
             return ClearanceReason.OUTWEIGHED
-        parts = self._list_refused_suspects(now_s)
+        parts = self._list_explaining_parts(suspect, now_s)
         others = itertools.chain(self._requests.repeated.values(), parts)
         unexplained = suspects.count_unexplained(suspect, others)
         if unexplained < suspects.MAX_CRASHES:
@@ -463,7 +473,7 @@
     def _is_due_for_trial(self, suspect, now_s):
         if suspect.is_part:
             return self._judge.is_due_for_trial(suspect, now_s)
-        parts = self._list_refused_suspects(now_s)
+        parts = self._list_explaining_parts(suspect, now_s)
         return suspect.is_due_for_trial(now_s, suspects.has_rival(suspect, parts))
 
     def pop_clearances(self):
@@ -537,12 +547,27 @@
             with the most crashes first.
         """
         due = [
-            known.crash
+            self._add_responses(known.crash)
             for known in self._reported.values()
             if not known.is_stored and self._is_due(known, now_s, is_reader)
         ]
+        due += self._list_restated() if is_reader else ()
         return self._rank(due)[:MAX_BATCH]
 
+    def _list_restated(self):
+        # What stood beside the stored crashes of a part may be too little by now.
+        for key in self._refused_parts:
+            suspect = self._parts.get(key)
+            if suspect is not None and self._judge.needs_restating(suspect):
+                newest = max(suspect.crashes.values(), key=lambda item: item.known_s)
+                yield self._add_responses(newest.crash)
+
+    def _add_responses(self, crash):
+        suspect = self._find(crash.fingerprint)
+        count = self._judge.count_others if suspect.is_part else _count_responses
+        responses = count(suspect)
+        return msgspec.structs.replace(crash, responses=responses)
+
     def _is_due(self, known, now_s, is_reader):
         if not self._needs_storing(known):
             return False
@@ -595,6 +620,10 @@
             known = self._find_known(crash.fingerprint, crash.server)
             if known is not None:
                 known.is_stored = True
+                suspect = self._find(crash.fingerprint)
+                suspect.stored_responses = max(
+                    suspect.stored_responses, crash.responses
+                )
 
     def _find_known(self, fingerprint, server):
         suspect = self._find(fingerprint)
@@ -638,6 +667,10 @@
             self._deletions.pop(key, None)
 
 
+def _count_responses(suspect):
+    return suspect.response_count
+
+
 def _list_most_suspected(items):
     answered = [key for key, suspect in items.items() if suspect.responses]
     answered.sort(key=lambda key: -len(items[key].crashes))
--- a/packages/kernel/wasabiknot_kernel/part_suspects.py
+++ b/packages/kernel/wasabiknot_kernel/part_suspects.py
@@ -21,7 +21,8 @@
 # Complete responses of a service that show which parts are in common use.
 MIN_HISTORY = 20
 # Time and complete responses without the part before a part is refused that was
-# answered before, or that was in flight at the same crashes as another one.
+# answered before, or that was in flight at the same crashes as another one. Stored
+# crashes are believed at once if so many responses stand beside them.
 PATIENCE_S = 2.0
 MIN_OTHER_RESPONSES = 3
 # Crashes, and the time between the first and the last of them, after which such a part
@@ -67,6 +68,11 @@
             times_s = [time_s for time_s in times_s if time_s > self.answered_s]
         return sorted(times_s)
 
+    @property
+    def response_count(self):
+        """Complete responses with the part through all entries."""
+        return self.responses + sum(self.peer_responses.values())
+
     @property
     def is_outweighed(self):
         """Whether a complete response has followed all but the newest crashes."""
@@ -87,6 +93,24 @@
         """Whether a crash may be the fault of the part."""
         return self.answered_s is None
 
+    def explains(self, other):
+        """Tells whether the crashes of another suspect are rather those of this part.
+
+        :param other: ``suspects.Suspect``.
+        :return: ``True`` also for a request with the same crashes and responses, if
+            servers ended under other requests with this part.
+        """
+        if super().explains(other):
+            return True
+        is_tie = not other.is_part and self.rank == other.rank
+        return is_tie and self.is_convicted and not self._has_crashed_under(other)
+
+    def _has_crashed_under(self, other):
+        fingerprints = {known.crash.fingerprint for known in other.crashes.values()}
+        return any(
+            known.crash.request in fingerprints for known in self.crashes.values()
+        )
+
     def record_answer(self, count, at_s):
         """Records complete responses to requests with the part.
 
@@ -117,6 +141,7 @@
         self._answered = collections.OrderedDict()
         self._response_counts = collections.Counter()
         self._refused = frozenset()
+        self._blamed = {}
         self._judged_s = None
 
     def _create_suspect(self, key):
@@ -189,12 +214,25 @@
         """
         return len(suspect.crashes) > 1 and self._has_evidence(suspect)
 
+    def needs_restating(self, suspect):
+        """Tells whether more speaks against a part now than the store has.
+
+        :param suspect: ``PartSuspect`` that is refused.
+        """
+        count = self.count_others(suspect)
+        return suspect.stored_responses < MIN_OTHER_RESPONSES <= count
+
     def _has_evidence(self, suspect):
         # The service answers, but no request with the part.
-        if suspect.answered_s is not None:
-            return False
+        return suspect.answered_s is None and self.count_others(suspect) > 0
+
+    def count_others(self, suspect):
+        """Counts the complete responses that a part without any stands out against.
+
+        :param suspect: ``PartSuspect``.
+        """
         count = self._response_counts[suspect.service]
-        return count > suspect.answer_mark or count >= MIN_HISTORY
+        return count if count >= MIN_HISTORY else count - suspect.answer_mark
 
     def list_refused(self, now_s):
         """Lists the parts that no request may be sent with.
@@ -204,17 +242,28 @@
         """
         if not self.parts.repeated:
             self._refused = frozenset()
+            self._blamed = {}
         elif self._judged_s is None or now_s - self._judged_s >= JUDGE_INTERVAL_S:
             self._judged_s = now_s
             self._refused = frozenset(self._judge(now_s))
         return self._refused
 
+    @property
+    def blamed(self):
+        """``PartSuspect`` by key of those convicted that no response has had."""
+        return self._blamed
+
     def _list_convicted(self):
         everyone = [*self._requests.repeated.values(), *self.parts.repeated.values()]
         return [item for item in everyone if item.is_convicted]
 
     def _judge(self, now_s):
         convicted = self._list_convicted()
+        self._blamed = {
+            key: suspect
+            for key, suspect in self.parts.repeated.items()
+            if suspect.answered_s is None and suspect.is_convicted
+        }
         for key, suspect in self.parts.repeated.items():
             if not suspect.is_convicted:
                 continue
@@ -230,7 +279,8 @@
     def _is_ripe(self, suspect, convicted, now_s):
         if suspect.answered_s is None:
             stored = sum(known.is_stored for known in suspect.crashes.values())
-            if stored >= suspects.MAX_CRASHES:
+            is_proved = suspect.stored_responses >= MIN_OTHER_RESPONSES
+            if stored >= suspects.MAX_CRASHES and is_proved:
                 return True
             has_rival = suspects.has_rival(suspect, convicted)
             if not has_rival and self._has_evidence(suspect):
--- a/packages/kernel/wasabiknot_kernel/suspects.py
+++ b/packages/kernel/wasabiknot_kernel/suspects.py
@@ -54,6 +54,7 @@
     :param crashes: ``KnownCrash`` by id and start time of the backend server.
     :param responses: complete responses through this entry since the first crash.
     :param peer_responses: the same through peers, by name of the peer or group.
+    :param stored_responses: the responses that the store has with the crashes.
     :param trial_s: time of the latest trial of this entry, in seconds.
     :param logged: number of crashes and reason of the latest logged clearance.
     :param is_explained: whether a refused part of other requests explains its crashes.
@@ -62,6 +63,7 @@
     crashes: dict[str, KnownCrash] = {}
     responses: int = 0
     peer_responses: dict[str, int] = {}
+    stored_responses: int = 0
     trial_s: float | None = None
     logged: tuple | None = None
     is_explained: bool = False
@@ -71,7 +73,8 @@
     @property
     def response_count(self):
         """Complete responses through all entries since the first crash."""
-        return self.responses + sum(self.peer_responses.values())
+        known = self.responses + sum(self.peer_responses.values())
+        return max(known, self.stored_responses)
 
     @property
     def is_outweighed(self):
@@ -107,7 +110,7 @@
             responses, or as many and more crashes.
         """
         if other.is_part:
-            is_better = self._rank() < other._rank()
+            is_better = self.rank < other.rank
         elif self.response_count > other.response_count:
             is_better = False
         elif len(self.crashes) == len(other.crashes):
@@ -116,7 +119,9 @@
             is_better = len(self.crashes) > len(other.crashes)
         return is_better and self.is_convicted
 
-    def _rank(self):
+    @property
+    def rank(self):
+        """Order in which suspects are believed to have caused the same crashes."""
         return (self.response_count, -len(self.crashes))
 
     def is_due_for_trial(self, now_s, has_rival=False):
