Try a refused part of doubtful evidence a second after its newest crash

Ruled out: that fewer seconds cost more servers. What bounds the trials of such a part is its crashes since it was refused (two); all entries are due at the same time whatever the interval, and those that hear of a crash later are due later.

--- a/packages/kernel/wasabiknot_kernel/part_suspects.py
+++ b/packages/kernel/wasabiknot_kernel/part_suspects.py
@@ -34,7 +34,7 @@
 CERTAIN_TRIAL_INTERVAL_S = 30.0
 MAX_CRASHES_BEFORE_TRIAL = 6
 # The same for evidence that may deceive, and crashes since the part was refused.
-TRIAL_INTERVAL_S = 3.0
+TRIAL_INTERVAL_S = 1.0
 MAX_CRASHES_SINCE_REFUSAL = 2
 # Interval of the verdicts, unless something new is known.
 JUDGE_INTERVAL_S = 0.1
