Permit a retry only by requests that count until it has left the window

Callers: none seen; more retries than the platform allows reach a service after bursts (BUDGET). Cause: a retry was permitted by the requests of the window before it, and counts for another window, when these requests may have left it. A margin of a fifth hid that for slow changes. Ruled out: that the red property alone was wrong. It held retries against the requests of the same window, which no budget with a ratio can keep (requests of 100.0, a retry at 109.9); the users' rule takes the window before or half a window before as well. Change: the budget takes the least that the rule will allow at any point until the retry leaves the window, with the requests known now. The property checks the rule, a new one bursts. Tests: test_retries_stay_within_bound_after_bursts_of_requests failed before (73 of 72.8). The red entry goes; its example passes.

--- a/packages/kernel/wasabiknot_kernel/budgets.py
+++ b/packages/kernel/wasabiknot_kernel/budgets.py
@@ -1,11 +1,16 @@
 """Retry budgets, shared by all entries."""
 
+import bisect
 import collections
 
-# Fraction of the ratio and slack that is used. The margin covers requests that leave
-# the sliding window before the retries that they permitted.
+# Fraction of the ratio and slack that is used. The margin covers entries whose loads
+# peak at different times.
 SAFETY_FACTOR = 0.8
-
+# Windows, by the delay from their end until now, of which the one with the most
+# requests bounds the retries; in lengths of the window.
+REQUEST_WINDOW_DELAYS = (0.0, 0.5, 1.0)
+# Steps in which the time is divided for which a retry counts.
+STEPS_PER_WINDOW = 20
 
 # Time for which entries that have fallen silent keep their part of the slack. They may
 # be cut off from this entry alone and go on retrying.
@@ -40,8 +45,12 @@
     """Limits the retries to one service within a sliding window.
 
     Each entry may use the ratio of its own requests, plus an equal part of the slack.
-    It uses no slack during the first window after its start, as it does not know what
-    its previous run has used.
+    The requests are those of the window before a point in time, of the one before that
+    or of the one between them, whichever has most. A retry counts for the length of a
+    window, so it must be within the ratio at each point until then.
+
+    An entry uses no slack during the first window after its start, as it does not know
+    what its previous run has used.
 
     :param ratio: retries allowed per request.
     :param window_s: length of the window in seconds.
@@ -52,7 +61,7 @@
         self._ratio = ratio
         self._window_s = window_s
         self._slack = slack
-        self._requests = collections.deque()
+        self._requests = []
         self._retries = collections.deque()
         self.entry_count = 1
         self.has_slack = True
@@ -74,7 +83,9 @@
         :param now_s: current time in seconds.
         """
         self._requests.append(now_s)
-        self._drop_expired(now_s)
+        # Dropping is seldom worth it: it moves all that is left.
+        if now_s - self._requests[0] > 2 * self._find_memory_s():
+            self._drop_expired(now_s)
 
     def try_acquire(self, now_s):
         """Uses one retry of the budget, if any is left.
@@ -84,13 +95,34 @@
         """
         self._drop_expired(now_s)
         slack = self._slack / self.entry_count if self.has_slack else 0.0
-        allowed = self._ratio * len(self._requests) + slack
+        allowed = self._ratio * self._count_lasting_requests(now_s) + slack
         if len(self._retries) + 1 > SAFETY_FACTOR * allowed:
             return False
         self._retries.append(now_s)
         return True
 
+    def _count_lasting_requests(self, now_s):
+        # Requests that permit a retry until it leaves the window, if no more come.
+        return min(
+            self._count_at_step(now_s, step / STEPS_PER_WINDOW)
+            for step in range(STEPS_PER_WINDOW)
+        )
+
+    def _count_at_step(self, now_s, delay):
+        # The windows that end at any point in the step have these requests in common.
+        counts = []
+        for window_delay in REQUEST_WINDOW_DELAYS:
+            end_s = now_s + (delay - window_delay) * self._window_s
+            start_s = end_s - (1.0 - 1.0 / STEPS_PER_WINDOW) * self._window_s
+            start = bisect.bisect_right(self._requests, start_s)
+            counts.append(bisect.bisect_right(self._requests, end_s) - start)
+        return max(counts)
+
     def _drop_expired(self, now_s):
-        for times in (self._requests, self._retries):
-            while times and times[0] < now_s - self._window_s:
-                times.popleft()
+        oldest_s = now_s - self._find_memory_s()
+        del self._requests[: bisect.bisect_right(self._requests, oldest_s)]
+        while self._retries and self._retries[0] < now_s - self._window_s:
+            self._retries.popleft()
+
+    def _find_memory_s(self):
+        return (1.0 + max(REQUEST_WINDOW_DELAYS)) * self._window_s
