Read the configuration in time for those who copy it, though the connection fell silent

Cause: the bound of 2 s was kept for each step and not for their sum. The long-poll (1.5 s) was repeated after 1.85 s; the digest that tells of the change and the copy, repeated after 0.35 s, come on top, 2.4 s in all. The reader's polls of the registrations go on meanwhile, on another connection, so nobody takes over. Class: a timeout per step where the bound is on all steps together. Ruled out: a reader that is killed, paused, cut off from the store, turned away or cut off from its peers: the others know the configuration in time, at each of twelve phases of its polls, and in a fleet of several groups at four (ReaderTroubleTests; these passed before). Change: the long-poll of the configuration ends after 0.8 s, so that with the pause between two (0.25 s, where there are several groups), the repetition, a digest and a copy over a silent connection 1.9 s pass. The reader of a group calls the store 0.4 to 0.6 times a second more. Tests: test_others_know_a_configuration_in_time_if_a_connection_falls_silent failed before, for 8 and for 40 entries. HungReadTests wants 1.4 s for the read instead of 2.2 s, as the rest of the 2 s is for telling the others. That this is what the users saw is suspected, not shown.

--- a/packages/entry/tests/fleets.py
+++ b/packages/entry/tests/fleets.py
@@ -7,8 +7,9 @@
 
 import msgspec
 from twisted.internet import defer, task
+from twisted.python import failure
 
-from wasabiknot_entry import calls, followers, subscriptions
+from wasabiknot_entry import calls, followers, gossip, subscriptions
 from wasabiknot_kernel import allowances, deployments, members, summaries
 from wasabiknot_platform import stores
 
@@ -16,6 +17,8 @@
 DIGEST_STEPS = 2
 STORE_LATENCY_S = 0.004
 FETCH_S = 0.05
+# The same over a connection that has fallen silent.
+HUNG_FETCH_S = FETCH_S + gossip.FETCH_HEDGE_S
 START_SPREAD_S = 0.3
 GROUP_DOMAINS = 5
 LIST_PATH = stores.build_list_call("").target.partition("?")[0]
@@ -35,6 +38,10 @@
         self.turned_away = set()
         # Pairs of an entry and a topic that it can't read.
         self.unreadable = set()
+        # Pairs of an entry and a topic whose connection has fallen silent.
+        self.silent_connections = set()
+        # Entries whose packets to and from the store are lost.
+        self.cut = set()
         self.calls = 0
         self.callers = []
 
@@ -50,7 +57,7 @@
 
     def connect(self, name):
         """Returns the client of one entry."""
-        return Client(self, name)
+        return Client(self, self._clock, name)
 
     def answer(self, name, call, wait_s):
         self.calls += 1
@@ -111,10 +118,16 @@
 
 
 class Client:
-    """The connection of one entry to the store."""
+    """The connections of one entry to the store; repeats hung reads like the product.
+
+    :param store: ``Store``.
+    :param clock: ``task.Clock``.
+    :param name: name of the entry.
+    """
 
-    def __init__(self, store, name):
+    def __init__(self, store, clock, name):
         self._store = store
+        self._clock = clock
         self._name = name
         self.era = 0
 
@@ -122,7 +135,36 @@
         pass
 
     def call(self, call, wait_s=0.0):
-        return self._store.answer(self._name, call, wait_s)
+        query = urllib.parse.urlsplit(call.target).query
+        topic = dict(urllib.parse.parse_qsl(query)).get("topic")
+        result = defer.Deferred(lambda _: None)
+
+        def finish(response):
+            for timer in timers:
+                if timer.active():
+                    timer.cancel()
+            if not result.called:
+                result.callback(response)
+
+        def send(is_fresh):
+            answered = self._store.answer(self._name, call, wait_s)
+            answered.addCallback(deliver, is_fresh)
+
+        def deliver(response, is_fresh):
+            is_silent = (self._name, topic) in self._store.silent_connections
+            is_lost = is_silent and not is_fresh
+            if not is_lost and self._name not in self._store.cut:
+                finish(response)
+
+        timers = [
+            self._clock.callLater(followers.HEDGE_DELAY_S + wait_s, send, True),
+            self._clock.callLater(
+                followers.RESPONSE_TIMEOUT_S + wait_s,
+                lambda: finish(failure.Failure(calls.CallError("timed out"))),
+            ),
+        ]
+        send(is_fresh=False)
+        return result
 
 
 class Entry:
@@ -159,12 +201,12 @@
         if peer is None or self.is_fetching or not self.deployment.is_behind(peer):
             return
         self.is_fetching = True
-        self.fleet.clock.callLater(FETCH_S, self.fetch, peer.member.name)
+        self.fleet.clock.callLater(self.fleet.fetch_s, self.fetch, peer.member.name)
 
     def fetch(self, name):
         self.is_fetching = False
         source = self.fleet.entries.get(name)
-        if source is None:
+        if source is None or name in self.fleet.cut | self.fleet.paused:
             return
         for topic in source.deployment.topics.values():
             own = self.deployment.get_topic(topic.name)
@@ -189,6 +231,9 @@
         self.store = Store(self.clock)
         self.entries = {}
         self.cut = set()
+        # Entries whose processes are paused.
+        self.paused = set()
+        self.fetch_s = FETCH_S
         self.policy = deployments.Policy(
             0.2,
             10.0,
@@ -231,6 +276,8 @@
             self.clock.advance(STEP_S)
             self._steps += 1
             for number, entry in enumerate(list(self.entries.values())):
+                if entry.deployment.member.name in self.paused:
+                    continue
                 entry.deployment.tick(self.now_s)
                 entry.reader_role.update()
                 if self._steps % DIGEST_STEPS == number % DIGEST_STEPS:
@@ -257,7 +304,7 @@
             return
         for peer in peers:
             name = peer.member.name
-            if name in self.entries and name not in self.cut:
+            if name in self.entries and name not in self.cut | self.paused:
                 for digest in digests:
                     self.entries[name].receive(digest)
 
--- a/packages/entry/tests/test_calls.py
+++ b/packages/entry/tests/test_calls.py
@@ -58,8 +58,8 @@
 
 
 class HungReadTests(unittest.TestCase):
-    # Time from a change until all must know it, less what telling them takes.
-    MAX_READ_S = 2.2
+    # A change must be known to all within 2 s: it is read, told in a digest and copied.
+    MAX_READ_S = 1.4
     MAX_COPY_S = 0.5
 
     def setUp(self):
--- a/packages/entry/tests/test_subscriptions.py
+++ b/packages/entry/tests/test_subscriptions.py
@@ -11,7 +11,7 @@
 ENTRIES = [f"e{number:03}" for number in range(40)]
 # What one reader a group needs a second: its long-polls, and one poll of the
 # registrations.
-LONG_POLLS_PER_S = 1 / 1.5 + 1 / 5 + 2 / 10
+LONG_POLLS_PER_S = 1 / 0.8 + 1 / 5 + 2 / 10
 POLL_INTERVALS_S = (0.5, 0.75, 1.0)
 # A tenth more for readers that take turns.
 MARGIN = 1.1
@@ -112,3 +112,68 @@
         fleet.store.append(stores.SERVER_TOPIC, "a", b"{}")
         fleet.play(LEAVING_BOUND_S)
         self.assertEqual(fleet.list_outdated(stores.SERVER_TOPIC), [])
+
+
+class ReaderTroubleTests(FleetTestCase):
+    # Numbers of entries, and the phases of the reader's polls that are played for each.
+    COUNTS = {8: 12, len(ENTRIES): 4}
+    PHASES_S = 1.8
+
+    def play_trouble(self, begin, count):
+        """Begins a trouble of the readers as a configuration is confirmed.
+
+        :return: names of the others that don't have it in time, by the phase.
+        """
+        outdated = {}
+        phases = self.COUNTS[count]
+        for phase_s in (number * self.PHASES_S / phases for number in range(phases)):
+            fleet = fleets.Fleet(1, 0.5)
+            fleet.start(ENTRIES[:count])
+            fleet.play(4.0 + phase_s)
+            readers = {
+                name for at_s, name in fleet.store.callers if at_s > fleet.now_s - 1.9
+            }
+            begin(fleet, readers)
+            fleet.store.append(stores.OPERATOR_TOPIC, "a", b"{}")
+            fleet.play(CONFIGURATION_BOUND_S)
+            late = set(fleet.list_outdated(stores.OPERATOR_TOPIC)) - readers
+            if late:
+                outdated[round(phase_s, 2)] = sorted(late)
+        return outdated
+
+    def check(self, begin):
+        for count in self.COUNTS:
+            with self.subTest(entries=count):
+                self.assertEqual(self.play_trouble(begin, count), {})
+
+    def test_others_know_a_configuration_in_time_if_a_connection_falls_silent(self):
+        def begin(fleet, readers):
+            pairs = {(name, stores.OPERATOR_TOPIC) for name in readers}
+            fleet.store.silent_connections = pairs
+            fleet.fetch_s = fleets.HUNG_FETCH_S
+
+        self.check(begin)
+
+    def test_others_know_a_configuration_in_time_if_the_reader_is_cut_off(self):
+        def begin(fleet, readers):
+            fleet.store.cut = readers
+
+        self.check(begin)
+
+    def test_others_know_a_configuration_in_time_if_the_reader_is_paused(self):
+        def begin(fleet, readers):
+            fleet.store.cut = fleet.paused = readers
+
+        self.check(begin)
+
+    def test_others_know_a_configuration_in_time_if_the_reader_is_turned_away(self):
+        def begin(fleet, readers):
+            fleet.store.unreadable = {(name, stores.OPERATOR_TOPIC) for name in readers}
+
+        self.check(begin)
+
+    def test_others_know_a_configuration_in_time_if_the_reader_loses_its_peers(self):
+        def begin(fleet, readers):
+            fleet.cut = readers
+
+        self.check(begin)
--- a/packages/entry/wasabiknot_entry/subscriptions.py
+++ b/packages/entry/wasabiknot_entry/subscriptions.py
@@ -4,7 +4,7 @@
 from wasabiknot_platform import configurations, stores
 
 # Long-poll waits: without a new record, a read of the store returns after this time.
-CONFIGURATION_LONG_POLL_MS = 1_500
+CONFIGURATION_LONG_POLL_MS = 800
 RELEASE_LONG_POLL_MS = 5_000
 # Digests tell of crashes sooner, and are sent to the known address of a restarted peer.
 RARE_LONG_POLL_MS = 10_000
