Promote a version on few answers as late as its order allows

Cause: ten complete answers were enough for a promotion, and evidence is gone with all entries. Ruled out: the early requests, which entries that have started since the order send again. Change: 40 complete answers are wanted at 0.62; with fewer a promotion waits until 0.75, from where the share can still grow before the release has to be finished (0.93). Tests: test_version_with_few_answers_is_promoted_as_late_as_its_order_allows failed before; test_version_gets_no_more_requests_though_all_entries_are_killed is new and passed before as well. Four older tests of promotions now give 40 answers instead of 10, as a promotion at 0.62 wants.

--- a/packages/kernel/tests/releaseplays.py
+++ b/packages/kernel/tests/releaseplays.py
@@ -27,6 +27,7 @@
     :param broken: numbers of the servers of both sides that fail half of the requests.
     :param slowed: numbers of the servers of both sides that are four times slower for
         half of the time.
+    :param kills_s: times in seconds at which all entries are killed.
     """
 
     def __init__(
@@ -38,6 +39,7 @@
         lost=0.0,
         broken=(),
         slowed=(),
+        kills_s=(),
         **options,
     ):
         self.slowness = slowness
@@ -46,6 +48,7 @@
         self.lost = lost
         self.broken = broken
         self.slowed = slowed
+        self.kills_s = list(kills_s)
         options = {
             "load_per_s": LOAD_PER_S,
             "events": EVENTS,
@@ -82,6 +85,9 @@
         return slowness * (1 + SLOWDOWN_PER_REQUEST * (running - 1))
 
     def arrive(self):
+        if self.kills_s and self.elapsed_s >= self.kills_s[0]:
+            del self.kills_s[0]
+            self.restart_entries()
         self.count_on = {}
         for stream in self.streams:
             name = stream.server.server_id
--- a/packages/kernel/tests/silent_rollouts.py
+++ b/packages/kernel/tests/silent_rollouts.py
@@ -97,23 +97,25 @@
         self.blocked_s = None
         self.left_s = None
         self.reason = ""
+        self.entry_count = entries
+        self.servers_per_side = servers_per_side
+        # Record of the release in the store.
+        self.record = None
+        self.start_entries(is_news=True)
+
+    def start_entries(self, is_news):
+        """Starts all entries; they read the order now, or as it is given."""
         self.entries = [
             builders.build_deployment(f"e{n:02}", n, f"domain-{n % 3}")
-            for n in range(entries)
+            for n in range(self.entry_count)
         ]
         self.by_name = {entry.member.name: entry for entry in self.entries}
         builders.connect_entries(self.entries, self.now_s)
-        table = routes.RouteTable(builders.build_configuration())
-        if is_plain:
-            plain = msgspec.structs.replace(
-                table.configuration,
-                services=(routes.Service("pool", "/healthz", 100, None),),
-            )
-            table = routes.RouteTable(plain)
+        table = self.build_table()
         for entry in self.entries:
             entry.apply_configuration(table, self.now_s)
             for version in ("v1", "v2"):
-                for number in range(servers_per_side):
+                for number in range(self.servers_per_side):
                     entry.apply_registration(
                         builders.build_registration(
                             f"{version}-{number}",
@@ -123,13 +125,35 @@
                         ),
                         self.now_s,
                     )
-            entry.releases.apply_order(ORDER, self.now_s)
+            entry.releases.apply_order(ORDER, self.now_s, is_news)
             # As learned before the release.
             for server in entry.get_dispatcher("pool").servers.values():
                 server.service_times = service_times.create_service_times(
                     plain_ms=PLAIN_MS
                 )
 
+    def build_table(self):
+        table = routes.RouteTable(builders.build_configuration())
+        if not self.is_plain:
+            return table
+        plain = msgspec.structs.replace(
+            table.configuration,
+            services=(routes.Service("pool", "/healthz", 100, None),),
+        )
+        return routes.RouteTable(plain)
+
+    def restart_entries(self):
+        """Kills all entries, with all that they know, and starts them anew."""
+        self.streams = []
+        self.start_entries(is_news=False)
+        if self.record is not None:
+            self.apply_record()
+
+    def apply_record(self):
+        now_ms = round(self.now_s * 1_000)
+        for entry in self.entries:
+            entry.releases.apply_record(self.record, self.now_s, now_ms)
+
     def is_new(self, server):
         return server.registration.version == "v2"
 
@@ -186,8 +210,8 @@
         now_ms = round(self.now_s * 1_000)
         due = self.entries[0].releases.find_due_record("pool", self.now_s, now_ms, 1)
         if due is not None:
-            for entry in self.entries:
-                entry.releases.apply_record(due, self.now_s, now_ms)
+            self.record = due
+            self.apply_record()
 
     def is_left(self, entry):
         phase = entry.releases.find_phase("pool")
--- a/packages/kernel/tests/test_release_load.py
+++ b/packages/kernel/tests/test_release_load.py
@@ -1,5 +1,6 @@
 """Releases of bad and good versions under load, on the decisions of all entries."""
 
+import itertools
 import random
 import unittest
 
@@ -17,6 +18,8 @@
     "failing": {"failing": 0.2},
     "failing later": {"failing": 0.5, "late_s": 6.0},
 }
+# Times at which all entries are killed, with all evidence.
+KILLS_S = ((3.0,), (3.0, 6.0), (2.0, 4.0, 6.0))
 GOOD_PLAYS = 200
 
 
@@ -36,6 +39,16 @@
     def test_version_slower_by_two_fifths_on_idle_servers_is_not_promoted(self):
         self.check(BAD["slower by two fifths"])
 
+    def test_version_gets_no_more_requests_though_all_entries_are_killed(self):
+        for name, kills_s in itertools.product(BAD, KILLS_S):
+            for seed in range(3):
+                with self.subTest(name=name, kills_s=kills_s, seed=seed):
+                    options = {**BAD[name], "kills_s": kills_s}
+                    world = releaseplays.ReleaseWorld(seed, **options).play()
+                    self.assertEqual(world.count_excess(), 0)
+                    self.assertEqual(world.count_late(), 0)
+                    self.assertIsNotNone(world.left_s)
+
     def test_failing_version_is_not_hidden_by_trouble_of_the_old_one(self):
         self.check(BAD["failing"])
 
--- a/packages/kernel/tests/test_releases.py
+++ b/packages/kernel/tests/test_releases.py
@@ -362,9 +362,9 @@
             tracker.apply_record(due, now_s, round(now_s * 1_000))
         return due.phase if due else None
 
-    def record_successes(self, tracker):
+    def record_successes(self, tracker, count=releases.AMPLE_SUCCESSES):
         server = build_servers()[-1]
-        for number in range(releases.MIN_SUCCESSES):
+        for number in range(count):
             ticket = builders.build_ticket(f"q{number}")
             tracker.record_outcome(ticket, server, Outcome.COMPLETE, 1.0)
 
@@ -397,6 +397,15 @@
         self.write_due(tracker, 0.1)
         self.assertIsNone(self.write_due(tracker, 11.0))
 
+    def test_version_with_few_answers_is_promoted_as_late_as_its_order_allows(self):
+        # Guards against a bad version that is promoted after a kill of all entries.
+        tracker = build_releases()
+        self.write_due(tracker, 0.1)
+        self.record_successes(tracker, releases.MIN_SUCCESSES)
+        self.assertIsNone(self.write_due(tracker, 11.9))
+        self.assertIs(self.write_due(tracker, 12.0), releases.Phase.PROMOTED)
+        self.assertIs(self.write_due(tracker, 13.2), releases.Phase.FINISHED)
+
     def test_release_is_timed_by_the_read_of_its_order_whatever_the_clocks(self):
         # Guards against a version that is promoted early, as a clock is behind.
         for skew_ms in (-3_600_000, -2_400, 0, 2_400, 3_600_000):
--- a/packages/kernel/wasabiknot_kernel/releases.py
+++ b/packages/kernel/wasabiknot_kernel/releases.py
@@ -28,9 +28,11 @@
 # Fraction of the permitted canary share that is used, because a request may be sent
 # twice.
 CANARY_SHARE_FACTOR = 0.7
-# Fractions of an order's duration after which a healthy version is promoted, after
-# which the release may be reported as finished, and after which it is in any case.
+# Fractions of an order's duration after which a healthy version is promoted with ample
+# evidence and with little, after which the release may be reported as finished, and
+# after which it is in any case.
 PROMOTE_FRACTION = 0.62
+LATEST_PROMOTE_FRACTION = 0.75
 MIN_FINISH_FRACTION = 0.82
 FINISH_FRACTION = 0.93
 # Fraction of an order's duration in which the share of a promoted version grows.
@@ -41,8 +43,10 @@
 EARLY_SHARE = 0.3
 # Shortest time that old backend servers get to finish their requests.
 MIN_DRAIN_S = 1.0
-# Complete responses that a version needs to be promoted.
+# Complete responses that a version needs to be promoted, and those that are ample
+# evidence. Entries that have all been restarted know none from before.
 MIN_SUCCESSES = 10
+AMPLE_SUCCESSES = 40
 # A caller that leaves after this time without any event counts as a failure of the
 # version.
 NO_RESPONSE_S = 1.5
@@ -560,8 +564,8 @@
         if not has_record:
             return base
         if phase is Phase.CANARY:
-            is_due = age_s >= PROMOTE_FRACTION * tracked.order.duration_s
-            if is_due and self.analyze(service).successes >= MIN_SUCCESSES:
+            age = age_s / tracked.order.duration_s
+            if age >= PROMOTE_FRACTION and self._has_evidence(service, age):
                 return msgspec.structs.replace(base, phase=Phase.PROMOTED)
             return None
         min_finish_s = max(
@@ -573,6 +577,11 @@
             return msgspec.structs.replace(base, phase=Phase.FINISHED)
         return None
 
+    def _has_evidence(self, service, age):
+        is_latest = age >= LATEST_PROMOTE_FRACTION
+        wanted = MIN_SUCCESSES if is_latest else AMPLE_SUCCESSES
+        return self.analyze(service).successes >= wanted
+
 
 def classify_unfinished(event_count, elapsed_s, is_timed_out):
     """Classifies an attempt that this entry ended before its response was complete.
