Move the records of crashes and of releases into modules of their own, and name one delay of a repeated read

HEDGE_DELAY_S and FETCH_HEDGE_S were one value twice, and a repeated call kept six parameters only to start again.

--- a/packages/entry/tests/fleets.py
+++ b/packages/entry/tests/fleets.py
@@ -9,7 +9,7 @@
 from twisted.internet import defer, task
 from twisted.python import failure
 
-from wasabiknot_entry import calls, followers, gossip, subscriptions
+from wasabiknot_entry import calls, followers, subscriptions
 from wasabiknot_kernel import allowances, deployments, members, summaries
 from wasabiknot_platform import stores
 
@@ -18,7 +18,7 @@
 STORE_LATENCY_S = 0.004
 FETCH_S = 0.05
 # The same over a connection that has fallen silent.
-HUNG_FETCH_S = FETCH_S + gossip.FETCH_HEDGE_S
+HUNG_FETCH_S = FETCH_S + calls.HEDGE_DELAY_S
 START_SPREAD_S = 0.3
 GROUP_DOMAINS = 5
 LIST_PATH = stores.build_list_call("").target.partition("?")[0]
@@ -157,7 +157,7 @@
                 finish(response)
 
         timers = [
-            self._clock.callLater(followers.HEDGE_DELAY_S + wait_s, send, True),
+            self._clock.callLater(calls.HEDGE_DELAY_S + wait_s, send, True),
             self._clock.callLater(
                 followers.RESPONSE_TIMEOUT_S + wait_s,
                 lambda: finish(failure.Failure(calls.CallError("timed out"))),
--- a/packages/entry/tests/test_crash_writers.py
+++ b/packages/entry/tests/test_crash_writers.py
@@ -4,9 +4,9 @@
 from twisted.internet import defer, task
 
 from wasabiknot_entry import calls, crash_writers
-from wasabiknot_kernel import crashes
+from wasabiknot_kernel import crash_records, crashes
 
-Evidence = crashes.Evidence
+Evidence = crash_records.Evidence
 
 
 class FakeStore:
@@ -40,7 +40,7 @@
 
     def record(self, *servers):
         for server in servers:
-            crash = crashes.Crash("f", server)
+            crash = crash_records.Crash("f", server)
             self.register.record(crash, self.clock.seconds(), Evidence.REFUSED)
 
     def check(self, after_s=0.0):
--- a/packages/entry/tests/test_gateway_crashes.py
+++ b/packages/entry/tests/test_gateway_crashes.py
@@ -2,7 +2,7 @@
 from twisted.internet import error
 from twisted.python import failure
 
-from wasabiknot_kernel import crashes, prompt_parts, routes
+from wasabiknot_kernel import crash_records, part_suspects, prompt_parts, routes
 
 PART = "5c1e07a2"
 HEAD = (
@@ -88,4 +88,9 @@
         self.assertEqual(self.reactor.tcpClients, [])
 
     def build_crash(self, key, number):
-        return crashes.Crash(key, f"w{number}/9", request=f"q{number}")
+        return crash_records.Crash(
+            key,
+            f"w{number}/9",
+            request=f"q{number}",
+            responses=part_suspects.MIN_OTHER_RESPONSES,
+        )
--- a/packages/entry/tests/test_gateways.py
+++ b/packages/entry/tests/test_gateways.py
@@ -9,7 +9,7 @@
 from wasabiknot_entry import gateways, send_attempts
 from wasabiknot_kernel import (
     arrivals,
-    crashes,
+    crash_records,
     dispatch,
     exceptions,
     outcomes,
@@ -190,7 +190,7 @@
         self.configure()
         ticket = self.admit()
         for number in range(3):
-            crash = crashes.Crash(ticket.fingerprint, f"w{number}/1")
+            crash = crash_records.Crash(ticket.fingerprint, f"w{number}/1")
             self.deployment.crashes.add(crash, 0.0)
         self.assertEqual(self.admit().kind, Kind.QUARANTINED)
 
--- a/packages/entry/tests/test_release_writers.py
+++ b/packages/entry/tests/test_release_writers.py
@@ -14,14 +14,14 @@
     deployments,
     members,
     registrations,
-    releases,
+    release_records,
 )
 from wasabiknot_platform import stores
 
 POLICY = deployments.Policy(
     0.2, 10.0, 50.0, allowances.Tolerance(8.0, 0.1, 140_000), 0.1
 )
-Phase = releases.Phase
+Phase = release_records.Phase
 
 
 class FakeStore:
@@ -83,7 +83,7 @@
         self.applied.extend(changed)
 
     def record(self, phase):
-        release = releases.Release("desk", "v2", 7, phase, 100_000, "", 10.0)
+        release = release_records.Release("desk", "v2", 7, phase, 100_000, "", 10.0)
         self.deployment.releases.apply_record(release, 100.0, 100_000)
         return release
 
@@ -95,7 +95,7 @@
 
     def get_phase(self):
         value, _ = self.store.topics[stores.RELEASE_TOPIC]["desk"]
-        return msgspec.json.decode(value, type=releases.Release).phase
+        return msgspec.json.decode(value, type=release_records.Release).phase
 
     def test_phase_and_status_that_the_store_has_lost_are_written_again(self):
         self.record(Phase.FINISHED)
--- a/packages/entry/tests/test_restorations.py
+++ b/packages/entry/tests/test_restorations.py
@@ -7,7 +7,7 @@
 from wasabiknot_entry import restorations
 from wasabiknot_kernel import (
     allowances,
-    crashes,
+    crash_records,
     deployments,
     facts,
     members,
@@ -92,7 +92,7 @@
         self.follower.list_again.assert_called_once_with()
 
     def test_lost_crash_is_stored_again(self):
-        crash = crashes.Crash("f", "w1/1")
+        crash = crash_records.Crash("f", "w1/1")
         self.deployment.crashes.add_stored(crash, 100.0)
         self.list_topic(stores.CRASH_TOPIC, 1, [crash.key])
         self.list_topic(stores.CRASH_TOPIC, 2, [])
--- a/packages/entry/wasabiknot_entry/calls.py
+++ b/packages/entry/wasabiknot_entry/calls.py
@@ -9,6 +9,9 @@
 
 # Largest response; the store's pages and the facts of a peer are smaller.
 MAX_BODY_BYTES = 16 * 1024 * 1024
+# Time beyond that of a sound response after which a read is sent once more. A
+# configuration must be known everywhere in time though connections fell silent.
+HEDGE_DELAY_S = 0.35
 
 
 class Response(msgspec.Struct, frozen=True):
@@ -127,31 +130,19 @@
     """
 
     def __init__(self, reactor, pool, address, request, timeout_s, hedge_s):
-        self._reactor = reactor
         self._pool = pool
         self._address = address
-        self._request = request
-        self._timeout_s = timeout_s
         self.response = defer.Deferred(self._cancel)
         self._pending = []
         self._is_done = False
-        self._timer = reactor.callLater(hedge_s, self._repeat)
-        self._start(is_fresh=False)
-
-    def _start(self, is_fresh):
-        sent = _Call(
-            self._reactor,
-            self._pool,
-            self._address,
-            self._request,
-            self._timeout_s,
-            is_fresh,
-        ).response
-        self._pending.append(sent)
-        sent.addBoth(self._finish, sent)
-
-    def _repeat(self):
-        self._start(is_fresh=True)
+
+        def start(is_fresh):
+            sent = _Call(reactor, pool, address, request, timeout_s, is_fresh).response
+            self._pending.append(sent)
+            sent.addBoth(self._finish, sent)
+
+        self._timer = reactor.callLater(hedge_s, start, True)
+        start(is_fresh=False)
 
     def _finish(self, result, sent):
         self._pending.remove(sent)
--- a/packages/entry/wasabiknot_entry/crash_metrics.py
+++ b/packages/entry/wasabiknot_entry/crash_metrics.py
@@ -18,8 +18,8 @@
     def count_crash(self, crash, evidence):
         """Counts a crash that is known here.
 
-        :param crash: ``crashes.Crash``.
-        :param evidence: ``crashes.Evidence``.
+        :param crash: ``crash_records.Crash``.
+        :param evidence: ``crash_records.Evidence``.
         """
         is_part = prompt_parts.is_key(crash.fingerprint)
         self._crashes["part" if is_part else "request", evidence] += 1
@@ -27,7 +27,7 @@
     def count_verdict(self, verdict):
         """Counts a prompt part that is refused from now on, or no longer.
 
-        :param verdict: ``crashes.PartVerdict``.
+        :param verdict: ``crash_records.PartVerdict``.
         """
         self._verdicts["refused" if verdict.is_refused else "served"] += 1
         self._refused_parts += 1 if verdict.is_refused else -1
--- a/packages/entry/wasabiknot_entry/crash_writers.py
+++ b/packages/entry/wasabiknot_entry/crash_writers.py
@@ -6,7 +6,7 @@
 from twisted.internet import defer
 
 from wasabiknot_entry import calls, followers, journal
-from wasabiknot_kernel import crashes, events, prompt_parts
+from wasabiknot_kernel import crash_records, events, prompt_parts
 from wasabiknot_platform import stores
 
 RETRY_DELAY_S = 1.0
@@ -80,7 +80,7 @@
     :param metrics: ``crash_metrics.CrashMetrics``.
     """
     for observation in register.pop_observations():
-        is_crash = observation.evidence is not crashes.Evidence.NONE
+        is_crash = observation.evidence is not crash_records.Evidence.NONE
         if is_crash:
             metrics.count_crash(observation.crash, observation.evidence)
         event = (
--- a/packages/entry/wasabiknot_entry/edge_entries.py
+++ b/packages/entry/wasabiknot_entry/edge_entries.py
@@ -40,12 +40,12 @@
 )
 from wasabiknot_kernel import (
     allowances,
-    crashes,
+    crash_records,
     decoding,
     deployments,
     events,
     members,
-    releases,
+    release_records,
     routes,
 )
 from wasabiknot_platform import configurations, servers as platform_servers, stores
@@ -393,7 +393,7 @@
     def _apply_release(self, fact, source):
         if fact.value is None:
             return True
-        release = decoding.decode_json(fact.value, releases.Release)
+        release = decoding.decode_json(fact.value, release_records.Release)
         now_ms = time.time() * 1_000
         if not self._deployment.releases.apply_record(
             release, reactor.seconds(), now_ms
@@ -413,7 +413,7 @@
         if fact.value is None:
             self._deployment.crashes.remove_stored(fact.key)
             return True
-        crash = decoding.decode_json(fact.value, crashes.Crash)
+        crash = decoding.decode_json(fact.value, crash_records.Crash)
         self._deployment.crashes.add_stored(crash, reactor.seconds())
         return True
 
--- a/packages/entry/wasabiknot_entry/followers.py
+++ b/packages/entry/wasabiknot_entry/followers.py
@@ -10,9 +10,6 @@
 
 # Timeout of a call, on top of the long-poll wait that it requests.
 RESPONSE_TIMEOUT_S = 1.0
-# Time beyond that wait after which a read is sent once more. A configuration has to be
-# in force before an entry counts as sound again after its connections fell silent.
-HEDGE_DELAY_S = 0.35
 MIN_RETRY_DELAY_S = 0.25
 MAX_RETRY_DELAY_S = 1.0
 # The entry cannot serve requests until its topics are listed, so a listing is retried
@@ -97,7 +94,7 @@
             self._address,
             request,
             RESPONSE_TIMEOUT_S + wait_s,
-            HEDGE_DELAY_S + wait_s if is_read else None,
+            calls.HEDGE_DELAY_S + wait_s if is_read else None,
         )
 
 
--- a/packages/entry/wasabiknot_entry/gossip.py
+++ b/packages/entry/wasabiknot_entry/gossip.py
@@ -14,8 +14,6 @@
 # recent than this: its next read returns the changes soon enough.
 OWN_READ_MAX_AGE_S = 0.6
 FETCH_TIMEOUT_S = 1.2
-# Time after which facts are asked for once more, over a new connection.
-FETCH_HEDGE_S = 0.35
 UPDATES_CONTENT_TYPE = b"application/zlib"
 COMPRESSION_LEVEL = 1
 # Bound on the facts of a peer after decompression.
@@ -241,7 +239,7 @@
                 address,
                 request,
                 FETCH_TIMEOUT_S,
-                FETCH_HEDGE_S,
+                calls.HEDGE_DELAY_S,
             )
             data = _decompress(response.body)
             updates = decoding.decode_json(data, list[facts.TopicUpdate])
--- a/packages/entry/wasabiknot_entry/release_writers.py
+++ b/packages/entry/wasabiknot_entry/release_writers.py
@@ -12,7 +12,7 @@
 from twisted.internet import defer, task
 
 from wasabiknot_entry import calls, followers, journal
-from wasabiknot_kernel import decoding, events, registrations, releases
+from wasabiknot_kernel import decoding, events, registrations, release_records
 from wasabiknot_platform import configurations, stores
 
 CHECK_INTERVAL_S = 0.2
@@ -24,10 +24,10 @@
 _KNOWN = "known"
 
 _STATES = {
-    releases.Phase.CANARY: registrations.ReleaseState.RUNNING,
-    releases.Phase.PROMOTED: registrations.ReleaseState.RUNNING,
-    releases.Phase.FINISHED: registrations.ReleaseState.FINISHED,
-    releases.Phase.ROLLED_BACK: registrations.ReleaseState.ROLLED_BACK,
+    release_records.Phase.CANARY: registrations.ReleaseState.RUNNING,
+    release_records.Phase.PROMOTED: registrations.ReleaseState.RUNNING,
+    release_records.Phase.FINISHED: registrations.ReleaseState.FINISHED,
+    release_records.Phase.ROLLED_BACK: registrations.ReleaseState.ROLLED_BACK,
 }
 
 
@@ -146,7 +146,7 @@
         return _describe_result(response)
 
     def _is_superseded(self, record, due):
-        stored = decoding.decode_json(record.value, releases.Release)
+        stored = decoding.decode_json(record.value, release_records.Release)
         if not stored.has_same_order(due):
             return stored.order > due.order
         if due.is_beyond(stored):
--- a/packages/kernel/tests/silent_rollouts.py
+++ b/packages/kernel/tests/silent_rollouts.py
@@ -9,6 +9,7 @@
     dispatch,
     outcomes,
     registrations,
+    release_records,
     releases,
     routes,
     service_times,
@@ -215,7 +216,9 @@
 
     def is_left(self, entry):
         phase = entry.releases.find_phase("pool")
-        return phase is releases.Phase.ROLLED_BACK or entry.releases.is_blocked("pool")
+        return phase is release_records.Phase.ROLLED_BACK or entry.releases.is_blocked(
+            "pool"
+        )
 
     def arrive(self):
         for _ in range(self.rng.randint(0, round(2 * self.load_per_s * STEP_S))):
--- a/packages/kernel/tests/test_crash_reports.py
+++ b/packages/kernel/tests/test_crash_reports.py
@@ -5,9 +5,9 @@
 import builders
 import msgspec
 
-from wasabiknot_kernel import crashes, members, routes, statements
+from wasabiknot_kernel import crash_records, crashes, members, routes, statements
 
-Evidence = crashes.Evidence
+Evidence = crash_records.Evidence
 Channel = statements.Channel
 ENTRIES = 9
 # Crashes in the group: eleven engines with seven requests each.
@@ -21,7 +21,7 @@
 def crash(number):
     """Builds a crash of its own request."""
     item = f"{number:016x}", f"i-{number % 11:010}/1781712117633", 0.5
-    return crashes.Crash(*item)
+    return crash_records.Crash(*item)
 
 
 class ReportTests(unittest.TestCase):
--- a/packages/kernel/tests/test_crashes.py
+++ b/packages/kernel/tests/test_crashes.py
@@ -3,13 +3,13 @@
 import builders
 import msgspec
 
-from wasabiknot_kernel import crashes, suspects
+from wasabiknot_kernel import crash_records, crashes, suspects
 
-Evidence = crashes.Evidence
+Evidence = crash_records.Evidence
 
 
 def crash(number, fingerprint="f"):
-    return crashes.Crash(fingerprint, f"w{number}/1")
+    return crash_records.Crash(fingerprint, f"w{number}/1")
 
 
 class CrashRegisterTests(unittest.TestCase):
@@ -133,9 +133,10 @@
         self.respond(64)
         for _ in range(3):
             self.assertFalse(self.register.is_refused("f", 0.0))
-        reason = crashes.ClearanceReason.OUTWEIGHED
+        reason = crash_records.ClearanceReason.OUTWEIGHED
         self.assertEqual(
-            self.register.pop_clearances(), [crashes.Clearance("f", 3, 64, reason)]
+            self.register.pop_clearances(),
+            [crash_records.Clearance("f", 3, 64, reason)],
         )
         self.assertEqual(self.register.pop_clearances(), [])
 
@@ -175,7 +176,7 @@
             with self.subTest(at_s=at_s):
                 self.setUp()
                 for number in range(suspects.MAX_CRASHES):
-                    stamped = crashes.Crash("f", f"w{number}/1", at_s)
+                    stamped = crash_records.Crash("f", f"w{number}/1", at_s)
                     if number % 2:
                         self.register.add(stamped, 100.0)
                     else:
@@ -199,7 +200,7 @@
 
     def test_number_of_requests_is_bounded(self):
         for number in range(crashes.MAX_REQUESTS + 5):
-            item = crashes.Crash(f"f{number}", "w/1", 0.0)
+            item = crash_records.Crash(f"f{number}", "w/1", 0.0)
             self.register.add_stored(item, 0.0)
         self.assertEqual(self.register.count("f4"), 0)
         self.assertEqual(self.register.count("f5"), 1)
@@ -211,7 +212,7 @@
     def test_harmless_losses_do_not_crowd_out_a_harmful_request(self):
         self.record(2)
         for number in range(300):
-            item = crashes.Crash(f"g{number}", "w9/1", 0.0)
+            item = crash_records.Crash(f"g{number}", "w9/1", 0.0)
             self.register.record(item, 0.0, Evidence.REFUSED)
         reported = self.register.list_reported(1.0)
         self.assertEqual([item.fingerprint for item in reported].count("f"), 2)
@@ -221,7 +222,7 @@
     def test_refused_request_is_not_evicted_by_single_losses(self):
         self.record(3)
         for number in range(crashes.MAX_REQUESTS + 5):
-            item = crashes.Crash(f"g{number}", "w9/1", 0.0)
+            item = crash_records.Crash(f"g{number}", "w9/1", 0.0)
             self.register.add_stored(item, 0.0)
         self.assertTrue(self.register.is_refused("f", 1.0))
 
--- a/packages/kernel/tests/test_part_suspects.py
+++ b/packages/kernel/tests/test_part_suspects.py
@@ -8,13 +8,14 @@
     arrivals,
     attribution,
     crash_monitors,
+    crash_records,
     crashes,
     part_suspects,
     prompt_parts,
     suspects,
 )
 
-Evidence = crashes.Evidence
+Evidence = crash_records.Evidence
 SERVICE = "pool"
 HARMFUL = "bad0"
 SHARED = "5a5a"
@@ -26,7 +27,7 @@
 
 def build_crash(name, server, request, responses=0):
     key = build_key(name)
-    return crashes.Crash(key, server, request=request, responses=responses)
+    return crash_records.Crash(key, server, request=request, responses=responses)
 
 
 def build_stored_crash(name, server, request):
@@ -129,7 +130,7 @@
         for number in range(8):
             server = f"w{number}/1"
             part_crash = build_crash(HARMFUL, server, "same")
-            for crash in (crashes.Crash("same", server), part_crash):
+            for crash in (crash_records.Crash("same", server), part_crash):
                 self.register.record(crash, number, Evidence.REFUSED)
             self.answer(SHARED, at_s=number)
         self.assertTrue(self.register.is_refused("same", 9.0))
@@ -140,7 +141,7 @@
         for number in range(4):
             self.crash(HARMFUL, at_s=number)
         for number in range(3):
-            crash = crashes.Crash("sound", f"w{number + 1}/1")
+            crash = crash_records.Crash("sound", f"w{number + 1}/1")
             self.register.record(crash, 3.0, Evidence.REFUSED)
         self.assertFalse(self.register.is_refused("sound", 3.0))
 
@@ -150,7 +151,7 @@
             self.crash(HARMFUL, at_s=number)
         self.assertEqual(self.list_refused(2.5), {HARMFUL})
         for number in range(3):
-            crash = crashes.Crash("sound", f"w{number + 1}/1")
+            crash = crash_records.Crash("sound", f"w{number + 1}/1")
             self.register.record(crash, 3.0, Evidence.REFUSED)
         self.assertEqual(self.list_refused(3.0), {HARMFUL})
 
@@ -159,7 +160,7 @@
         register = crashes.CrashRegister()
         for number, request in enumerate((first_request, "q1", "q2")):
             server = f"w{number}/1"
-            register.add_stored(crashes.Crash("sound", server), 0.0)
+            register.add_stored(crash_records.Crash("sound", server), 0.0)
             register.add_stored(build_stored_crash(HARMFUL, server, request), 0.0)
         return register
 
@@ -180,7 +181,7 @@
     def test_crashes_of_a_request_that_a_part_explains_leave_the_store(self):
         self.answer(SHARED, count=30)
         for number in range(3):
-            crash = crashes.Crash("sound", f"w{number + 1}/1")
+            crash = crash_records.Crash("sound", f"w{number + 1}/1")
             self.register.record(crash, number, Evidence.REFUSED)
             self.register.mark_stored([crash])
             self.register.record_response("sound")
@@ -221,7 +222,7 @@
 
     def test_request_with_stored_responses_is_tried_after_a_restart(self):
         for number in range(3):
-            crash = crashes.Crash("sound", f"w{number}/1", responses=1)
+            crash = crash_records.Crash("sound", f"w{number}/1", responses=1)
             self.register.add_stored(crash, 0.0)
         self.assertTrue(self.register.is_refused("sound", 0.0))
         self.assertTrue(self.register.try_start_trial("sound", 3.0))
@@ -229,7 +230,7 @@
     def test_never_answered_part_explains_the_crashes_of_an_answered_request(self):
         for number in range(3):
             self.register.record_response("sound")
-            crash = crashes.Crash("sound", f"w{number + 1}/1")
+            crash = crash_records.Crash("sound", f"w{number + 1}/1")
             self.register.record(crash, number, Evidence.REFUSED)
             self.register.mark_stored([crash])
             self.register.record_response("sound")
@@ -251,7 +252,7 @@
         self.assertEqual(self.list_refused(0.1), set())
 
     def test_response_deletes_the_stored_crashes_of_a_part(self):
-        self.register.add_stored(crashes.Crash(build_key(SHARED), "w1/1"), 0.0)
+        self.register.add_stored(crash_records.Crash(build_key(SHARED), "w1/1"), 0.0)
         self.answer(SHARED, at_s=1.0)
         self.assertEqual(self.register.list_deletions(), [f"{build_key(SHARED)}/w1/1"])
 
@@ -301,11 +302,11 @@
             self.crash(HARMFUL)
         for _ in range(2):
             self.list_refused(1.0)
-        verdict = crashes.PartVerdict(build_key(HARMFUL), True, 3, 0)
+        verdict = crash_records.PartVerdict(build_key(HARMFUL), True, 3, 0)
         self.assertEqual(self.register.pop_verdicts(), [verdict])
         self.answer(HARMFUL, at_s=2.0)
         self.list_refused(2.0)
-        verdict = crashes.PartVerdict(build_key(HARMFUL), False, 3, 1)
+        verdict = crash_records.PartVerdict(build_key(HARMFUL), False, 3, 1)
         self.assertEqual(self.register.pop_verdicts(), [verdict])
 
 
@@ -369,7 +370,7 @@
             crash = build_stored_crash(SHARED, f"w{number}/1", f"q{number}")
             entry.crashes.add_stored(crash, 0.0)
         ticket = self.build_ticket(SHARED)
-        in_flight = crashes.Crash(ticket.fingerprint, "w7/1")
+        in_flight = crash_records.Crash(ticket.fingerprint, "w7/1")
         entry.crashes.record(in_flight, 0.0, Evidence.REFUSED)
         self.assertTrue(entry.try_start_trial(ticket, 60.0))
 
@@ -490,7 +491,7 @@
     @given(strategies.text(max_size=500), strategies.text(max_size=200))
     def test_key_is_short_and_splits_at_the_first_slash(self, name, service):
         key = prompt_parts.build_key(service, name)
-        record_key = crashes.Crash(key, "w1/1").key
+        record_key = crash_records.Crash(key, "w1/1").key
         self.assertEqual(record_key.partition("/")[0], key)
         self.assertLessEqual(len(key.encode()), 120)
         self.assertTrue(prompt_parts.is_key(key))
@@ -499,7 +500,7 @@
     def test_fingerprint_that_only_begins_like_a_key_is_none(self):
         register = crashes.CrashRegister()
         for fingerprint in ("part:", "part", "part:5c1e"):
-            register.add(crashes.Crash(fingerprint, "w1/1"), 0.0)
+            register.add(crash_records.Crash(fingerprint, "w1/1"), 0.0)
             self.assertEqual(register.count(fingerprint), 1)
 
     def test_same_part_in_capitals_has_the_same_key(self):
--- a/packages/kernel/tests/test_releases.py
+++ b/packages/kernel/tests/test_releases.py
@@ -11,6 +11,7 @@
     outcomes,
     positions,
     registrations,
+    release_records,
     releases,
     response_stats,
     servers,
@@ -18,6 +19,7 @@
 )
 
 Outcome = outcomes.Outcome
+Phase = release_records.Phase
 ORDER = registrations.ReleaseOrder("pool", "v2", 16.0, 5)
 
 
@@ -123,7 +125,7 @@
 
     def test_share_of_promoted_version_grows_to_all_requests(self):
         tracker = build_releases()
-        record = releases.Release("pool", "v2", 5, releases.Phase.PROMOTED, 0)
+        record = release_records.Release("pool", "v2", 5, Phase.PROMOTED, 0)
         tracker.apply_record(record, 10.0, 10_000)
         growth_s = releases.GROWTH_FRACTION * ORDER.duration_s
         self.assertLess(self.count_on_new(tracker, 10.0), 80)
@@ -133,8 +135,8 @@
 
     def test_finished_version_gets_all_requests(self):
         tracker = build_releases()
-        for phase in (releases.Phase.PROMOTED, releases.Phase.FINISHED):
-            record = releases.Release("pool", "v2", 5, phase, 0)
+        for phase in (Phase.PROMOTED, Phase.FINISHED):
+            record = release_records.Release("pool", "v2", 5, phase, 0)
             tracker.apply_record(record, 10.0, 10_000)
         self.assertEqual(self.count_on_new(tracker, 10.0), 400)
 
@@ -151,7 +153,7 @@
 
     def test_rolled_back_version_gets_no_requests(self):
         tracker = build_releases()
-        record = releases.Release("pool", "v2", 5, releases.Phase.ROLLED_BACK, 0)
+        record = release_records.Release("pool", "v2", 5, Phase.ROLLED_BACK, 0)
         tracker.apply_record(record, 0.0, 0)
         ticket = builders.build_ticket()
         self.assertFalse(any(map(is_new, tracker.select(ticket, build_servers(), 0.0))))
@@ -168,9 +170,9 @@
 
     def test_record_of_an_older_order_is_ignored(self):
         tracker = build_releases()
-        record = releases.Release("pool", "v2", 4, releases.Phase.FINISHED, 0)
+        record = release_records.Release("pool", "v2", 4, Phase.FINISHED, 0)
         tracker.apply_record(record, 0.0, 0)
-        self.assertIs(tracker.find_phase("pool"), releases.Phase.CANARY)
+        self.assertIs(tracker.find_phase("pool"), Phase.CANARY)
 
 
 class FastServerTests(unittest.TestCase):
@@ -370,15 +372,15 @@
 
     def test_healthy_version_is_finished_in_time(self):
         tracker = build_releases()
-        self.assertIs(self.write_due(tracker, 0.1), releases.Phase.CANARY)
+        self.assertIs(self.write_due(tracker, 0.1), Phase.CANARY)
         self.record_successes(tracker)
         self.assertIsNone(self.write_due(tracker, 5.0))
-        self.assertIs(self.write_due(tracker, 10.0), releases.Phase.PROMOTED)
+        self.assertIs(self.write_due(tracker, 10.0), Phase.PROMOTED)
         self.assertIsNone(self.write_due(tracker, 13.0, running_on_old=0))
         self.assertIsNone(self.write_due(tracker, 13.2, running_on_old=3))
         self.assertIs(
             self.write_due(tracker, 13.2, running_on_old=0),
-            releases.Phase.FINISHED,
+            Phase.FINISHED,
         )
         self.assertIsNone(self.write_due(tracker, 14.0))
 
@@ -389,7 +391,7 @@
         self.write_due(tracker, 10.0)
         self.assertIs(
             self.write_due(tracker, 15.0, running_on_old=9),
-            releases.Phase.FINISHED,
+            Phase.FINISHED,
         )
 
     def test_version_without_requests_is_not_promoted(self):
@@ -403,8 +405,8 @@
         self.write_due(tracker, 0.1)
         self.record_successes(tracker, releases.MIN_SUCCESSES)
         self.assertIsNone(self.write_due(tracker, 11.9))
-        self.assertIs(self.write_due(tracker, 12.0), releases.Phase.PROMOTED)
-        self.assertIs(self.write_due(tracker, 13.2), releases.Phase.FINISHED)
+        self.assertIs(self.write_due(tracker, 12.0), Phase.PROMOTED)
+        self.assertIs(self.write_due(tracker, 13.2), Phase.FINISHED)
 
     def test_release_is_timed_by_the_read_of_its_order_whatever_the_clocks(self):
         # Guards against a version that is promoted early, as a clock is behind.
@@ -412,13 +414,13 @@
             with self.subTest(skew_ms=skew_ms):
                 tracker = releases.Releases(0.1, random.Random(1))
                 tracker.apply_order(ORDER, 0.0, is_news=True)
-                record = releases.Release(
-                    "pool", "v2", 5, releases.Phase.CANARY, 100 + skew_ms
+                record = release_records.Release(
+                    "pool", "v2", 5, Phase.CANARY, 100 + skew_ms
                 )
                 tracker.apply_record(record, 0.2, 200)
                 self.record_successes(tracker)
                 self.assertIsNone(self.write_due(tracker, 9.8))
-                self.assertIs(self.write_due(tracker, 10.0), releases.Phase.PROMOTED)
+                self.assertIs(self.write_due(tracker, 10.0), Phase.PROMOTED)
 
     def test_order_that_is_read_again_from_a_restored_store_keeps_its_age(self):
         tracker = releases.Releases(0.1, random.Random(1))
@@ -427,18 +429,18 @@
         self.record_successes(tracker)
         again = msgspec.structs.replace(ORDER, offset=positions.create_position(2, 3))
         tracker.apply_order(again, 6.0, is_news=True)
-        record = releases.Release(
-            "pool", "v2", again.offset, releases.Phase.CANARY, 100, "", 16.0
+        record = release_records.Release(
+            "pool", "v2", again.offset, Phase.CANARY, 100, "", 16.0
         )
         tracker.apply_record(record, 6.1, 6_100)
         self.record_successes(tracker)
-        self.assertIs(self.write_due(tracker, 10.0), releases.Phase.PROMOTED)
+        self.assertIs(self.write_due(tracker, 10.0), Phase.PROMOTED)
 
     def test_restarted_entry_continues_the_release(self):
         tracker = build_releases()
-        record = releases.Release("pool", "v2", 5, releases.Phase.PROMOTED, 1_000)
+        record = release_records.Release("pool", "v2", 5, Phase.PROMOTED, 1_000)
         tracker.apply_record(record, 0.5, 14_000)
-        self.assertIs(self.write_due(tracker, 1.5), releases.Phase.FINISHED)
+        self.assertIs(self.write_due(tracker, 1.5), Phase.FINISHED)
 
 
 class RestorationTests(unittest.TestCase):
@@ -449,19 +451,19 @@
         self.order = ORDER
 
     def apply(self, phase, order=None, duration_s=16.0):
-        release = releases.Release(
+        release = release_records.Release(
             "pool", "v2", order or ORDER.offset, phase, 0, "", duration_s
         )
         return self.tracker.apply_record(release, 1.0, 1_000)
 
     def test_phase_does_not_fall(self):
-        self.apply(releases.Phase.FINISHED)
+        self.apply(Phase.FINISHED)
         later = positions.create_position(2, 1)
-        self.assertFalse(self.apply(releases.Phase.CANARY, later))
-        self.assertIs(self.tracker.find_phase("pool"), releases.Phase.FINISHED)
+        self.assertFalse(self.apply(Phase.CANARY, later))
+        self.assertIs(self.tracker.find_phase("pool"), Phase.FINISHED)
         (lost,) = self.tracker.list_lost_records()
-        self.assertIs(lost.phase, releases.Phase.FINISHED)
-        self.apply(releases.Phase.FINISHED, later)
+        self.assertIs(lost.phase, Phase.FINISHED)
+        self.apply(Phase.FINISHED, later)
         self.assertEqual(self.tracker.list_lost_records(), [])
 
     def test_order_read_again_keeps_its_phase(self):
@@ -470,11 +472,11 @@
             "pool", "v2", 16.0, positions.create_position(2, 3)
         )
         restarted.apply_order(order, 0.0)
-        record = releases.Release(
-            "pool", "v2", 5, releases.Phase.ROLLED_BACK, 0, "", 16.0
+        record = release_records.Release(
+            "pool", "v2", 5, Phase.ROLLED_BACK, 0, "", 16.0
         )
         restarted.apply_record(record, 1.0, 1_000)
-        self.assertIs(restarted.find_phase("pool"), releases.Phase.ROLLED_BACK)
+        self.assertIs(restarted.find_phase("pool"), Phase.ROLLED_BACK)
         self.assertEqual(restarted.list_active(), [])
 
     def read_again(self, tracker):
@@ -513,22 +515,22 @@
         self.assertTrue(self.tracker.analyze("pool").is_bad)
 
     def test_other_order_of_a_later_era_begins_anew(self):
-        self.apply(releases.Phase.ROLLED_BACK)
+        self.apply(Phase.ROLLED_BACK)
         order = registrations.ReleaseOrder(
             "pool", "v2", 30.0, positions.create_position(2, 3)
         )
         self.tracker.apply_order(order, 2.0)
-        self.assertIs(self.tracker.find_phase("pool"), releases.Phase.CANARY)
+        self.assertIs(self.tracker.find_phase("pool"), Phase.CANARY)
 
     def test_second_order_of_an_era_begins_anew(self):
-        self.apply(releases.Phase.ROLLED_BACK)
+        self.apply(Phase.ROLLED_BACK)
         order = registrations.ReleaseOrder("pool", "v2", 16.0, 9)
         self.tracker.apply_order(order, 2.0)
-        self.assertIs(self.tracker.find_phase("pool"), releases.Phase.CANARY)
+        self.assertIs(self.tracker.find_phase("pool"), Phase.CANARY)
 
     def test_records_of_unknown_orders_are_not_written_again(self):
         tracker = releases.Releases(0.1, random.Random(1))
-        record = releases.Release("pool", "v2", 5, releases.Phase.FINISHED, 0)
+        record = release_records.Release("pool", "v2", 5, Phase.FINISHED, 0)
         tracker.apply_record(record, 1.0, 1_000)
         tracker.record_restoration()
         self.assertEqual(tracker.list_lost_records(), [])
--- a/packages/kernel/wasabiknot_kernel/crash_monitors.py
+++ b/packages/kernel/wasabiknot_kernel/crash_monitors.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from wasabiknot_kernel import attribution, crashes, prompt_parts
+from wasabiknot_kernel import attribution, crash_records, prompt_parts
 
 # Interval between two searches for crashes that no longer count.
 EXPIRY_INTERVAL_S = 60.0
@@ -58,11 +58,11 @@
         if ticket.is_trial:
             # Without waiting for evidence: the next trial must not repeat a crash.
             crash = _build_crash(ticket.trial_key, server_key, ticket.fingerprint)
-            self._register.record(crash, now_s, crashes.Evidence.TRIAL)
+            self._register.record(crash, now_s, crash_records.Evidence.TRIAL)
             return
         loss = self._build_loss(ticket, server_key)
         if self._attribution.record_loss(loss, now_s):
-            self._record_crash(loss, now_s, crashes.Evidence.ENDED_BEFORE)
+            self._record_crash(loss, now_s, crash_records.Evidence.ENDED_BEFORE)
 
     def _build_loss(self, ticket, server_key):
         parts = self._register.select_parts(ticket)
@@ -98,7 +98,7 @@
             return
         server_key = self._attribution.get_server_key(server.registration)
         self._attribution.record_refusal(server_key, now_s)
-        self._record_end(server.registration, now_s, crashes.Evidence.REFUSED)
+        self._record_end(server.registration, now_s, crash_records.Evidence.REFUSED)
 
     def record_response(
         self, ticket, server, is_success, now_s, ends_with_connection=False
@@ -128,7 +128,7 @@
         :param server: ``servers.Server`` with its previous registration.
         :param now_s: current time in seconds.
         """
-        self._record_end(server.registration, now_s, crashes.Evidence.RESTARTED)
+        self._record_end(server.registration, now_s, crash_records.Evidence.RESTARTED)
 
     def record_start(self, registration, previous, now_s):
         """Records the first registration of a start of a backend server.
@@ -139,7 +139,9 @@
         """
         self._ids_by_address[registration.address] = registration.server_id
         if previous is not None:
-            self._record_end(previous.registration, now_s, crashes.Evidence.REPLACED)
+            self._record_end(
+                previous.registration, now_s, crash_records.Evidence.REPLACED
+            )
 
     def find_previous_id(self, registration):
         """Finds the backend server that was registered at the same address before.
@@ -160,7 +162,7 @@
             return
         server_key = self._attribution.get_server_key(server.registration)
         self._attribution.record_refusal(server_key, now_s)
-        self._record_end(server.registration, now_s, crashes.Evidence.REPLACED)
+        self._record_end(server.registration, now_s, crash_records.Evidence.REPLACED)
 
     def record_removal(self, server, now_s):
         """Records that a backend server is no longer registered.
@@ -171,7 +173,7 @@
         registration = server.registration
         # One that has announced its end may break off what it still runs.
         if not server.is_retired:
-            self._record_end(registration, now_s, crashes.Evidence.REMOVED)
+            self._record_end(registration, now_s, crash_records.Evidence.REMOVED)
         self._attribution.forget(registration)
         if self._ids_by_address.get(registration.address) == registration.server_id:
             del self._ids_by_address[registration.address]
@@ -214,7 +216,7 @@
         self._register.apply_responses(source, digest.responses, now_s)
         refused = self._attribution.apply_report(source, digest.refused_servers)
         for server_key in refused:
-            self._record_crashes(server_key, now_s, crashes.Evidence.PEER_REFUSED)
+            self._record_crashes(server_key, now_s, crash_records.Evidence.PEER_REFUSED)
 
     def list_refused(self, now_s):
         """Lists the backend servers that have recently refused a connection.
@@ -235,7 +237,7 @@
         # A change of verdict is logged also while no request asks for it.
         self._register.list_refused_parts(now_s)
         for loss in self._attribution.drop_expired(now_s):
-            crash = crashes.Crash(loss.fingerprint, loss.server)
+            crash = crash_records.Crash(loss.fingerprint, loss.server)
             self._register.record_unattributed(crash)
         if self._expired_s is None:
             self._expired_s = now_s
@@ -246,4 +248,4 @@
 
 def _build_crash(key, server_key, fingerprint):
     request = fingerprint if prompt_parts.is_key(key) else ""
-    return crashes.Crash(key, server_key, request=request)
+    return crash_records.Crash(key, server_key, request=request)
--- a/packages/kernel/wasabiknot_kernel/crashes.py
+++ b/packages/kernel/wasabiknot_kernel/crashes.py
@@ -5,14 +5,13 @@
 """
 
 import collections
-import enum
 import itertools
 import math
 
 import msgspec
 
 from wasabiknot_kernel import (
-    decoding,
+    crash_records,
     part_suspects,
     prompt_parts,
     statements,
@@ -47,97 +46,6 @@
 MAX_BATCH = 64
 
 
-class Crash(msgspec.Struct, frozen=True, array_like=True):
-    """A crash of a backend server while it ran a request.
-
-    :param fingerprint: hash of path, caller and body of the request, or the key of a
-        part of its prompt.
-    :param server: id of the backend server and its start time.
-    :param at_s: time of day at which it was stored, in Unix seconds, for operators; 0
-        before.
-    :param request: for a part, the fingerprint of the request that had it.
-    :param responses: complete responses that were known when it was stored: to the
-        request since its first crash, or of the part's service and without the part.
-    """
-
-    fingerprint: str
-    server: str
-    at_s: decoding.Number = 0.0
-    request: str = ""
-    responses: int = 0
-
-    @property
-    def key(self):
-        """Key of the record in the store."""
-        return f"{self.fingerprint}/{self.server}"
-
-
-class Evidence(enum.Enum):
-    """Why a lost response counts as a crash. The values appear in logs."""
-
-    REFUSED = "refused"
-    RESTARTED = "restarted"
-    REMOVED = "removed"
-    REPLACED = "replaced"
-    PEER_REFUSED = "peer-refused"
-    ENDED_BEFORE = "ended-before"
-    PEER = "peer"
-    STORE = "store"
-    TRIAL = "trial"
-    NONE = "none"
-
-
-class ClearanceReason(enum.Enum):
-    """Why a request with crashes is served. The values appear in logs."""
-
-    OUTWEIGHED = "outweighed"
-    EXPLAINED = "explained"
-    TRIAL = "trial"
-
-
-class Clearance(msgspec.Struct, frozen=True):
-    """A request that is served although backend servers crashed while they ran it.
-
-    :param fingerprint: hash of path, caller and body of the request.
-    :param count: crashes that are known.
-    :param responses: complete responses since the first of them.
-    :param reason: ``ClearanceReason``.
-    """
-
-    fingerprint: str
-    count: int
-    responses: int
-    reason: ClearanceReason
-
-
-class PartVerdict(msgspec.Struct, frozen=True):
-    """A prompt part that is refused from now on, or no longer.
-
-    :param key: key of the part.
-    :param is_refused: whether requests with it are refused.
-    :param count: crashes that are known.
-    :param responses: complete responses since shortly before the first of them.
-    """
-
-    key: str
-    is_refused: bool
-    count: int
-    responses: int
-
-
-class Observation(msgspec.Struct, frozen=True):
-    """A crash that was recorded, or a lost response that was not attributed to one.
-
-    :param crash: ``Crash``.
-    :param evidence: ``Evidence``; ``NONE`` for a response not attributed to a crash.
-    :param count: crashes of the request that are known now.
-    """
-
-    crash: Crash
-    evidence: Evidence
-    count: int
-
-
 class CrashRegister:
     """Counts the backend servers that each request and each prompt part has crashed.
 
@@ -165,28 +73,28 @@
     def record(self, crash, now_s, evidence):
         """Records a crash that this entry has observed.
 
-        :param crash: ``Crash``.
+        :param crash: ``crash_records.Crash``.
         :param now_s: current time in seconds.
-        :param evidence: ``Evidence``.
+        :param evidence: ``crash_records.Evidence``.
         """
         self._add(crash, now_s, evidence, statements.Channel.OWN)
 
     def add(self, crash, now_s, channel=statements.Channel.GROUP):
         """Adds a crash that a peer reports.
 
-        :param crash: ``Crash``.
+        :param crash: ``crash_records.Crash``.
         :param now_s: current time in seconds.
         :param channel: ``statements.Channel`` of the report.
         """
-        self._add(crash, now_s, Evidence.PEER, channel)
+        self._add(crash, now_s, crash_records.Evidence.PEER, channel)
 
     def add_stored(self, crash, now_s):
         """Adds a crash that the store keeps.
 
-        :param crash: ``Crash``.
+        :param crash: ``crash_records.Crash``.
         :param now_s: current time in seconds.
         """
-        self._add(crash, now_s, Evidence.STORE, statements.Channel.REMOTE)
+        self._add(crash, now_s, crash_records.Evidence.STORE, statements.Channel.REMOTE)
         self.mark_stored([crash])
 
     def _add(self, crash, now_s, evidence, channel):
@@ -223,18 +131,18 @@
     def record_unattributed(self, crash):
         """Records a lost response for which no end of the backend server was seen.
 
-        :param crash: ``Crash`` that it would have been.
+        :param crash: ``crash_records.Crash`` that it would have been.
         """
-        self._observe(crash, Evidence.NONE)
+        self._observe(crash, crash_records.Evidence.NONE)
 
     def _observe(self, crash, evidence):
         count = self.count(crash.fingerprint)
-        self._observations.append(Observation(crash, evidence, count))
+        self._observations.append(crash_records.Observation(crash, evidence, count))
 
     def pop_observations(self):
         """Returns the observations since the last call, for the log.
 
-        :return: list of ``Observation``.
+        :return: list of ``crash_records.Observation``.
         """
         observations = list(self._observations)
         self._observations.clear()
@@ -417,12 +325,12 @@
         suspect = self._parts.get(key)
         count = len(suspect.crashes) if suspect is not None else 0
         responses = suspect.response_count if suspect is not None else 0
-        return PartVerdict(key, is_refused, count, responses)
+        return crash_records.PartVerdict(key, is_refused, count, responses)
 
     def pop_verdicts(self):
         """Returns the changes of refused prompt parts since the last call, for the log.
 
-        :return: list of ``PartVerdict``.
+        :return: list of ``crash_records.PartVerdict``.
         """
         verdicts = list(self._verdicts)
         self._verdicts.clear()
@@ -430,12 +338,12 @@
 
     def _find_clearance_reason(self, suspect, now_s):
         if suspect.is_outweighed:
-            return ClearanceReason.OUTWEIGHED
+            return crash_records.ClearanceReason.OUTWEIGHED
         parts = self._list_explaining_parts(suspect, now_s)
         others = itertools.chain(self._requests.repeated.values(), parts)
         unexplained = suspects.count_unexplained(suspect, others)
         if unexplained < suspects.MAX_CRASHES:
-            return ClearanceReason.EXPLAINED
+            return crash_records.ClearanceReason.EXPLAINED
         return None
 
     def is_suspected(self, ticket):
@@ -467,7 +375,9 @@
         if suspect is None or not self._is_due_for_trial(suspect, now_s):
             return False
         suspect.trial_s = now_s
-        self._record_clearance(fingerprint, suspect, ClearanceReason.TRIAL)
+        self._record_clearance(
+            fingerprint, suspect, crash_records.ClearanceReason.TRIAL
+        )
         return True
 
     def _is_due_for_trial(self, suspect, now_s):
@@ -479,19 +389,19 @@
     def pop_clearances(self):
         """Returns the clearances since the last call, for the log.
 
-        :return: list of ``Clearance``.
+        :return: list of ``crash_records.Clearance``.
         """
         clearances = list(self._clearances)
         self._clearances.clear()
         return clearances
 
     def _record_clearance(self, fingerprint, suspect, reason):
-        clearance = Clearance(
+        clearance = crash_records.Clearance(
             fingerprint, len(suspect.crashes), suspect.response_count, reason
         )
         is_repeated = suspect.logged == (clearance.count, reason)
         suspect.logged = (clearance.count, reason)
-        if not is_repeated or reason is ClearanceReason.TRIAL:
+        if not is_repeated or reason is crash_records.ClearanceReason.TRIAL:
             self._clearances.append(clearance)
 
     def count(self, fingerprint):
@@ -511,8 +421,8 @@
         :param now_s: current time in seconds.
         :param channels: ``statements.Channel`` items; only crashes that this entry has
             learnt of by these are listed, and those that nobody has stored in time.
-        :return: tuple of at most ``MAX_REPORTED`` ``Crash`` items: those of the
-            requests with the most crashes, then the newest.
+        :return: tuple of at most ``MAX_REPORTED`` ``crash_records.Crash`` items: those
+            of the requests with the most crashes, then the newest.
         """
         for key, known in list(self._reported.items()):
             is_kept = known.is_stored or not self._needs_storing(known)
@@ -543,8 +453,8 @@
         :param now_s: current time in seconds.
         :param is_reader: whether this entry reads the store for its group, and stores
             what an observer has not.
-        :return: list of at most ``MAX_BATCH`` ``Crash`` items, those of the requests
-            with the most crashes first.
+        :return: list of at most ``MAX_BATCH`` ``crash_records.Crash`` items, those of
+            the requests with the most crashes first.
         """
         due = [
             self._add_responses(known.crash)
@@ -614,7 +524,7 @@
     def mark_stored(self, stored):
         """Marks crashes that the store has acknowledged.
 
-        :param stored: iterable of ``Crash``.
+        :param stored: iterable of ``crash_records.Crash``.
         """
         for crash in stored:
             known = self._find_known(crash.fingerprint, crash.server)
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -7,7 +7,7 @@
 
 from wasabiknot_kernel import (
     brittleness,
-    crashes,
+    crash_records,
     decoding,
     response_stats,
     servers,
@@ -118,7 +118,7 @@
     positions: dict[str, int]
     loads: dict[str, servers.PeerLoad]
     used: dict[str, int]
-    recent_crashes: tuple[crashes.Crash, ...] = ()
+    recent_crashes: tuple[crash_records.Crash, ...] = ()
     is_stopping: bool = False
     read_age_ms: int = -1
     group: str = ""
--- a/packages/kernel/wasabiknot_kernel/releases.py
+++ b/packages/kernel/wasabiknot_kernel/releases.py
@@ -9,21 +9,20 @@
 idle, because they are stopped then.
 """
 
-import enum
-
 import msgspec
 
 from wasabiknot_kernel import (
     analyses,
-    decoding,
     engine_paces,
     outcomes,
     positions,
     registrations,
+    release_records,
     response_stats,
 )
 
 Outcome = outcomes.Outcome
+Phase = release_records.Phase
 
 # Fraction of the permitted canary share that is used, because a request may be sent
 # twice.
@@ -63,79 +62,6 @@
 }
 
 
-class Phase(enum.Enum):
-    """The phases of a release."""
-
-    CANARY = "canary"
-    PROMOTED = "promoted"
-    FINISHED = "finished"
-    ROLLED_BACK = "taken-back"
-
-
-class Release(msgspec.Struct, frozen=True):
-    """The record of a release in the store.
-
-    :param service: service name.
-    :param target: version that the order names.
-    :param order: position of the order in the store.
-    :param phase: current phase.
-    :param started_ms: Unix time at which the order was first read, in milliseconds.
-    :param reason: why the release was rolled back; empty otherwise.
-    :param duration_s: time in seconds that the order allows.
-    """
-
-    service: str
-    target: str
-    order: decoding.Offset
-    phase: Phase
-    started_ms: decoding.Integer
-    reason: str = ""
-    duration_s: decoding.Number = 0.0
-
-    def belongs_to(self, order):
-        """Tells whether this is the record of an order.
-
-        :param order: ``registrations.ReleaseOrder``.
-        :return: whether both name the same order.
-        """
-        contents = (order.target, order.duration_s)
-        return self._names_order(order.offset, contents)
-
-    def has_same_order(self, other):
-        """Tells whether another record is one of the same order.
-
-        :param other: ``Release``.
-        :return: whether both name the same order.
-        """
-        contents = (other.target, other.duration_s)
-        return self._names_order(other.order, contents)
-
-    def _names_order(self, position, contents):
-        if self.order == position:
-            return True
-        # After the store was restored, an order is read again at another position.
-        if positions.get_era(self.order) == positions.get_era(position):
-            return False
-        return (self.target, self.duration_s) == contents
-
-    def is_beyond(self, other):
-        """Tells whether another record of the same order is of an earlier phase.
-
-        :param other: ``Release``.
-        :return: whether this one must not be replaced by it.
-        """
-        is_later = _PHASE_RANKS[self.phase] > _PHASE_RANKS[other.phase]
-        return is_later and self.has_same_order(other)
-
-
-_PHASE_RANKS = {
-    Phase.CANARY: 0,
-    Phase.PROMOTED: 1,
-    Phase.FINISHED: 2,
-    Phase.ROLLED_BACK: 2,
-}
-
-
 class _TrackedOrder(msgspec.Struct):
     order: registrations.ReleaseOrder
     started_s: float
@@ -240,7 +166,7 @@
         An entry that has started since takes the age of the release from it. That is
         by the time of day of two VMs, so an age that can't be is ignored.
 
-        :param release: ``Release``.
+        :param release: ``release_records.Release``.
         :param now_s: current time in seconds.
         :param now_ms: current Unix time in milliseconds.
         :return: whether it was applied; not if it has an earlier phase than known.
@@ -272,7 +198,7 @@
     def list_lost_records(self):
         """Lists the records that the store may have lost.
 
-        :return: list of ``Release``.
+        :return: list of ``release_records.Release``.
         """
         return [
             self._records[service]
@@ -540,7 +466,7 @@
         :param now_s: current time in seconds.
         :param now_ms: current Unix time in milliseconds.
         :param running_on_old: requests of all entries on old backend servers.
-        :return: ``Release``, or ``None`` if none is due.
+        :return: ``release_records.Release``, or ``None`` if none is due.
         """
         tracked = self._orders[service]
         phase = self.find_phase(service)
@@ -548,7 +474,7 @@
         has_record = record is not None and record.belongs_to(tracked.order)
         age_s = now_s - tracked.started_s
         started_ms = record.started_ms if has_record else round(now_ms - age_s * 1_000)
-        base = Release(
+        base = release_records.Release(
             service=service,
             target=tracked.order.target,
             order=tracked.order.offset,
--- a/packages/kernel/wasabiknot_kernel/suspects.py
+++ b/packages/kernel/wasabiknot_kernel/suspects.py
@@ -28,7 +28,7 @@
 class KnownCrash(msgspec.Struct):
     """A crash and where it is known.
 
-    :param crash: ``crashes.Crash``.
+    :param crash: ``crash_records.Crash``.
     :param known_s: time at which this entry learnt of it, in seconds.
     :param channel: ``statements.Channel`` by which this entry has learnt of it; the
         store counts as another group.
