Check in the soak that requests run where a configuration in force lets them

CONFIG was checked for revoked keys and routes that are not known. A request that ran at the service of an older configuration, or on a dropped route, was not noticed. Each response now knows the services of the versions that may be in force (6 s after they were replaced, as before), and each run the service of its server.

--- a/packages/standins/tests/test_soakchecks.py
+++ b/packages/standins/tests/test_soakchecks.py
@@ -15,7 +15,7 @@
         self.published_s = collections.defaultdict(float)
         self.stops = []
 
-    def respond(self, request_id="q1", route="cash", runs=1, **changes):
+    def respond(self, request_id="q1", route="cash", runs=1, service="", **changes):
         fields = {
             "status": 200,
             "headers": STAMP,
@@ -27,7 +27,7 @@
         response = soakchecks.Response(request_id, route, 0, **{**fields, **changes})
         self.responses.append(response)
         for number in range(runs):
-            run = platformworkers.Run(request_id, f"i-{number}", 10.0)
+            run = platformworkers.Run(request_id, f"i-{number}", 10.0, service)
             self.recorder.runs[request_id].append(run)
 
     def list_violations(self):
@@ -53,6 +53,18 @@
         self.respond("q2", "lookup", runs=2)
         self.assertEqual(self.list_violations(), [])
 
+    def test_run_at_a_service_that_only_an_older_configuration_names(self):
+        self.respond(service="counter", services=frozenset({"desk"}))
+        self.check("sent it to counter, in force are desk")
+
+    def test_run_of_a_request_whose_route_was_dropped(self):
+        self.respond(service="desk", services=frozenset())
+        self.check("sent it to desk, in force are none")
+
+    def test_run_at_a_service_of_a_configuration_in_force_is_accepted(self):
+        self.respond(service="desk", services=frozenset({"desk", "counter"}))
+        self.assertEqual(self.list_violations(), [])
+
     def test_second_run_of_a_request_that_may_run_once(self):
         self.respond(runs=2)
         self.check("ran 2 times")
--- a/packages/standins/wasabiknot_standins/platformworkers.py
+++ b/packages/standins/wasabiknot_standins/platformworkers.py
@@ -38,11 +38,13 @@
     :param request_id: id of the request.
     :param server_id: id of the backend server.
     :param at_s: start time in seconds.
+    :param service: service of the backend server; empty if it isn't known.
     """
 
     request_id: str
     server_id: str
     at_s: float
+    service: str = ""
 
 
 class RunEnd(msgspec.Struct, frozen=True):
@@ -365,7 +367,7 @@
             self._check_brittleness()
             return
         self._check_headers(request, request_id)
-        run = Run(request_id, self.server_id, reactor.seconds())
+        run = Run(request_id, self.server_id, reactor.seconds(), self.service)
         self._recorder.runs[request_id].append(run)
         request.notifyFinish().addCallbacks(
             lambda _: self._record_run_end(run, is_abandoned=False),
--- a/packages/standins/wasabiknot_standins/soakchecks.py
+++ b/packages/standins/wasabiknot_standins/soakchecks.py
@@ -48,6 +48,7 @@
         ``None`` if there was no connection.
     :param timeout_s: time in seconds that the request has.
     :param may_lack_route: whether a version that may be in force lacks its route.
+    :param services: services that the versions in force let run it; ``None`` for any.
     """
 
     request_id: str
@@ -64,6 +65,7 @@
     whole_s: float | None = None
     timeout_s: float = 4.0
     may_lack_route: bool = False
+    services: frozenset[str] | None = None
 
 
 class Checker:
@@ -151,9 +153,22 @@
                 if is_known or response.sent_s > known_s:
                     rejected_s.setdefault(process_key, response.ended_s)
 
+    def _check_services(self, response, runs):
+        if response.services is None:
+            return
+        for run in runs:
+            if run.service and run.service not in response.services:
+                allowed = ", ".join(sorted(response.services)) or "none"
+                self._violations.append(
+                    f"{response.request_id} ({response.route}): entry {response.entry}"
+                    f" sent it to {run.service}, in force are {allowed}"
+                )
+
     def _check_runs(self, request_id, runs):
         responses = [item for item in self._responses if item.request_id == request_id]
         route = responses[0].route if responses else ""
+        if responses:
+            self._check_services(responses[0], runs)
         if route in RUN_ONCE_ROUTES and len(runs) > 1:
             self._violations.append(f"{request_id} ({route}) ran {len(runs)} times")
         if route in RUN_ONCE_ROUTES and responses[0].status in (429, 503) and runs:
--- a/packages/standins/wasabiknot_standins/soakconfigurations.py
+++ b/packages/standins/wasabiknot_standins/soakconfigurations.py
@@ -1,5 +1,6 @@
 """Configurations that the operator publishes in a soak test, and requests to them."""
 
+import itertools
 import random
 
 import msgspec
@@ -43,10 +44,12 @@
 
     :param published_s: time in seconds at which it was first written.
     :param timeouts_ms: timeout of each route, in milliseconds.
+    :param services: services that may run the requests of each route.
     """
 
     published_s: float
     timeouts_ms: dict[str, float]
+    services: dict[str, frozenset[str]]
 
 
 class Configurations:
@@ -91,7 +94,8 @@
         self.published_s[self._temporary_key] = reactor.seconds()
         self._content = msgspec.json.encode(self._build_document())
         timeouts_ms = {name: item["timeoutMs"] for name, item in self._routes.items()}
-        self._versions.append(Version(reactor.seconds(), timeouts_ms))
+        services = {name: _list_named(item) for name, item in self._routes.items()}
+        self._versions.append(Version(reactor.seconds(), timeouts_ms, services))
         self.write()
 
     def write(self):
@@ -132,6 +136,18 @@
         versions = self._list_in_force(start_s, end_s)
         return any(route not in version.timeouts_ms for version in versions)
 
+    def list_services(self, route, start_s, end_s):
+        """Lists the services that may run a request, by all versions in force.
+
+        :param route: name of the route.
+        :param start_s: start of the request in seconds.
+        :param end_s: its end in seconds.
+        :return: frozen set of names; empty if its route was dropped.
+        """
+        versions = self._list_in_force(start_s, end_s)
+        named = (version.services.get(route, ()) for version in versions)
+        return frozenset(itertools.chain.from_iterable(named))
+
     def has_had(self, route):
         """Tells whether any version has had a route.
 
@@ -223,6 +239,11 @@
     return SERVICES[kind]
 
 
+def _list_named(route):
+    split = [item["service"] for item in route.get("split", ())]
+    return frozenset(split or [route["service"]])
+
+
 def _build_route(name, prefix, kind, service, resumable, attempts):
     return {
         "name": name,
--- a/packages/standins/wasabiknot_standins/soaks.py
+++ b/packages/standins/wasabiknot_standins/soaks.py
@@ -295,6 +295,9 @@
         response.may_lack_route = self._configurations.may_lack(
             name, sent_s, response.ended_s
         )
+        response.services = self._configurations.list_services(
+            name, sent_s, response.ended_s
+        )
         self._record_response(response)
         self._in_flight -= 1
 
