Take the error of a comparison of paces from the fast servers alone

Cause: the fastest servers of both sides are compared, and the error of that came from all servers. Those that were slowed for a time deviate by 0.5 to 0.7, so that a difference of 1.27 at a deviation of 0.1 to 0.2 looked uncertain. Change: the deviation is that of the servers of each side that are about as fast as its fastest. Tests: test_slower_version_is_not_hidden_by_servers_that_were_slowed failed before (37 too many).

--- a/packages/kernel/tests/test_release_load.py
+++ b/packages/kernel/tests/test_release_load.py
@@ -39,6 +39,14 @@
     def test_version_slower_by_two_fifths_on_idle_servers_is_not_promoted(self):
         self.check(BAD["slower by two fifths"])
 
+    def test_slower_version_is_not_hidden_by_servers_that_were_slowed(self):
+        for seed in range(12):
+            with self.subTest(seed=seed):
+                options = TROUBLES["slowed"]
+                world = releaseplays.ReleaseWorld(seed, slowness=1.3, **options).play()
+                self.assertEqual(world.count_excess(), 0)
+                self.assertIsNotNone(world.left_s)
+
     def test_version_gets_no_more_requests_though_all_entries_are_killed(self):
         for name, kills_s in itertools.product(BAD, KILLS_S):
             for seed in range(3):
--- a/packages/kernel/wasabiknot_kernel/engine_paces.py
+++ b/packages/kernel/wasabiknot_kernel/engine_paces.py
@@ -186,7 +186,11 @@
     new_levels = _list_levels(new, slope.value, load)
     old_levels = _list_levels(old, slope.value, load)
     excess = new_levels[0].log_pace - old_levels[0].log_pace
-    deviation = _compute_deviation([*new, *old], slope.value)
+    # Servers that were slowed for a time would make any difference look uncertain.
+    compared = [
+        item for side in (new, old) for item in _list_fast(side, slope.value, load)
+    ]
+    deviation = _compute_deviation(compared, slope.value)
     error = deviation * _compute_relative_error(new_levels[0], old_levels[0], slope)
     if excess < max(math.log(MAX_SLOWDOWN), MAX_Z_SCORE * error):
         return 0.0
@@ -224,6 +228,14 @@
     )
 
 
+def _list_fast(stats_list, slope, load):
+    levels = [item.find_level(slope, load) for item in stats_list]
+    limit = min(levels) + math.log(MAX_SLOWDOWN)
+    return [
+        item for item, level in zip(stats_list, levels, strict=True) if level < limit
+    ]
+
+
 def _compute_deviation(stats_list, slope):
     squares = sum(
         item.pace_spread
