Refuse chunk lines and trailers that aren't in the grammar

What callers could see: a response whose chunk line or trailer was spoilt came as a complete one: a blank after the size, an extension that is none, control bytes in it, a trailer with a blank in its name, or folded, or that ends with a line feed alone.

Cause: the decoder looked for the size only, and for a colon in a trailer. It serves callers' bodies as well.

Two extensions that test_chunks took for sound, a blank before the line's end, are in no grammar (RFC 9112, section 7.1.1) and refused by Twisted's decoder as well: they are among the refused ones now, and blanks where the grammar has them among the sound ones.

Why it works: a size line and a trailer are matched as a whole, the trailer's fields by the rule that heads have. A line that can't be sound any more is refused at its line feed, not at the next line end or after 16 KB.

--- a/packages/entry/tests/grammars.py
+++ b/packages/entry/tests/grammars.py
@@ -330,7 +330,7 @@
     number = draw(strategies.integers(0, len(lines) - 1))
     way = draw(
         strategies.sampled_from(
-            ("byte", "insert", "drop", "end", "line", "odd", "status")
+            ("byte", "insert", "drop", "end", "line", "odd", "status", "chunk")
         )
     )
     if way == "end":
--- a/packages/entry/tests/test_chunks.py
+++ b/packages/entry/tests/test_chunks.py
@@ -6,7 +6,9 @@
 
 from wasabiknot_entry import chunks
 
-EXTENSIONS = strategies.sampled_from((b"", b" ", b";a", b";a=b", b";a=\t1 "))
+EXTENSIONS = strategies.sampled_from(
+    (b"", b";a", b";a=b", b" ;\ta =\t1", b';a="b;\\"\xff";c;d=1')
+)
 TRAILERS = strategies.sampled_from((b"", b"a: b\r\n", b"a:\r\nb: c\r\n"))
 
 
@@ -105,7 +107,19 @@
             "too long": b"1\r\nxx\r\n",
             "too short": b"2\r\nx\r\n0\r\n\r\n",
             "huge": b"1" * 17 + b"\r\n",
+            "blank after": b"1 \r\nx\r\n",
+            "blank after extension": b"1;a=\t1 \r\nx\r\n",
+            "empty extension": b"1;\r\nx\r\n",
+            "control byte": b"1;a\x01\r\nx\r\n",
+            "open quotes": b'1;a="b\r\nx\r\n',
+            "line feed after extension": b"1;a\nx\r\n\r\n",
+            "no size yet": b"1\n",
             "trailer": b"0\r\nno field\r\n\r\n",
+            "folded trailer": b"0\r\na: b\r\n c\r\n\r\n",
+            "blank in a trailer's name": b"0\r\na : b\r\n\r\n",
+            "control byte in a trailer": b"0\r\na: \x00\r\n\r\n",
+            "line feed in a trailer": b"0\r\na: b\n\r\n",
+            "line feed after the trailer": b"0\r\n\n",
         }
         for name, body in bodies.items():
             with self.subTest(name), self.assertRaises(chunks.ChunkError):
--- a/packages/entry/wasabiknot_entry/chunks.py
+++ b/packages/entry/wasabiknot_entry/chunks.py
@@ -6,12 +6,19 @@
 import enum
 import re
 
+from wasabiknot_entry import heads
+
 # Bounds on what isn't data: a line with the size of a chunk, and all trailer fields.
 MAX_SIZE_LINE_BYTES = 16 * 1024
 MAX_TRAILER_BYTES = 16 * 1024
 
-_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[^\r\n]*)?\r\n")
-_LINE_END = b"\r\n"
+_QUOTED = rb'"(?:[\t !#-\[\]-~\x80-\xff]|\\[\t -~\x80-\xff])*"'
+_EXTENSION = rb"[ \t]*;[ \t]*%(token)s(?:[ \t]*=[ \t]*(?:%(token)s|%(quoted)s))?" % {
+    b"token": heads.TOKEN,
+    b"quoted": _QUOTED,
+}
+_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})(?:" + _EXTENSION + rb")*\r\n")
+_LINE_END = heads.LINE_END
 
 
 class ChunkError(ValueError):
@@ -71,6 +78,10 @@
     # bytes are needed.
 
     def _decode_size(self, data, position, parts):
+        if data.find(b"\n", position) < 0:
+            if len(data) - position > MAX_SIZE_LINE_BYTES:
+                raise ChunkError("size of a chunk too long")
+            return None
         # Small chunks come by the thousand, so complete ones are decoded in a loop.
         start = position
         while (match := _SIZE_LINE.match(data, position)) is not None:
@@ -85,15 +96,8 @@
             parts.append(data[position:end])
             position = end + 2
         if position == start:
-            self._check_size_line(data, position)
-            return None
-        return position
-
-    def _check_size_line(self, data, position):
-        if data.find(_LINE_END, position) >= 0:
             raise ChunkError("invalid size of a chunk")
-        if len(data) - position > MAX_SIZE_LINE_BYTES:
-            raise ChunkError("size of a chunk too long")
+        return position
 
     def _decode_data(self, data, position, parts):
         part = data[position : position + self._left_bytes]
@@ -115,18 +119,24 @@
         return position + 2
 
     def _decode_trailer(self, data, position, parts):
-        end = data.find(_LINE_END, position)
-        line_bytes = (end if end >= 0 else len(data)) - position
-        if self._trailer_bytes + line_bytes > MAX_TRAILER_BYTES:
+        end = data.find(b"\n", position) + 1
+        line = data[position : end or len(data)]
+        if self._trailer_bytes + len(line) > MAX_TRAILER_BYTES:
             raise ChunkError("trailer too long")
-        if end < 0:
+        if not end:
             return None
-        if not line_bytes:
+        if line == _LINE_END:
             self._state = _State.DONE
-        elif b":" not in data[position:end]:
-            raise ChunkError("invalid trailer")
-        self._trailer_bytes += line_bytes
-        return end + 2
+        else:
+            self._check_field(line)
+        self._trailer_bytes += len(line)
+        return end
+
+    def _check_field(self, line):
+        try:
+            heads.parse_field(line)
+        except heads.ResponseError as error:
+            raise ChunkError(f"invalid trailer: {error}") from error
 
     _STEPS = {
         _State.SIZE: _decode_size,
