Take the end of a connection for that of a response only once its request is taken

Cause: the end of the server's bytes closed the connection here and completed the response at once, with the rest of the upload unwritten; the reset that followed found nobody. A reset instead of the end was seen and counted as a loss already; its tests stay (RESET first, 0, 5 and 60 ms after the part).

Change: the end is a half-close now. A response that ends with its connection is complete once the whole request is written and acknowledged by the server's host, and no reset has come; until then the request goes on, for 2 s at most, then the response is lost ("ended with the request unread").

Why it works: bytes that the server never took are seen in the send queue, a reset in the state of the socket, whichever of read, write and timer meets it first (test_connections plays all orders in memory: each of the three conditions taken away fails it). Responses to a request that was read in full go on, those of a server that reads on after its half-close too.

--- a/packages/entry/tests/test_connections.py
+++ b/packages/entry/tests/test_connections.py
@@ -3,11 +3,19 @@
 import weakref
 from unittest import mock
 
+import hypothesis
 import silent_servers
+from hypothesis import strategies
 from twisted.internet import error, task, testing
 from twisted.python import failure
 
-from wasabiknot_entry import connections, gateways, pools, request_senders
+from wasabiknot_entry import (
+    connections,
+    gateways,
+    pools,
+    request_senders,
+    sockets,
+)
 
 REQUEST = connections.Request(b"GET", b"/a", ((b"host", b"h"),))
 HOST = (b"host", b"h")
@@ -333,6 +341,69 @@
         self.assertEqual(self.handler.received, [connections.LossReason.RESET])
 
 
+class ResponseEndTests(ConnectionCase):
+    """Orders in which the end of a response meets the writing of its request."""
+
+    BODY = bytes(100_000)
+    EVENTS = ("data", "write", "acknowledge", "end", "reset", "pause", "resume", "tick")
+
+    def setUp(self):
+        super().setUp()
+        self.queue = sockets.SendQueue(1, 1, 0, 0)
+        self.is_written = self.is_ended = self.is_reset = False
+        headers = (HOST, (b"content-length", str(len(self.BODY)).encode()))
+        request = connections.Request(b"POST", b"/a", headers, self.BODY)
+        self.connection.send(request, self.handler)
+        self.connection.dataReceived(b"HTTP/1.1 200 OK\r\n\r\n")
+
+    def play(self, event):
+        """Plays an event, unless it can't happen any more."""
+        producer = self.transport.producer
+        if event == "write" and producer is not None:
+            producer.resumeProducing()
+            self.is_written = self.transport.producer is None
+        elif event == "acknowledge":
+            self.queue = sockets.SendQueue(0, 0, 0, 0, self.queue.is_closed)
+        elif event == "data" and not self.is_ended and not self.is_reset:
+            self.connection.dataReceived(b"x" * 5_000)
+        elif event == "end" and not self.is_ended and not self.is_reset:
+            self.is_ended = True
+            self.connection.readConnectionLost()
+        elif event == "reset" and not self.is_reset:
+            self.is_reset = True
+            self.queue = sockets.SendQueue(0, 0, 0, 0, is_closed=True)
+            if not self.is_ended:
+                disconnect(self.connection, error.ConnectionLost())
+        elif event == "pause" and not self.transport.disconnecting:
+            self.connection.pause()
+        elif event == "resume" and not self.transport.disconnecting:
+            self.connection.resume()
+        elif event == "tick":
+            self.clock.advance(0.1)
+
+    @hypothesis.settings(max_examples=1_000)
+    @hypothesis.given(strategies.lists(strategies.sampled_from(EVENTS), max_size=25))
+    def test_response_is_complete_only_if_its_server_took_the_request(self, events):
+        # Guards against a part that the caller gets as a complete response.
+        self.setUp()
+        with mock.patch.object(sockets, "read_send_queue", lambda handle: self.queue):
+            for event in events:
+                was_complete = "end" in self.handler.received
+                self.play(event)
+                if was_complete or "end" not in self.handler.received:
+                    continue
+                self.assertTrue(self.is_ended)
+                self.assertFalse(self.is_reset)
+                self.assertTrue(self.is_written)
+                self.assertTrue(self.queue.is_empty)
+            if self.is_ended or self.is_reset:
+                self.connection.resume()
+                self.clock.pump([0.1] * 40)
+                last = self.handler.received[-1]
+                self.assertTrue(last == "end" or type(last) is connections.LossReason)
+                self.assertEqual(self.clock.getDelayedCalls(), [])
+
+
 class RealSocketCase(unittest.TestCase):
     """A test with connections to servers on real sockets."""
 
--- a/packages/entry/wasabiknot_entry/connections.py
+++ b/packages/entry/wasabiknot_entry/connections.py
@@ -9,7 +9,8 @@
 
 import h11
 import msgspec
-from twisted.internet import error, protocol
+from twisted.internet import error, interfaces, protocol
+from zope.interface import declarations
 
 from wasabiknot_entry import (
     connection_states,
@@ -30,8 +31,10 @@
 MAX_SKIPPED_RESPONSES = 4
 MAX_SKIPPED_BYTES = 4 * 1024 * 1024
 
-# Bodies of requests of which a server may have left a part unread when it answers.
-MIN_LONG_BODY_BYTES = 4 * 1024
+# Longest time for which a server that has ended its response may go on reading the
+# request, and the interval of the checks whether it has.
+MAX_LINGER_S = 2.0
+LINGER_CHECK_INTERVAL_S = 0.02
 # After a response to this method, the connection isn't used for HTTP any more.
 TUNNEL_METHOD = b"CONNECT"
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
@@ -43,6 +46,7 @@
     UNREACHED = "unreached"
     RESET = "reset"
     MALFORMED = "garbled"
+    UNREAD = "ended with the request unread"
 
 
 class Request(msgspec.Struct, frozen=True):
@@ -93,6 +97,7 @@
     return h11.Connection(h11.CLIENT).send(head)
 
 
+@declarations.implementer(interfaces.IHalfCloseableProtocol)
 class Connection(protocol.Protocol):
     """A connection that carries one request at a time.
 
@@ -116,6 +121,10 @@
         self._is_paused = False
         # Whether the transport is gone, maybe before all that it brought is handled.
         self._is_lost = False
+        # Whether the server sends nothing more. It may still read the request.
+        self._has_server_ended = False
+        self._linger_check = None
+        self._lingers_until_s = 0.0
         self._idle_timeout_s = None
         self.idle_since_s = None
         # Ids of the requests that were answered on this connection.
@@ -166,7 +175,8 @@
 
     @property
     def _is_long(self):
-        return len(self._request.body) >= MIN_LONG_BODY_BYTES
+        # A server may have left a part of such a body unread when it answers.
+        return len(self._request.body) >= request_senders.MIN_LONG_BODY_BYTES
 
     def check_window(self):
         """Ends the connection if its host is gone while its server didn't read."""
@@ -274,7 +284,7 @@
         """Whether another request may be sent after the response that has ended."""
         return (
             self._reader.is_persistent
-            and not self._is_lost
+            and not self.is_lost
             and not self._has_more_bytes
             and not self._skipped_responses
             and not self._has_unsent_rest
@@ -300,6 +310,9 @@
         # The connection may be kept for long; the body isn't.
         if self._sender is not None:
             self._sender.stop()
+        if self._linger_check is not None:
+            self._linger_check.cancel()
+            self._linger_check = None
         if self._window is not None:
             self._window.stop()
             self._pool.unwatch(self)
@@ -312,19 +325,68 @@
         """
         self._idle_timeout_s = idle_s
 
-    def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
+    def readConnectionLost(self):  # noqa: N802
         """Ends the request in flight, once all that has come is handled.
 
         A response without a length ends when the server closes the connection.
         """
+        if self._has_server_ended:
+            return
+        self._pool.discard(self)
+        self._has_server_ended = True
+        self._input.finish(self._handle_server_end)
+
+    def writeConnectionLost(self):  # noqa: N802
+        """Does nothing: a connection isn't closed for writing alone."""
+
+    def _handle_server_end(self):
+        if self._ends_with_connection:
+            self._lingers_until_s = self._pool.seconds() + MAX_LINGER_S
+            self._check_request()
+        elif self._is_in_flight:
+            self._fail(LossReason.MALFORMED)
+        elif self._state is State.IDLE:
+            self.close()
+
+    @property
+    def _ends_with_connection(self):
+        is_responding = self._state is State.RESPONDING
+        return is_responding and self._reader.ends_with_connection
+
+    def _check_request(self):
+        self._linger_check = None
+        if self._is_reset:
+            self._fail(LossReason.RESET)
+        elif self._is_request_taken:
+            self._finish_response()
+        elif self._pool.seconds() >= self._lingers_until_s:
+            self._fail(LossReason.UNREAD)
+        else:
+            self._linger_check = self._pool.call_later(
+                LINGER_CHECK_INTERVAL_S, self._check_request
+            )
+
+    @property
+    def _is_reset(self):
+        # Without a body, nothing was left unread that could explain a reset.
+        queue = sockets.read_send_queue(self.transport.getHandle())
+        return queue.is_closed and bool(self._request.body)
+
+    @property
+    def _is_request_taken(self):
+        # The end of a response proves nothing before its server's host has it all.
+        queue = sockets.read_send_queue(self.transport.getHandle())
+        return self._sender.is_written and queue.is_empty
+
+    def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
+        """Ends the request in flight, once all that has come is handled."""
         self._pool.discard(self)
         self._is_lost = True
         self._input.finish(lambda: self._end(reason))
 
     def _end(self, reason):
         is_closed = reason.check(error.ConnectionDone) is not None
-        is_responding = self._state is State.RESPONDING
-        if is_closed and is_responding and self._reader.ends_with_connection:
+        if is_closed and self._ends_with_connection and self._is_request_taken:
             self._finish_response()
         if self._is_in_flight:
             self._fail(LossReason.MALFORMED if is_closed else LossReason.RESET)
@@ -337,8 +399,8 @@
 
     @property
     def is_lost(self):
-        """Whether the backend server has closed or reset the connection."""
-        return self._is_lost
+        """Whether the server has closed or reset the connection."""
+        return self._is_lost or self._has_server_ended
 
     def close(self):
         """Closes an idle connection."""
--- a/packages/entry/wasabiknot_entry/pools.py
+++ b/packages/entry/wasabiknot_entry/pools.py
@@ -135,6 +135,22 @@
         for connection, _ in self._idle.pop(address, ()):
             connection.abort()
 
+    def seconds(self):
+        """Returns the current time.
+
+        :return: seconds of the reactor's clock.
+        """
+        return self._reactor.seconds()
+
+    def call_later(self, delay_s, function):
+        """Calls a function later.
+
+        :param delay_s: delay in seconds.
+        :param function: function without parameters.
+        :return: delayed call, which can be cancelled.
+        """
+        return self._reactor.callLater(delay_s, function)
+
     def watch(self, connection):
         """Adds a connection whose server may leave its request unread.
 
--- a/packages/entry/wasabiknot_entry/request_senders.py
+++ b/packages/entry/wasabiknot_entry/request_senders.py
@@ -2,6 +2,8 @@
 
 # Bytes of a body that are handed to the transport at a time.
 PART_BYTES = 65_536
+# The operating system takes a request with a shorter body at once.
+MIN_LONG_BODY_BYTES = 4 * 1024
 
 
 class RequestSender:
@@ -16,11 +18,14 @@
         self._transport = transport
         self._body = body
         self._offset = 0
+        # Whether the operating system has the whole request.
+        self.is_written = len(body) < MIN_LONG_BODY_BYTES
         self._is_registered = False
         self._write_part(head)
-        if not self.is_done:
-            self._is_registered = True
+        if not self.is_written:
+            # The transport asks for a part at once, before the first one is written.
             transport.registerProducer(self, False)
+            self._is_registered = True
 
     @property
     def is_done(self):
@@ -34,9 +39,13 @@
 
     def resumeProducing(self):  # noqa: N802
         """Writes the next part, as the transport has written the last one."""
-        self._write_part()
+        if not self._is_registered:
+            return
         if self.is_done:
+            self.is_written = True
             self.stop()
+        else:
+            self._write_part()
 
     def stopProducing(self):  # noqa: N802
         """Drops the rest of the body, as the connection is gone."""
--- a/packages/entry/wasabiknot_entry/sockets.py
+++ b/packages/entry/wasabiknot_entry/sockets.py
@@ -8,11 +8,15 @@
 
 # Offsets of fields in ``struct tcp_info`` of Linux, see <linux/tcp.h>.
 TCP_INFO_BYTES = 256
+STATE_OFFSET = 0
 PROBES_OFFSET = 3
 UNACKNOWLEDGED_OFFSET = 24
 LAST_ACKNOWLEDGED_OFFSET = 56
 UNSENT_OFFSET = 144
 
+# Number of the state CLOSE, see <net/tcp_states.h> of Linux.
+CLOSED_STATE = 7
+
 _CLOSE_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -23,12 +27,19 @@
     :param in_flight: segments that were sent and aren't acknowledged.
     :param unanswered_probes: probes of a closed receive window without an answer.
     :param acknowledged_ms: time since the last acknowledgement, in milliseconds.
+    :param is_closed: whether the connection was reset, or ended both ways.
     """
 
     unsent_bytes: int
     in_flight: int
     unanswered_probes: int
     acknowledged_ms: int
+    is_closed: bool = False
+
+    @property
+    def is_empty(self):
+        """Whether the other end has acknowledged all that was sent."""
+        return not self.unsent_bytes and not self.in_flight
 
     @property
     def is_window_closed(self):
@@ -57,6 +68,7 @@
         read_number(UNACKNOWLEDGED_OFFSET),
         info[PROBES_OFFSET],
         read_number(LAST_ACKNOWLEDGED_OFFSET),
+        info[STATE_OFFSET] == CLOSED_STATE,
     )
 
 
