Log and count responses that can't be read, by the rule that they break

On-call could not tell a response that was cut off from one that can't be read: WK1404 said "garbled" for both. WK1414 names the request, the address, the rule and the first 64 bytes, escaped; wasabiknot_malformed_responses_total counts by source and rule.

--- a/packages/entry/tests/test_broken_heads.py
+++ b/packages/entry/tests/test_broken_heads.py
@@ -1,12 +1,17 @@
 """Servers whose responses have a spoilt head: nothing of it may reach a caller."""
 
+import logging
+
 import gatewaycases
 import grammars
 import hypothesis
+import loglines
+import msgspec
 from hypothesis import strategies
 from twisted.internet import error
 from twisted.python import failure
 
+from wasabiknot_entry import malformed_responses
 from wasabiknot_kernel import outcomes, routes
 
 FIELDS = (
@@ -24,6 +29,15 @@
 }
 
 
+def setUpModule():  # noqa: N802
+    # Each of the many broken responses leaves a line.
+    logging.getLogger("wasabiknot").setLevel(logging.ERROR)
+
+
+def tearDownModule():  # noqa: N802
+    logging.getLogger("wasabiknot").setLevel(logging.NOTSET)
+
+
 def join(lines, body=PART):
     return b"\r\n".join([*lines, b"", body])
 
@@ -121,3 +135,30 @@
         self.assertNotIn(b"retry-after", channel.transport.value().lower())
         (call,) = self.metrics.count_attempt.call_args_list
         self.assertIn(outcomes.Outcome.RESPONSE_LOST, call.args)
+
+
+class BrokenHeadLogTests(BrokenHeadCase):
+    def test_log_leads_from_the_request_to_what_its_server_sent(self):
+        data = join((*FIELDS, b"no \xe4 field" + b"x" * 1_000))
+        with self.assertLogs("wasabiknot", "WARNING") as logs:
+            self.play(data)
+        (line,) = loglines.list_lines(logs, "response_malformed")
+        entry = msgspec.json.decode(line.partition("{")[2].join("{ "))
+        self.assertEqual(entry["request"], "q1")
+        self.assertEqual(entry["address"], "10.0.0.9:80")
+        self.assertEqual(entry["rule"], "field line")
+        self.assertTrue(entry["excerpt"].startswith("b'no \\xe4 field"))
+        self.assertLess(len(entry["excerpt"]), 200)
+
+    def test_broken_responses_are_counted_by_rule(self):
+        def count():
+            (family,) = malformed_responses.Collector().collect()
+            return {tuple(item.labels.values()): item.value for item in family.samples}
+
+        before = count()
+        self.play(join((*FIELDS, b"no field")))
+        self.play(join((*FIELDS, CODING), b"x\r\n"))
+        after = count()
+        for rule in ("field line", "chunk"):
+            key = ("server", rule)
+            self.assertEqual(after[key], before.get(key, 0) + 1)
--- a/packages/entry/wasabiknot_entry/chunks.py
+++ b/packages/entry/wasabiknot_entry/chunks.py
@@ -22,7 +22,15 @@
 
 
 class ChunkError(ValueError):
-    """A body isn't in valid chunks."""
+    """A body isn't in valid chunks.
+
+    :param text: what is wrong.
+    :param received: bytes that are, if there are any.
+    """
+
+    def __init__(self, text, received=b""):
+        super().__init__(text)
+        self.received = received
 
 
 class _State(enum.Enum):
@@ -96,7 +104,7 @@
             parts.append(data[position:end])
             position = end + 2
         if position == start:
-            raise ChunkError("invalid size of a chunk")
+            raise ChunkError("invalid size of a chunk", data[position:])
         return position
 
     def _decode_data(self, data, position, parts):
@@ -112,7 +120,7 @@
     def _decode_data_end(self, data, position, parts):
         end = data[position : position + 2]
         if not _LINE_END.startswith(end):
-            raise ChunkError("chunk longer than its size")
+            raise ChunkError("chunk longer than its size", end)
         if end != _LINE_END:
             return None
         self._state = _State.SIZE
@@ -136,7 +144,7 @@
         try:
             heads.parse_field(line)
         except heads.ResponseError as error:
-            raise ChunkError(f"invalid trailer: {error}") from error
+            raise ChunkError("invalid trailer", line) from error
 
     _STEPS = {
         _State.SIZE: _decode_size,
--- a/packages/entry/wasabiknot_entry/connections.py
+++ b/packages/entry/wasabiknot_entry/connections.py
@@ -17,6 +17,7 @@
     heads,
     inputs,
     liveness,
+    malformed_responses,
     request_senders,
     responses,
     sockets,
@@ -57,12 +58,14 @@
     :param headers: pairs of lower-case names and values; the length of the body is
         among them, if it has any.
     :param body: complete request body, as bytes or ``memoryview``.
+    :param name: what logs call it: its id, or empty for the target.
     """
 
     method: bytes
     target: bytes
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes | memoryview = b""
+    name: str = ""
 
 
 def find_fault(method, target, headers):
@@ -203,9 +206,14 @@
         try:
             self._reader.receive(data)
             self._read_parts()
-        except responses.ResponseError:
+        except responses.ResponseError as fault:
+            self._record_fault(fault)
             self._fail(LossReason.MALFORMED)
 
+    def _record_fault(self, fault):
+        name = self._request.name or self._request.target.decode("latin-1")
+        malformed_responses.record(self._pool.source, self.address, name, fault)
+
     def _read_parts(self):
         while self._is_in_flight:
             part = self._reader.read()
--- a/packages/entry/wasabiknot_entry/edge_entries.py
+++ b/packages/entry/wasabiknot_entry/edge_entries.py
@@ -29,6 +29,7 @@
     gossip,
     inputs,
     journal,
+    malformed_responses,
     pages,
     peer_traffic,
     pools,
@@ -141,6 +142,7 @@
         metrics.add_collector(self._crash_metrics)
         metrics.add_collector(self._peer_traffic)
         metrics.add_collector(input_scheduler)
+        metrics.add_collector(malformed_responses.Collector())
         self._restorations = restorations.RestorationHandler(
             reactor, rng, self._deployment, self._apply_facts, self._publish_member
         )
--- a/packages/entry/wasabiknot_entry/flows.py
+++ b/packages/entry/wasabiknot_entry/flows.py
@@ -189,7 +189,11 @@
         if not self._body and self._request.method in (b"POST", b"PUT", b"PATCH"):
             headers.append((b"content-length", b"0"))
         return connections.Request(
-            self._request.method, self._request.uri, tuple(headers), self._body
+            self._request.method,
+            self._request.uri,
+            tuple(headers),
+            self._body,
+            self.ticket.request_id,
         )
 
     def hand_over(self, helper, reason):
--- a/packages/entry/wasabiknot_entry/responses.py
+++ b/packages/entry/wasabiknot_entry/responses.py
@@ -85,7 +85,7 @@
         try:
             part = self._decoder.feed(data)
         except chunks.ChunkError as error:
-            raise ResponseError(heads.Rule.CHUNK, str(error).encode()) from error
+            raise ResponseError(heads.Rule.CHUNK, error.received) from error
         weight_bytes = (self._decoder.count - count) * MIN_CHUNK_BYTES
         return Body(part, max(len(part), weight_bytes))
 
--- a/packages/kernel/wasabiknot_kernel/events.py
+++ b/packages/kernel/wasabiknot_kernel/events.py
@@ -270,6 +270,11 @@
     HANDOVER_REFUSED = EventDefinition(
         1413, logging.WARNING, "refused a handover from {address}: {reason}"
     )
+    RESPONSE_MALFORMED = EventDefinition(
+        1414,
+        logging.WARNING,
+        "{request}: response of {source} {address} breaks {rule}: {excerpt}",
+    )
     PEER_TRAFFIC = EventDefinition(
         1502, logging.WARNING, "sent {sent_bytes} bytes to peers in a second"
     )
