Hold the responses that a library reads against the same grammar

What callers could see (older program, operator's commands): a response with a status of 000, a folded or spoilt length, or a line that is no field, taken as an answer; a status that is none counted as a failure of the server, not as a lost answer.

Cause: calls, probes and relays of the older program, the operator's client and the stand-ins' callers read through Twisted's HTTP client, whose parser repairs or ignores what it doesn't know.

Change: one place creates these clients. Each connection passes its bytes through the reader of responses first; a response that can't be read ends the connection, is logged (WK1414) and fails as a lost one.

Why it works: the library sees only bytes that have one reading.

--- a/benchmarks/overhead.py
+++ b/benchmarks/overhead.py
@@ -11,7 +11,7 @@
 import treq
 from twisted.internet import defer, reactor, task
 
-from wasabiknot_standins import deployments, processes, rigs, servers, tables
+from wasabiknot_standins import clients, deployments, processes, rigs, servers, tables
 
 CALLS = 150
 MAX_TOKENS = 20
@@ -58,7 +58,7 @@
         "max_tokens": tokens,
     }
     url = f"http://{servers.HOST}:{port}/v1/streams"
-    response = await treq.post(url, data=msgspec.json.encode(body), persistent=False)
+    response = await clients.create_client().post(url, data=msgspec.json.encode(body))
     await treq.content(response)
 
 
@@ -71,11 +71,10 @@
     """
     body = {"prompt": f"entry- {number}", "max_tokens": tokens}
     path = "/v1/services/schreibstube/calls/check-stand"
-    response = await treq.post(
+    response = await clients.create_client().post(
         f"http://{servers.HOST}:{port}{path}",
         data=msgspec.json.encode(body),
         headers={"Wasabiknot-Customer": "c"},
-        persistent=False,
     )
     await treq.content(response)
 
--- a/packages/entry/wasabiknot_entry/backends.py
+++ b/packages/entry/wasabiknot_entry/backends.py
@@ -1,9 +1,6 @@
 """HTTP client for requests to backend servers."""
 
-from treq import client as treq_client
-from twisted.web import client
-
-from wasabiknot_entry import attempts
+from wasabiknot_entry import agents, attempts
 from wasabiknot_kernel import effects, messages
 
 CONNECT_TIMEOUT_S = 1.0
@@ -24,8 +21,7 @@
         self.find_exchange = find_exchange
         # Each attempt opens a new connection: a pooled one may be unresponsive, and
         # a request lost on it could not be retried.
-        agent = client.Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S)
-        self.http = treq_client.HTTPClient(agent)
+        self.http = agents.create_client(reactor, CONNECT_TIMEOUT_S)
         self._attempts = {}
         bus.subscribe(effects.Dispatch, self._dispatch)
         bus.subscribe(effects.Resume, self._resume)
--- a/packages/entry/wasabiknot_entry/loads.py
+++ b/packages/entry/wasabiknot_entry/loads.py
@@ -2,11 +2,10 @@
 
 import msgspec
 import treq
-from treq import client as treq_client
 from twisted.internet import error, task
 from twisted.web import client
 
-from wasabiknot_entry import journal
+from wasabiknot_entry import agents, journal
 from wasabiknot_kernel import digests, hashing, messages, wire
 
 POLL_INTERVAL_S = 0.5
@@ -31,8 +30,7 @@
         self._bus = bus
         self._clock = clock
         self._pool = client.HTTPConnectionPool(reactor)
-        agent = client.Agent(reactor, connectTimeout=POLL_TIMEOUT_S, pool=self._pool)
-        self._http = treq_client.HTTPClient(agent)
+        self._http = agents.create_client(reactor, POLL_TIMEOUT_S, self._pool)
         self._poll_loop = task.LoopingCall(self._poll_all)
         self._poll_loop.clock = reactor
 
--- a/packages/entry/wasabiknot_entry/logs.py
+++ b/packages/entry/wasabiknot_entry/logs.py
@@ -2,15 +2,15 @@
 
 import msgspec
 import treq
-from treq import client as treq_client
 from twisted.internet import defer, task
 from twisted.web import client, http
 
-from wasabiknot_entry import journal
+from wasabiknot_entry import agents, journal
 from wasabiknot_kernel import effects, events, messages, records, wire
 
 PAGE_SIZE = 500
 LONG_POLL_MS = 1_000
+CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 2.5
 APPEND_TIMEOUT_S = 2.0
 RETRY_DELAY_S = 0.3
@@ -33,8 +33,7 @@
         self._reactor = reactor
         self._get_next_offset = get_next_offset
         self._pool = client.HTTPConnectionPool(reactor)
-        agent = client.Agent(reactor, connectTimeout=1.0, pool=self._pool)
-        self._http = treq_client.HTTPClient(agent)
+        self._http = agents.create_client(reactor, CONNECT_TIMEOUT_S, self._pool)
         self._pending = []
         self._is_appending = False
         self._is_unavailable = False
--- a/packages/entry/wasabiknot_entry/peering.py
+++ b/packages/entry/wasabiknot_entry/peering.py
@@ -5,14 +5,14 @@
 
 import msgspec
 import treq
-from treq import client as treq_client
 from twisted.internet import protocol, task
 from twisted.web import client, http
 
-from wasabiknot_entry import addresses, headers, journal
+from wasabiknot_entry import addresses, agents, headers, journal
 from wasabiknot_kernel import digests, effects, events, exceptions, messages
 
 STATE_FETCH_INTERVAL_S = 1.0
+STATE_CONNECT_TIMEOUT_S = 1.0
 FORWARD_CONNECT_TIMEOUT_S = 1.0
 
 
@@ -92,8 +92,7 @@
     def __init__(self, node, bus, reactor):
         self._node = node
         self._bus = bus
-        agent = client.Agent(reactor, connectTimeout=1.0)
-        self._http = treq_client.HTTPClient(agent)
+        self._http = agents.create_client(reactor, STATE_CONNECT_TIMEOUT_S)
         self._fetch_loop = task.LoopingCall(self._fetch_state)
         self._fetch_loop.clock = reactor
 
@@ -132,8 +131,7 @@
     def __init__(self, node, reactor):
         self._node = node
         self._reactor = reactor
-        agent = client.Agent(reactor, connectTimeout=FORWARD_CONNECT_TIMEOUT_S)
-        self._http = treq_client.HTTPClient(agent)
+        self._http = agents.create_client(reactor, FORWARD_CONNECT_TIMEOUT_S)
 
     def forward(self, forwarded):
         """Sends a request to the owner of its key and relays the response.
--- a/packages/entry/wasabiknot_entry/vms.py
+++ b/packages/entry/wasabiknot_entry/vms.py
@@ -2,11 +2,9 @@
 
 import msgspec
 import treq
-from treq import client as treq_client
 from twisted.internet import task
-from twisted.web import client
 
-from wasabiknot_entry import journal
+from wasabiknot_entry import agents, journal
 from wasabiknot_kernel import events, messages, wire
 
 POLL_INTERVAL_S = 1.0
@@ -24,8 +22,7 @@
     def __init__(self, url, bus, reactor):
         self._url = f"{url}/v1/vms"
         self._bus = bus
-        agent = client.Agent(reactor, connectTimeout=POLL_TIMEOUT_S)
-        self._http = treq_client.HTTPClient(agent)
+        self._http = agents.create_client(reactor, POLL_TIMEOUT_S)
         self._poll_loop = task.LoopingCall(self._poll)
         self._poll_loop.clock = reactor
         self._is_unavailable = False
--- a/packages/operator/wasabiknot_operator/systems.py
+++ b/packages/operator/wasabiknot_operator/systems.py
@@ -2,9 +2,10 @@
 
 import msgspec
 import treq
-from twisted.internet import error
+from twisted.internet import error, reactor
 from twisted.web import http
 
+from wasabiknot_entry import agents
 from wasabiknot_kernel import exceptions, records, reports, wire
 
 TIMEOUT_S = 2.0
@@ -22,6 +23,7 @@
 
     def __init__(self, site):
         self._site = site
+        self._http = agents.create_client(reactor, TIMEOUT_S)
 
     async def fetch_status(self):
         """Fetches the status of the first entry that responds.
@@ -48,7 +50,7 @@
         path = f"/operator/v1/requests/{request_id}"
         for address in self._site.controls:
             try:
-                lines = await _get(address, path, tuple[reports.TraceLine, ...])
+                lines = await self._get(address, path, tuple[reports.TraceLine, ...])
             except SystemUnreachableError:
                 continue
             if lines:
@@ -58,7 +60,7 @@
     async def _fetch_first(self, path, schema):
         for address in self._site.controls:
             try:
-                return await _get(address, path, schema)
+                return await self._get(address, path, schema)
             except SystemUnreachableError:
                 continue
         raise SystemUnreachableError("no entry responds at any control address")
@@ -76,7 +78,7 @@
             wire.LogAppend(records.encode_record(record).decode())
         )
         try:
-            response = await treq.post(
+            response = await self._http.post(
                 f"{self._site.log_url}/v1/records",
                 data=body,
                 headers={"Content-Type": ["application/json"]},
@@ -93,11 +95,12 @@
             return None
         return msgspec.json.decode(data, type=wire.LogAppended).offset
 
-
-async def _get(address, path, schema):
-    try:
-        response = await treq.get(f"http://{address}{path}", timeout=TIMEOUT_S)
-        data = await treq.content(response)
-        return msgspec.json.decode(data, type=schema)
-    except Exception as failure:
-        raise SystemUnreachableError(f"{address}: {failure}") from failure
+    async def _get(self, address, path, schema):
+        try:
+            response = await self._http.get(
+                f"http://{address}{path}", timeout=TIMEOUT_S
+            )
+            data = await treq.content(response)
+            return msgspec.json.decode(data, type=schema)
+        except Exception as failure:
+            raise SystemUnreachableError(f"{address}: {failure}") from failure
--- a/packages/standins/wasabiknot_standins/clients.py
+++ b/packages/standins/wasabiknot_standins/clients.py
@@ -3,10 +3,10 @@
 import msgspec
 import treq
 import uuid6
-from treq import client as treq_client
 from twisted.internet import defer, protocol, reactor
-from twisted.web import client, http
+from twisted.web import http
 
+from wasabiknot_entry import agents
 from wasabiknot_kernel import wire
 from wasabiknot_standins import servers
 
@@ -82,6 +82,14 @@
     is_duplicated: bool = False
 
 
+def create_client():
+    """Creates an HTTP client that refuses responses which can't be read.
+
+    :return: ``treq.client.HTTPClient``.
+    """
+    return agents.create_client(reactor, CONNECT_TIMEOUT_S)
+
+
 def create_key():
     """Creates an idempotency key.
 
@@ -94,8 +102,7 @@
     """Sends calls to entries and checks the responses."""
 
     def __init__(self):
-        agent = client.Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S)
-        self._http = treq_client.HTTPClient(agent)
+        self._http = create_client()
 
     async def send(self, request):
         """Sends a call and waits for the end of the response.
@@ -250,7 +257,9 @@
     :param url: URL.
     :param value: value to encode.
     """
-    response = await treq.put(url, data=msgspec.json.encode(value), timeout=5)
+    response = await create_client().put(
+        url, data=msgspec.json.encode(value), timeout=5
+    )
     await treq.content(response)
 
 
@@ -260,7 +269,9 @@
     :param url: URL.
     :param value: value to encode.
     """
-    response = await treq.post(url, data=msgspec.json.encode(value), timeout=5)
+    response = await create_client().post(
+        url, data=msgspec.json.encode(value), timeout=5
+    )
     await treq.content(response)
 
 
@@ -272,7 +283,7 @@
     :return: the decoded value.
     :raises msgspec.MsgspecError: if the body doesn't match the type.
     """
-    response = await treq.get(url, timeout=5)
+    response = await create_client().get(url, timeout=5)
     return msgspec.json.decode(await treq.content(response), type=schema)
 
 
--- a/packages/standins/wasabiknot_standins/rigs.py
+++ b/packages/standins/wasabiknot_standins/rigs.py
@@ -117,7 +117,8 @@
     :return: whether the status code is 200.
     """
     try:
-        response = await treq.get(clients.build_url(port, path), timeout=1)
+        url = clients.build_url(port, path)
+        response = await clients.create_client().get(url, timeout=1)
         await treq.content(response)
     except Exception:
         return False
