Wait for a reset after the end of a response to a long request

What callers could see: the part of a body as a complete response, if the server's host had acknowledged the whole upload while its process left it unread and reset the connection some time after the end.

Cause: an acknowledgement says that the host has the bytes, not that the process read them; loopback hosts hold 64 KB and what the process takes in its first reads.

Short requests and all other framings end at once, as before; events of streams are relayed as they come.

Not seen: a reset that comes later than that.

--- a/packages/entry/tests/test_early_responses.py
+++ b/packages/entry/tests/test_early_responses.py
@@ -132,7 +132,11 @@
 
     def test_part_of_a_response_to_a_request_left_unread_is_not_complete(self):
         # Guards against a part that the caller gets as a complete response.
-        servers = [EarlyServer(end) for end in BROKEN_ENDS for _ in range(3)]
+        servers = [
+            EarlyServer(end, size_bytes)
+            for end in BROKEN_ENDS
+            for size_bytes in (20_000, 60_000, 200_000, LONG_BYTES)
+        ]
         for number, receiver in enumerate(self.call_all(servers)):
             with self.subTest(number):
                 self.assertIsInstance(
--- a/packages/entry/wasabiknot_entry/connections.py
+++ b/packages/entry/wasabiknot_entry/connections.py
@@ -35,6 +35,8 @@
 # Longest time for which a server that has ended its response may go on reading the
 # request, and the interval of the checks whether it has.
 MAX_LINGER_S = 2.0
+# Time after that end in which a reset shows that a long request was left unread.
+RESET_WAIT_S = 0.1
 LINGER_CHECK_INTERVAL_S = 0.02
 # After a response to this method, the connection isn't used for HTTP any more.
 TUNNEL_METHOD = b"CONNECT"
@@ -127,7 +129,7 @@
         # Whether the server sends nothing more. It may still read the request.
         self._has_server_ended = False
         self._linger_check = None
-        self._lingers_until_s = 0.0
+        self._server_ended_s = 0.0
         self._idle_timeout_s = None
         self.idle_since_s = None
         # Ids of the requests that were answered on this connection.
@@ -349,7 +351,7 @@
 
     def _handle_server_end(self):
         if self._ends_with_connection:
-            self._lingers_until_s = self._pool.seconds() + MAX_LINGER_S
+            self._server_ended_s = self._pool.seconds()
             self._check_request()
         elif self._is_in_flight:
             self._fail(LossReason.MALFORMED)
@@ -363,11 +365,13 @@
 
     def _check_request(self):
         self._linger_check = None
+        ended_for_s = self._pool.seconds() - self._server_ended_s
+        wait_s = RESET_WAIT_S if self._is_long else 0.0
         if self._is_reset:
             self._fail(LossReason.RESET)
-        elif self._is_request_taken:
+        elif self._is_request_taken and ended_for_s >= wait_s:
             self._finish_response()
-        elif self._pool.seconds() >= self._lingers_until_s:
+        elif ended_for_s >= MAX_LINGER_S:
             self._fail(LossReason.UNREAD)
         else:
             self._linger_check = self._pool.call_later(
