Have the servers of strangers spoil heads, and cut responses to long uploads short

The rig's unsound servers sent sound heads only, so it could not find repaired heads. Half of their responses that aren't endless have a head with one spoilt line now, by a drawn way, then a part of the body and the end of the connection; half of those to long uploads come early, without a length and in part, then the end, then a reset within 60 ms.

--- a/packages/standins/tests/test_strangers.py
+++ b/packages/standins/tests/test_strangers.py
@@ -8,7 +8,12 @@
 from hypothesis import given, strategies
 
 from wasabiknot_entry import connections, responses
-from wasabiknot_standins import strangebehaviours, strangeplays, strangers
+from wasabiknot_standins import (
+    spoiltheads,
+    strangebehaviours,
+    strangeplays,
+    strangers,
+)
 
 Part = strangeplays.Part
 PARTS = strategies.sets(strategies.sampled_from(Part))
@@ -20,8 +25,9 @@
     module = "wasabiknot_standins.strangers"
     # One seed each of both services, behaving soundly and not. 17: long requests were
     # read seconds late beside callers that sent requests without end. 1, 6, 12: clocks,
-    # signals and a herd beside both kinds.
-    SEEDS = (1, 3, 5, 6, 9, 11, 12, 17)
+    # signals and a herd beside both kinds. 2: heads that were repaired, before a part of
+    # the body. 9: a part of a body, its end, and a reset, while the request was unread.
+    SEEDS = (1, 2, 3, 5, 6, 9, 11, 12, 17)
     plays = {seed: (seed, DURATION_S, ENTRIES) for seed in SEEDS}
 
     def test_others_are_served_and_sound_responses_are_whole(self):
@@ -127,6 +133,21 @@
         data += strangebehaviours.encode_end(behaviour)
         self.assertEqual(self.read(behaviour, data, rng), (body, True))
 
+    @given(
+        strategies.integers(),
+        strategies.sampled_from(spoiltheads.Spoil),
+        strategies.sampled_from(strangebehaviours.Framing),
+    )
+    def test_spoilt_head_is_refused(self, seed, spoil, framing):
+        # Guards against a rig whose broken heads are sound.
+        rng = random.Random(seed)
+        behaviour = strangebehaviours.Behaviour(framing=framing, spoil=spoil)
+        self.assertFalse(behaviour.is_sound)
+        fields = ["x-a: b", "x-empty:"]
+        data = strangebehaviours.encode_head(behaviour, fields, 4, rng) + b"ab"
+        with self.assertRaises(responses.ResponseError):
+            self.read(behaviour, data, rng)
+
     @given(strategies.integers(), PARTS)
     def test_behaviour_without_parts_is_otherwise_the_same(self, seed, parts):
         drawn = strangebehaviours.draw_behaviour(random.Random(seed), is_sound=False)
--- a/packages/standins/wasabiknot_standins/strangebehaviours.py
+++ b/packages/standins/wasabiknot_standins/strangebehaviours.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from wasabiknot_standins import strangeplays
+from wasabiknot_standins import spoiltheads, strangeplays
 
 Part = strangeplays.Part
 CHUNK_BYTES = (1, 2, 7, 64, 65_536)
@@ -38,6 +38,10 @@
 ENDLESS_BLOCK_BYTES = 20_000
 FLOOD_BLOCK_BYTES = 65_536
 SOUND_SHARE = 0.5
+SPOILT_SHARE = 0.5
+CUT_EARLY_SHARE = 0.5
+# Longest time from the end of a response that is cut early to the reset, in seconds.
+MAX_RESET_DELAY_S = 0.06
 
 
 class Framing(enum.Enum):
@@ -101,6 +105,10 @@
     :param reads_late: whether a long body is read after the response, if the connection
         is kept.
     :param endless: ``Endless``, or ``None`` for a response.
+    :param spoil: ``spoiltheads.Spoil`` of a head that can't be read, before a part of
+        the body; ``None`` for a sound head.
+    :param is_cut_early: whether a long request is answered before its body is read, by
+        a part without a length, the end of it and then a reset.
     """
 
     framing: Framing = Framing.LENGTH
@@ -113,23 +121,27 @@
     fields: tuple[str, ...] = ()
     reads_late: bool = False
     endless: Endless | None = None
+    spoil: spoiltheads.Spoil | None = None
+    is_cut_early: bool = False
 
     @property
     def is_sound(self):
         """Whether the caller gets a whole response."""
-        return self.endless is None and self.end is not End.RESET
+        is_readable = self.endless is None and self.spoil is None
+        return is_readable and self.end is not End.RESET
 
     @property
     def ends_with_connection(self):
         """Whether the connection can't be kept after the response."""
         is_open = self.framing in (Framing.NONE, Framing.HTTP_1_0)
-        return is_open or self.end in (End.CLOSED, End.CLOSED_SILENTLY, End.RESET)
+        is_closed = self.end in (End.CLOSED, End.CLOSED_SILENTLY, End.RESET)
+        return is_open or is_closed or self.spoil is not None
 
     @property
     def answers_early(self):
         """Whether a long request is answered before its body is read."""
         # A close with unread bytes resets the connection, so the response may be lost.
-        return self.reads_late and not self.ends_with_connection
+        return self.is_cut_early or self.reads_late and not self.ends_with_connection
 
 
 class Piece(msgspec.Struct, frozen=True):
@@ -162,8 +174,9 @@
     Part.CHUNKS: ("chunk_bytes", "has_extensions", "has_trailer"),
     Part.INTERIM_HEADS: ("interim_heads",),
     Part.FIELDS: ("fields",),
-    Part.LATE_READS: ("reads_late",),
+    Part.LATE_READS: ("reads_late", "is_cut_early"),
     Part.ENDLESS: ("endless",),
+    Part.SPOILT: ("spoil",),
 }
 
 
@@ -200,21 +213,32 @@
         fields=_draw_fields(rng),
         reads_late=rng.random() < 0.5,
         endless=rng.choice(list(Endless)) if is_endless else None,
+        spoil=_draw_spoil(rng) if not is_sound and not is_endless else None,
+        is_cut_early=(
+            not is_sound and not is_endless and rng.random() < CUT_EARLY_SHARE
+        ),
     )
 
 
+def _draw_spoil(rng):
+    if rng.random() >= SPOILT_SHARE:
+        return None
+    return rng.choice(list(spoiltheads.Spoil))
+
+
 def _draw_fields(rng):
     fields = rng.sample(ODD_FIELDS, rng.randint(0, 3))
     count = rng.choice((0, 0, MAX_EXTRA_FIELDS))
     return (*fields, *(f"x-{number}: {number}" for number in range(count)))
 
 
-def encode_head(behaviour, fields, size_bytes):
+def encode_head(behaviour, fields, size_bytes, rng=None):
     """Encodes the heads of a response.
 
     :param behaviour: ``Behaviour``.
     :param fields: header fields that each response of the server has.
     :param size_bytes: length of the body.
+    :param rng: ``random.Random`` for a spoilt head.
     :return: bytes.
     """
     is_old = behaviour.framing is Framing.HTTP_1_0
@@ -225,7 +249,10 @@
         *behaviour.fields,
         *_list_framing_fields(behaviour, size_bytes),
     ]
-    return (interim * (not is_old) + "\r\n".join([*lines, "", ""])).encode()
+    interim = interim.encode() * (not is_old)
+    if behaviour.spoil is not None:
+        return interim + spoiltheads.encode_head(behaviour.spoil, lines, rng)
+    return interim + "\r\n".join([*lines, "", ""]).encode()
 
 
 def _list_framing_fields(behaviour, size_bytes):
@@ -238,6 +265,17 @@
     return fields
 
 
+def cut_body(parts):
+    """Cuts the parts of a body off in the middle.
+
+    :param parts: list of bytes.
+    :return: list of bytes.
+    """
+    if len(parts) > 1:
+        return parts[: len(parts) // 2]
+    return [part[: len(part) // 2] for part in parts]
+
+
 def encode_body(behaviour, body):
     """Encodes a part of a body.
 
--- a/packages/standins/wasabiknot_standins/strangeplays.py
+++ b/packages/standins/wasabiknot_standins/strangeplays.py
@@ -28,6 +28,7 @@
     HARM = "requests with a harmful part of their prompts"
     LONG_BODIES = "long bodies"
     ENDLESS = "responses without end"
+    SPOILT = "heads that can't be read"
     LATE_READS = "bodies that are read late"
     ENDS = "ends of connections"
     PACES = "bytes that come bit by bit"
--- a/packages/standins/wasabiknot_standins/strangeservers.py
+++ b/packages/standins/wasabiknot_standins/strangeservers.py
@@ -2,6 +2,7 @@
 
 import functools
 
+import msgspec
 from twisted.internet import reactor
 
 from wasabiknot_standins import floodingworkers, platformworkers, strangebehaviours
@@ -55,6 +56,12 @@
         if behaviour is None or not behaviour.answers_early:
             return
         request.is_answered = True
+        if behaviour.is_cut_early:
+            behaviour = msgspec.structs.replace(
+                behaviour,
+                framing=strangebehaviours.Framing.NONE,
+                end=End.CLOSED_SILENTLY,
+            )
         run = platformworkers.Run(request_id, self.server_id, reactor.seconds())
         self._recorder.runs[request_id].append(run)
         channel = request.channel
@@ -98,6 +105,7 @@
             answer_soundly(request, request_id, disconnects)
             return
         self._release()
+        behaviour = msgspec.structs.replace(behaviour, is_cut_early=False)
         finish = functools.partial(finish_silently, request)
         writer = ResponseWriter(self, request, request_id, behaviour, finish)
         writer.start()
@@ -198,10 +206,16 @@
     def _encode(self):
         behaviour = self._behaviour
         size_bytes = sum(map(len, self._body))
+        head = strangebehaviours.encode_head(
+            behaviour, self._fields, size_bytes, self._rng
+        )
+        body, end = self._body, strangebehaviours.encode_end(behaviour)
+        if behaviour.spoil is not None or behaviour.is_cut_early:
+            body, end = strangebehaviours.cut_body(body), b""
         parts = [
-            strangebehaviours.encode_head(behaviour, self._fields, size_bytes),
-            *(strangebehaviours.encode_body(behaviour, part) for part in self._body),
-            strangebehaviours.encode_end(behaviour),
+            head,
+            *(strangebehaviours.encode_body(behaviour, part) for part in body),
+            end,
         ]
         stop = self._rng.randrange(len(parts))
         for number, part in enumerate(parts):
@@ -230,7 +244,11 @@
         if not self._server.is_open(self._channel):
             return
         end = self._behaviour.end
-        if end is End.RESET:
+        if self._behaviour.is_cut_early:
+            self._channel.transport.loseWriteConnection()
+            delay_s = self._rng.uniform(0.0, strangebehaviours.MAX_RESET_DELAY_S)
+            reactor.callLater(delay_s, self._channel.transport.abortConnection)
+        elif end is End.RESET:
             self._channel.transport.abortConnection()
         elif self._behaviour.ends_with_connection:
             self._channel.transport.loseConnection()
