--- a/packages/standins/tests/test_strangers.py
+++ b/packages/standins/tests/test_strangers.py
@@ -25,8 +25,8 @@
     module = "wasabiknot_standins.strangers"
     # One seed each of both services, behaving soundly and not. 17: long requests were
     # read seconds late beside callers that sent requests without end. 1, 6, 12: clocks,
-    # signals and a herd beside both kinds. 2: heads that were repaired, before a part of
-    # the body. 9: a part of a body, its end, and a reset, while the request was unread.
+    # signals and a herd beside both kinds. 2: heads that were repaired, before a part
+    # of the body. 9: a part, its end, and a reset, while the request was unread.
     SEEDS = (1, 2, 3, 5, 6, 9, 11, 12, 17)
     plays = {seed: (seed, DURATION_S, ENTRIES) for seed in SEEDS}
 
