--- a/packages/entry/tests/test_early_responses.py
+++ b/packages/entry/tests/test_early_responses.py
@@ -9,7 +9,7 @@
 import silent_servers
 from twisted.internet import epollreactor, selectreactor
 
-from wasabiknot_entry import connections, liveness, pools
+from wasabiknot_entry import connections, liveness, pools, response_ends
 
 LONG_BYTES = 1_500_000
 SHORT_BYTES = 10
@@ -157,7 +157,7 @@
         # Guards against a request that waits until its time is over.
         (receiver,) = self.call_all([EarlyServer(stand_still)])
         self.assertEqual(receiver.received[-1], connections.LossReason.UNREAD)
-        self.assertLess(receiver.ended_after_s, connections.MAX_LINGER_S + 1.0)
+        self.assertLess(receiver.ended_after_s, response_ends.MAX_LINGER_S + 1.0)
 
     def test_part_held_back_for_a_slow_caller_is_not_complete_after_a_reset(self):
         reactor = self.create_reactor()
--- a/packages/entry/wasabiknot_entry/connections.py
+++ b/packages/entry/wasabiknot_entry/connections.py
@@ -19,12 +19,14 @@
     liveness,
     malformed_responses,
     request_senders,
+    response_ends,
     responses,
     sockets,
 )
 
 State = connection_states.State
 Event = connection_states.Event
+Verdict = response_ends.Verdict
 
 # Requests of a connection whose late second responses are recognized, and bounds on
 # such responses before the one that is due.
@@ -32,12 +34,6 @@
 MAX_SKIPPED_RESPONSES = 4
 MAX_SKIPPED_BYTES = 4 * 1024 * 1024
 
-# Longest time for which a server that has ended its response may go on reading the
-# request, and the interval of the checks whether it has.
-MAX_LINGER_S = 2.0
-# Time after that end in which a reset shows that a long request was left unread.
-RESET_WAIT_S = 0.1
-LINGER_CHECK_INTERVAL_S = 0.02
 # After a response to this method, the connection isn't used for HTTP any more.
 TUNNEL_METHOD = b"CONNECT"
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
@@ -128,7 +124,7 @@
         self._is_lost = False
         # Whether the server sends nothing more. It may still read the request.
         self._has_server_ended = False
-        self._linger_check = None
+        self._end_check = None
         self._server_ended_s = 0.0
         self._idle_timeout_s = None
         self.idle_since_s = None
@@ -173,16 +169,11 @@
         self._sender = request_senders.RequestSender(
             self.transport, encoded_head, request.body
         )
-        if self._is_long:
+        if self._sender.is_long:
             handle = self.transport.getHandle()
             self._window = liveness.WindowWatch(handle, self._pool.silence)
             self._pool.watch(self)
 
-    @property
-    def _is_long(self):
-        # A server may have left a part of such a body unread when it answers.
-        return len(self._request.body) >= request_senders.MIN_LONG_BODY_BYTES
-
     def check_window(self):
         """Ends the connection if its host is gone while its server didn't read."""
         if not self._is_lost and self._window.is_host_lost():
@@ -285,7 +276,7 @@
         # Another request would wait behind it until the server reads on.
         if not self._sender.is_done:
             return True
-        if not self._is_long:
+        if not self._sender.is_long:
             return False
         return sockets.read_send_queue(self.transport.getHandle()).unsent_bytes > 0
 
@@ -320,9 +311,9 @@
         # The connection may be kept for long; the body isn't.
         if self._sender is not None:
             self._sender.stop()
-        if self._linger_check is not None:
-            self._linger_check.cancel()
-            self._linger_check = None
+        if self._end_check is not None:
+            self._end_check.cancel()
+            self._end_check = None
         if self._window is not None:
             self._window.stop()
             self._pool.unwatch(self)
@@ -352,7 +343,7 @@
     def _handle_server_end(self):
         if self._ends_with_connection:
             self._server_ended_s = self._pool.seconds()
-            self._check_request()
+            self._check_end()
         elif self._is_in_flight:
             self._fail(LossReason.MALFORMED)
         elif self._state is State.IDLE:
@@ -363,32 +354,26 @@
         is_responding = self._state is State.RESPONDING
         return is_responding and self._reader.ends_with_connection
 
-    def _check_request(self):
-        self._linger_check = None
-        ended_for_s = self._pool.seconds() - self._server_ended_s
-        wait_s = RESET_WAIT_S if self._is_long else 0.0
-        if self._is_reset:
-            self._fail(LossReason.RESET)
-        elif self._is_request_taken and ended_for_s >= wait_s:
+    def _check_end(self):
+        self._end_check = None
+        verdict = self._judge_end()
+        if verdict is Verdict.COMPLETE:
             self._finish_response()
-        elif ended_for_s >= MAX_LINGER_S:
-            self._fail(LossReason.UNREAD)
-        else:
-            self._linger_check = self._pool.call_later(
-                LINGER_CHECK_INTERVAL_S, self._check_request
+        elif verdict is Verdict.OPEN:
+            self._end_check = self._pool.call_later(
+                response_ends.CHECK_INTERVAL_S, self._check_end
             )
-
-    @property
-    def _is_reset(self):
-        # Without a body, nothing was left unread that could explain a reset.
-        queue = sockets.read_send_queue(self.transport.getHandle())
-        return queue.is_closed and bool(self._request.body)
-
-    @property
-    def _is_request_taken(self):
-        # The end of a response proves nothing before its server's host has it all.
-        queue = sockets.read_send_queue(self.transport.getHandle())
-        return self._sender.is_written and queue.is_empty
+        else:
+            is_reset = verdict is Verdict.RESET
+            self._fail(LossReason.RESET if is_reset else LossReason.UNREAD)
+
+    def _judge_end(self):
+        return response_ends.judge(
+            self._sender,
+            self.transport.getHandle(),
+            len(self._request.body),
+            self._pool.seconds() - self._server_ended_s,
+        )
 
     def connectionLost(self, reason=protocol.connectionDone):  # noqa: N802
         """Ends the request in flight, once all that has come is handled."""
@@ -398,8 +383,10 @@
 
     def _end(self, reason):
         is_closed = reason.check(error.ConnectionDone) is not None
-        if is_closed and self._ends_with_connection and self._is_request_taken:
-            self._finish_response()
+        if is_closed and self._ends_with_connection:
+            # It was closed both ways at once, so nothing more can come.
+            if self._judge_end() is Verdict.COMPLETE:
+                self._finish_response()
         if self._is_in_flight:
             self._fail(LossReason.MALFORMED if is_closed else LossReason.RESET)
         self._advance(Event.LOST)
--- a/packages/entry/wasabiknot_entry/request_senders.py
+++ b/packages/entry/wasabiknot_entry/request_senders.py
@@ -2,7 +2,8 @@
 
 # Bytes of a body that are handed to the transport at a time.
 PART_BYTES = 65_536
-# The operating system takes a request with a shorter body at once.
+# The operating system takes a request with a shorter body at once. A server may have
+# left a part of a longer one unread when it answers.
 MIN_LONG_BODY_BYTES = 4 * 1024
 
 
@@ -18,8 +19,9 @@
         self._transport = transport
         self._body = body
         self._offset = 0
+        self.is_long = len(body) >= MIN_LONG_BODY_BYTES
         # Whether the operating system has the whole request.
-        self.is_written = len(body) < MIN_LONG_BODY_BYTES
+        self.is_written = not self.is_long
         self._is_registered = False
         self._write_part(head)
         if not self.is_written:
--- a/packages/kernel/tests/releaseplays.py
+++ b/packages/kernel/tests/releaseplays.py
@@ -25,6 +25,7 @@
     :param late_s: time in seconds from which the new version is bad.
     :param lost: fraction of the responses of all servers that are lost.
     :param broken: numbers of the servers of both sides that fail half of the requests.
+    :param broken_new: numbers of the servers of the new side that fail all requests.
     :param slowed: numbers of the servers of both sides that are four times slower for
         half of the time.
     :param kills_s: times in seconds at which all entries are killed.
@@ -38,6 +39,7 @@
         late_s=0.0,
         lost=0.0,
         broken=(),
+        broken_new=(),
         slowed=(),
         kills_s=(),
         **options,
@@ -47,6 +49,7 @@
         self.late_s = late_s
         self.lost = lost
         self.broken = broken
+        self.broken_new = broken_new
         self.slowed = slowed
         self.kills_s = list(kills_s)
         options = {
@@ -69,6 +72,8 @@
         number = int(server.server_id[-1])
         if number in self.broken and self.rng.random() < 0.5:
             return "failed"
+        if self.is_new(server) and number in self.broken_new:
+            return "bad"
         if self.is_bad(server) and self.rng.random() < self.failing:
             return "bad"
         return "lost" if self.rng.random() < self.lost else ""
--- a/packages/kernel/tests/test_failure_rates.py
+++ b/packages/kernel/tests/test_failure_rates.py
@@ -41,6 +41,14 @@
     def test_failures_are_not_hidden_by_broken_servers(self, seed, rate):
         self.assertTrue(self.find(seed, [rate] * 5, [0.5, 0.5, 0, 0, 0]))
 
+    @settings(max_examples=100, deadline=None)
+    @given(strategies.integers(0, 1_000), strategies.sampled_from((6, 8, 12)))
+    def test_version_is_failing_if_half_of_its_servers_are_broken(self, seed, count):
+        half = count // 2
+        rates = [1.0] * half + [0.0] * half
+        self.assertTrue(self.find(seed, rates, [0.0] * count))
+        self.assertEqual(self.find(seed, rates, rates), "")
+
     @settings(max_examples=200, deadline=None)
     @given(
         strategies.integers(0, 1_000),
--- a/packages/kernel/tests/test_release_load.py
+++ b/packages/kernel/tests/test_release_load.py
@@ -60,6 +60,16 @@
     def test_failing_version_is_not_hidden_by_trouble_of_the_old_one(self):
         self.check(BAD["failing"])
 
+    def test_version_that_is_broken_on_half_of_its_servers_is_not_promoted(self):
+        # Guards against servers that are left out though only the new side has them.
+        for seed in range(12):
+            with self.subTest(seed=seed):
+                options = {"broken_new": (0, 1, 2), "servers_per_side": 6}
+                world = releaseplays.ReleaseWorld(seed, **options).play()
+                self.assertEqual(world.count_excess(), 0)
+                self.assertEqual(world.count_late(), 0)
+                self.assertIsNotNone(world.left_s)
+
     def test_version_that_fails_later_is_not_hidden_by_trouble_of_the_old_one(self):
         self.check(BAD["failing later"])
 
--- a/packages/kernel/wasabiknot_kernel/failure_rates.py
+++ b/packages/kernel/wasabiknot_kernel/failure_rates.py
@@ -2,8 +2,9 @@
 
 Each kind of failure is compared with the same kind, as trouble of one kind on both
 sides says nothing about another. Backend servers that fail far more often than the
-others of their side are broken themselves, and are left out on both sides. A failure
-may come sooner than a complete response, so requests in flight count as responses.
+others of their side are broken themselves, and are left out on both sides. If chance
+hardly explains that only new ones are, the version is the likelier cause. A failure may
+come sooner than a complete response, so requests in flight count as responses.
 """
 
 import math
@@ -25,6 +26,9 @@
 # broken, and the largest fraction of them.
 MIN_LIKELIHOOD_GAIN = 3.5
 MAX_BROKEN_FRACTION = 0.5
+# Chance that all broken servers of both sides are on the new one, below which they are
+# counted against the version.
+MIN_ONE_SIDED_CHANCE = 0.1
 
 
 class Count(msgspec.Struct, frozen=True):
@@ -67,6 +71,8 @@
     has_broken = len(old_sound) < len(old_servers)
     new_servers = _list_counts(new, kind)
     new_sound = _drop_broken(new_servers, 0.0 if has_broken else MIN_LIKELIHOOD_GAIN)
+    if not has_broken and _is_version_broken(new_servers, new_sound, old_servers):
+        new_sound = new_servers
     new_total, old_total = _add(new_sound, running), _add(old_sound)
     reason = _compare("all routes", kind, new_total, old_total)
     if reason or has_broken or len(new_sound) < len(new_servers):
@@ -84,6 +90,14 @@
     return ""
 
 
+def _is_version_broken(new, new_sound, old):
+    # By the number of ways to choose the broken servers among all.
+    broken = len(new) - len(new_sound)
+    one_sided = math.comb(len(new), broken)
+    chance = one_sided / math.comb(len(new) + len(old), broken)
+    return chance < MIN_ONE_SIDED_CHANCE
+
+
 def _count(stats, kind):
     failures = stats.count_failures(kind)
     return Count(failures, stats.successes + failures)
