Call a response that is cut early unsound in the rig as well

Found on reading the diff: Behaviour.is_sound says whether the caller gets a whole response, and said so of one that is cut early.

--- a/packages/standins/tests/test_strangers.py
+++ b/packages/standins/tests/test_strangers.py
@@ -133,6 +133,10 @@
         data += strangebehaviours.encode_end(behaviour)
         self.assertEqual(self.read(behaviour, data, rng), (body, True))
 
+    def test_response_that_is_cut_early_is_not_sound(self):
+        behaviour = strangebehaviours.Behaviour(is_cut_early=True)
+        self.assertFalse(behaviour.is_sound)
+
     @given(
         strategies.integers(),
         strategies.sampled_from(spoiltheads.Spoil),
--- a/packages/standins/wasabiknot_standins/strangebehaviours.py
+++ b/packages/standins/wasabiknot_standins/strangebehaviours.py
@@ -127,8 +127,9 @@
     @property
     def is_sound(self):
         """Whether the caller gets a whole response."""
-        is_readable = self.endless is None and self.spoil is None
-        return is_readable and self.end is not End.RESET
+        if self.is_cut_early or self.spoil is not None:
+            return False
+        return self.endless is None and self.end is not End.RESET
 
     @property
     def ends_with_connection(self):
