Drain failure domains on the order of operators

Cause: a record evacuate/ZONE was ignored, and requests still reached the servers of a domain that operators had emptied.

Weighed: a mark in each registration misses servers that register later; removing the servers loses their requests in flight. A message of its own in digests is not needed, as facts of the topic are copied from peers anyway.

Change: domain_drains holds the orders by domain, Server.is_retired asks it, so that the queue, substitutes, resumptions, probes and the assignment to groups obey. An order counts by its key; odd records are logged. A request whose connection is being opened is withdrawn. Waiting requests of a service with drained servers only are refused at once. Crash evidence asks is_ending, which leaves drains out.

--- a/packages/entry/tests/test_server_metrics.py
+++ b/packages/entry/tests/test_server_metrics.py
@@ -50,3 +50,10 @@
             self.eligibility.record(f"w{number}", 1, ALL, 0.0, 0.0)
         text = self.render()
         self.assertIn('statements_total{kind="leaving",server="other"} 5.0', text)
+
+    def test_drained_domains_are_shown_until_the_drain_ends(self):
+        self.eligibility.drains.order("graz")
+        line = 'wasabiknot_drained_domain{domain="graz"} 1.0'
+        self.assertIn(line, self.render())
+        self.eligibility.drains.lift("graz")
+        self.assertNotIn(line, self.render())
--- a/packages/entry/wasabiknot_entry/edge_entries.py
+++ b/packages/entry/wasabiknot_entry/edge_entries.py
@@ -22,6 +22,7 @@
     crash_metrics,
     crash_writers,
     deployment_views,
+    drain_orders,
     edge_settings,
     eventloops,
     followers,
@@ -364,6 +365,10 @@
         self._restorations.check_topic(topic)
 
     def _apply_operator_fact(self, fact, source):
+        if fact.key.startswith(configurations.DRAIN_PREFIX):
+            now_s = reactor.seconds()
+            drain_orders.apply_record(self._deployment, fact, now_s, source)
+            return True
         if fact.value is None:
             return True
         if fact.key.startswith(configurations.ORDER_PREFIX):
--- a/packages/entry/wasabiknot_entry/flows.py
+++ b/packages/entry/wasabiknot_entry/flows.py
@@ -372,8 +372,9 @@
         ticket = self.ticket
         if result.outcome not in outcomes.NOT_EXECUTED:
             ticket.may_have_run = True
-        if result.outcome is Outcome.UNREACHABLE:
+        if result.outcome in outcomes.NOT_SENT:
             ticket.sends -= 1
+        if result.outcome is Outcome.UNREACHABLE:
             ticket.unreached += 1
         dispatcher = self.dispatcher
         dispatcher.record_end(ticket, assignment.server, result.outcome, now_s)
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -666,6 +666,9 @@
         :param now_s: current reactor time in seconds.
         """
         monitor = self._deployment.crash_monitor
+        if result.outcome is Outcome.WITHDRAWN:
+            self._metrics.count_attempt(result.outcome)
+            return
         if _is_path_failure(result):
             self.record_path_failure(server, result.is_new_connection, now_s)
         if result.outcome is Outcome.UNREACHABLE:
--- a/packages/entry/wasabiknot_entry/relays.py
+++ b/packages/entry/wasabiknot_entry/relays.py
@@ -99,6 +99,10 @@
     _retry_after_s = None
     _status = 0
 
+    def _is_withdrawn(self):
+        # The peer decides at its own send.
+        return False
+
     def handle_head(self, head):
         """Handles the head of the response of a backend server, or of an error."""
         fields = dict(head.headers)
--- a/packages/entry/wasabiknot_entry/send_attempts.py
+++ b/packages/entry/wasabiknot_entry/send_attempts.py
@@ -87,6 +87,7 @@
         self._build_request = build_request
         self._receiver = receiver
         self._connection = None
+        self._pool = pool
         self._buffers = pool.buffers
         self._head = None
         self._body = bytearray()
@@ -112,6 +113,10 @@
         if self.phase is Phase.ENDED:
             connection.abort()
             return
+        if self._is_withdrawn():
+            self._pool.release(connection, None)
+            self._finish(Result(Outcome.WITHDRAWN, detail="drained"))
+            return
         self._connection = connection
         try:
             connection.send(self._build_request(), self)
@@ -123,6 +128,9 @@
         self._heard_s = self._reactor.seconds()
         self._start_first_event_timer()
 
+    def _is_withdrawn(self):
+        return self._assignment.server.is_drained
+
     def _handle_connect_failure(self, failure):
         if self.phase is not Phase.ENDED:
             is_refused = failure.check(error.ConnectionRefusedError) is not None
--- a/packages/entry/wasabiknot_entry/server_metrics.py
+++ b/packages/entry/wasabiknot_entry/server_metrics.py
@@ -7,6 +7,8 @@
 # Bounds the number of time series; statements of further servers count as "other".
 MAX_SERVERS = 256
 OTHER_SERVERS = "other"
+# Bounds the number of drained failure domains that are shown.
+MAX_DOMAINS = 64
 
 
 class ServerMetrics:
@@ -69,4 +71,11 @@
                 leaving.add_metric([state.server_id], 1)
             if state.deferred_s:
                 deferred.add_metric([state.server_id], state.deferred_s)
-        yield from (count, limit, leaving, deferred)
+        drained = core.GaugeMetricFamily(
+            "wasabiknot_drained_domain",
+            "1 for a failure domain that operators have drained.",
+            labels=["domain"],
+        )
+        for domain in self._eligibility.drains.list_domains()[:MAX_DOMAINS]:
+            drained.add_metric([domain], 1)
+        yield from (count, limit, leaving, deferred, drained)
--- a/packages/kernel/wasabiknot_kernel/crash_monitors.py
+++ b/packages/kernel/wasabiknot_kernel/crash_monitors.py
@@ -158,7 +158,7 @@
         :param server: ``servers.Server`` that has ended.
         :param now_s: current time in seconds.
         """
-        if server.is_retired:
+        if server.is_ending:
             return
         server_key = self._attribution.get_server_key(server.registration)
         self._attribution.record_refusal(server_key, now_s)
@@ -172,7 +172,7 @@
         """
         registration = server.registration
         # One that has announced its end may break off what it still runs.
-        if not server.is_retired:
+        if not server.is_ending:
             self._record_end(registration, now_s, crash_records.Evidence.REMOVED)
         self._attribution.forget(registration)
         if self._ids_by_address.get(registration.address) == registration.server_id:
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -11,6 +11,7 @@
     crashes,
     digest_builders,
     dispatch,
+    domain_drains,
     eligibility,
     engine_paces,
     facts,
@@ -248,6 +249,40 @@
             self._peer_loads.apply_known(server)
         self.releases.record_version(registration.service, registration.version, now_s)
 
+    def order_drain(self, domain):
+        """Drains a failure domain: nothing more is sent to its backend servers.
+
+        :param domain: failure domain, known or not.
+        :return: ``domain_drains.DrainChange``.
+        """
+        step = self.eligibility.drains.order(domain)
+        self._assign_servers()
+        return domain_drains.DrainChange(domain, step, self._count_servers(domain))
+
+    def lift_drain(self, domain, now_s):
+        """Returns a drained failure domain to service.
+
+        :param domain: failure domain.
+        :param now_s: current time in seconds.
+        :return: ``domain_drains.DrainChange``; ``None`` if it was not drained.
+        """
+        if not self.eligibility.drains.lift(domain):
+            return None
+        self._assign_servers()
+        lifted = domain_drains.DrainStep.LIFTED
+        return domain_drains.DrainChange(domain, lifted, self._count_servers(domain))
+
+    def _count_servers(self, domain):
+        return len(self._list_servers(domain))
+
+    def _list_servers(self, domain):
+        return [
+            server
+            for dispatcher in self._dispatchers.values()
+            for server in dispatcher.servers.values()
+            if server.registration.domain == domain
+        ]
+
     def apply_removal(self, server_id, now_s):
         """Removes a backend server that is no longer registered.
 
@@ -625,7 +660,11 @@
                 dispatcher.group_servers_key = None
             return
         for dispatcher in self._dispatchers.values():
-            key = (self.roster.groups_version, dispatcher.servers_version)
+            key = (
+                self.roster.groups_version,
+                dispatcher.servers_version,
+                self.eligibility.drains.version,
+            )
             if dispatcher.group_servers_key != key:
                 dispatcher.group_servers_key = key
                 dispatcher.group_servers = self._find_preferred_servers(dispatcher)
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -83,6 +83,8 @@
 # Probability that a sound server lets plain requests wait as long as they have, below
 # which they may leave it.
 MAX_SOUND_PROBABILITY = 0.01
+# Reason to refuse a request that waits.
+DRAINED = "all servers are in drained failure domains"
 # Reason to leave a request at a silent server.
 MAY_STILL_RUN = "may still run"
 # Time from which a server that takes nothing, by what it has stated, doesn't keep
@@ -232,7 +234,7 @@
         self.name = ""
         # Failure domain of this entry; empty if it doesn't matter.
         self.domain = ""
-        # Versions of the groups and servers from which group_servers was computed.
+        # Versions of the groups, servers and drains from which group_servers follows.
         self.group_servers_key = None
         # Output tokens per stream event.
         self.event_tokens = 1
@@ -466,12 +468,17 @@
         :return: list of ``Refusal``.
         """
         decisions = []
+        is_drained = self._is_drained()
         for ticket in self.list_waiting():
             waited_s = now_s - ticket.arrived_s
             harmful = self._find_harmful_refusal(ticket, now_s)
             if harmful is not None:
                 self.withdraw(ticket)
                 decisions.append(harmful)
+            elif is_drained and not ticket.is_begun:
+                self.withdraw(ticket)
+                kind = exceptions.ErrorKind.NO_WORKER
+                decisions.append(self._create_refusal(ticket, kind, DRAINED))
             elif not ticket.is_begun and waited_s > compute_max_wait_s(ticket):
                 self.withdraw(ticket)
                 kind = exceptions.ErrorKind.QUEUE_FULL
@@ -479,6 +486,14 @@
                 decisions.append(self._create_refusal(ticket, kind, reason, now_s))
         return decisions
 
+    def _is_drained(self):
+        # Drains hold for long; of other causes, the servers are mostly back soon.
+        if not self._eligibility.drains:
+            return False
+        listed = self.servers.values()
+        has_drained = any(item.is_drained and not item.is_ending for item in listed)
+        return has_drained and all(item.is_retired for item in listed)
+
     def replace_silent_server(self, ticket, budget, has_time, now_s):
         """Assigns a request to another server because its own one is silent.
 
@@ -928,7 +943,7 @@
         elif outcome is outcomes.Outcome.REJECTED:
             ticket.rejected_by.add(server.server_id)
             server.record_rejection(now_s)
-        elif outcome is not outcomes.Outcome.CANCELLED:
+        elif outcome not in outcomes.UNJUDGED:
             is_backed_off = outcome in outcomes.BACKED_OFF
             server.record_failure(now_s, is_backed_off)
 
--- a/packages/kernel/wasabiknot_kernel/eligibility.py
+++ b/packages/kernel/wasabiknot_kernel/eligibility.py
@@ -8,13 +8,15 @@
 | limit of requests a second | ``limits`` | it states none | all entries |
 | leaving | here | this start of the server is gone | all entries |
 | no request for a time | ``deferrals`` | a trial after it succeeds | this entry |
+
+What operators order for failure domains is in ``domain_drains``.
 """
 
 import contextlib
 
 import msgspec
 
-from wasabiknot_kernel import deferrals, limits, statements
+from wasabiknot_kernel import deferrals, domain_drains, limits, statements
 
 # Time for which a leaving server that isn't registered is remembered: its registration
 # may come back after an outage of the store.
@@ -45,6 +47,7 @@
         self.changed_s = dict.fromkeys(statements.Channel, NEVER_S)
         self.limits = limits.LimitTable(name, self._changes)
         self._deferrals = deferrals.DeferralTable()
+        self.drains = domain_drains.DomainDrains()
         # By the server's id and its start: peers may still report an earlier start.
         self._leaving = {}
         # Starts of the servers in Unix milliseconds, and since when those that aren't
--- a/packages/kernel/wasabiknot_kernel/events.py
+++ b/packages/kernel/wasabiknot_kernel/events.py
@@ -281,6 +281,20 @@
     DATAGRAM_BAD = EventDefinition(
         1501, logging.WARNING, "bad datagram from {peer}: {error}"
     )
+    DRAIN_ORDERED = EventDefinition(
+        1801,
+        logging.WARNING,
+        "failure domain {domain} is drained, {servers} servers, read from {source}",
+    )
+    DRAIN_LIFTED = EventDefinition(
+        1802,
+        logging.WARNING,
+        "failure domain {domain} is in service again, {servers} servers, read from"
+        " {source}",
+    )
+    DRAIN_ODD = EventDefinition(
+        1803, logging.WARNING, "drain of failure domain {domain}: {problem}"
+    )
     LINES_LEFT_OUT = EventDefinition(
         1902, logging.WARNING, "suppressed {count} lines of {event}"
     )
--- a/packages/kernel/wasabiknot_kernel/outcomes.py
+++ b/packages/kernel/wasabiknot_kernel/outcomes.py
@@ -12,7 +12,8 @@
 
     ``RESPONSE_LOST`` also covers a response to another request and a stream that ends
     within an event; ``ENDLESS`` is a response that is longer, or takes longer to read,
-    than any that was asked for. The values appear in logs and metrics.
+    than any that was asked for; ``WITHDRAWN`` was not sent, as the server was drained
+    while the connection was opened. The values appear in logs and metrics.
     """
 
     COMPLETE = "whole"
@@ -23,10 +24,15 @@
     UNREACHABLE = "unreached"
     TIMED_OUT = "silent"
     CANCELLED = "cancelled"
+    WITHDRAWN = "withdrawn"
 
 
 # Outcomes after which the backend server certainly did not run the request.
-NOT_EXECUTED = frozenset({Outcome.REJECTED, Outcome.UNREACHABLE})
+NOT_EXECUTED = frozenset({Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.WITHDRAWN})
+# Outcomes of requests that were not sent; they count as no attempt.
+NOT_SENT = frozenset({Outcome.UNREACHABLE, Outcome.WITHDRAWN})
+# Outcomes that say nothing of the backend server.
+UNJUDGED = frozenset({Outcome.CANCELLED, Outcome.WITHDRAWN})
 # Failures after which the backend server is left alone for a time.
 BACKED_OFF = frozenset({Outcome.UNREACHABLE, Outcome.TIMED_OUT, Outcome.ENDLESS})
 # Obstacles to another send, for the log.
@@ -75,7 +81,7 @@
     if outcome in (Outcome.COMPLETE, Outcome.CANCELLED):
         return RetryDecision(Step.FORWARD_RESPONSE)
     has_time = now_s + min_send_s < ticket.deadline_s
-    if outcome is Outcome.UNREACHABLE:
+    if outcome in NOT_SENT:
         if has_time:
             return RetryDecision(Step.RESEND, reason="not sent")
         return _end_not_run(ticket, "no time left")
--- a/packages/kernel/wasabiknot_kernel/releases.py
+++ b/packages/kernel/wasabiknot_kernel/releases.py
@@ -322,9 +322,9 @@
             unknown.
         """
         tracked = self._orders.get(ticket.service)
-        if tracked is None or outcome in (Outcome.REJECTED, Outcome.CANCELLED):
+        if tracked is None or outcome is Outcome.CANCELLED:
             return
-        if outcome is Outcome.UNREACHABLE:
+        if outcome in outcomes.NOT_EXECUTED:
             return
         is_good = outcome is Outcome.COMPLETE
         # Results are counted by route and by backend server: "r/" and "s/" in the keys.
--- a/packages/kernel/wasabiknot_kernel/servers.py
+++ b/packages/kernel/wasabiknot_kernel/servers.py
@@ -103,7 +103,17 @@
 
     @property
     def is_retired(self):
-        """Whether the server gets no new requests: it leaves, is gone or replaced."""
+        """Whether the server gets no new requests: it ends or is drained."""
+        return self.is_ending or self.is_drained
+
+    @property
+    def is_drained(self):
+        """Whether operators have drained the failure domain of the server."""
+        return self._eligibility.drains.is_drained(self.registration.domain)
+
+    @property
+    def is_ending(self):
+        """Whether the server leaves, is gone or was replaced."""
         registration = self.registration
         if self.is_gone or self.lost_address == registration.address:
             return True
