Check a configuration of routes before it is sent, and compare it with the one in force

Operators learned of a route behind another with its prefix, of a key that two customers hold, or of an objective beyond its timeout only from requests that went wrong. check-routes lists errors, entries that never match and values that contradict each other, each with its place, and what differs from another file or from the version in force in the store; keys are counted, not shown.

Ruled out: a check in the entries, which must follow whatever the store has accepted.

--- a/packages/operator/wasabiknot_operator/main.py
+++ b/packages/operator/wasabiknot_operator/main.py
@@ -9,10 +9,12 @@
 from returns import pipeline
 from twisted.internet import defer, task
 
+from wasabiknot_kernel import configuration_changes, configuration_checks
 from wasabiknot_operator import (
     configurations,
     formats,
     publications,
+    route_configurations,
     sites,
     systems,
 )
@@ -29,6 +31,7 @@
     NOT_IN_FORCE = 4
     UNREACHABLE = 5
     NOT_FOUND = 6
+    DOUBTFUL = 7
 
 
 PUBLISH_CODES = {
@@ -72,6 +75,71 @@
     return ExitCode.BAD_INPUT if faults else ExitCode.OK
 
 
+class RouteCheckReport(msgspec.Struct, frozen=True):
+    """The result of the ``check-routes`` command.
+
+    :param problems: all ``configuration_checks.Problem``; empty if there are none.
+    :param changes: ``configuration_changes.Change`` against the other version, in
+        the order of the fields; ``None`` if there is none to compare with.
+    """
+
+    problems: tuple
+    changes: tuple | None = None
+
+
+def check_routes(
+    file: pathlib.Path,
+    *,
+    against: pathlib.Path | None = None,
+    store: str | None = None,
+    json: bool = False,
+):
+    """Check a configuration of routes before it is sent, and compare it.
+
+    Each problem is printed as PLACE: KIND: TEXT, each difference as PLACE: OLD -> NEW.
+    Exit codes: 0 no problems, 2 there are errors, 5 the store can't be reached, 7 no
+    errors, but entries that never match or values that contradict each other.
+
+    :param file: the configuration, as JSON
+    :param against: file with another version to compare with
+    :param store: host and port of the store, to compare with the version in force
+    :param json: print JSON
+    """
+    try:
+        configuration = route_configurations.load_file(file)
+        other = route_configurations.load_file(against) if against else None
+    except route_configurations.LoadError as error:
+        print(error, file=sys.stderr)
+        return ExitCode.BAD_INPUT
+    if store is None:
+        return _report_routes(configuration, other, json)
+
+    async def report_with_store(reactor):
+        try:
+            in_force = await route_configurations.fetch_in_force(store)
+        except route_configurations.LoadError as error:
+            print(error, file=sys.stderr)
+            return ExitCode.UNREACHABLE
+        return _report_routes(configuration, in_force, json)
+
+    return _react(report_with_store)
+
+
+def _report_routes(configuration, other, json):
+    problems = configuration_checks.list_problems(configuration)
+    lines = [str(problem) for problem in problems] or ["no problems"]
+    changes = None
+    if other is not None:
+        changes = tuple(configuration_changes.list_changes(other, configuration))
+        lines.append(f"differences from version {other.version}: {len(changes)}")
+        lines.extend(str(change) for change in changes)
+    _print(RouteCheckReport(tuple(problems), changes), lines, json)
+    kinds = {problem.kind for problem in problems}
+    if configuration_checks.ProblemKind.ERROR in kinds:
+        return ExitCode.BAD_INPUT
+    return ExitCode.DOUBTFUL if kinds else ExitCode.OK
+
+
 def publish(
     directory: pathlib.Path,
     *,
@@ -154,20 +222,27 @@
     if not pipeline.is_successful(site):
         print(site.failure(), file=sys.stderr)
         return ExitCode.BAD_INPUT
-    codes = []
 
     async def main(reactor):
         try:
             report = await fetch_report(reactor, systems.SystemClient(site.unwrap()))
         except systems.SystemUnreachableError as error:
             print(error, file=sys.stderr)
-            codes.append(ExitCode.UNREACHABLE)
-            return
+            return ExitCode.UNREACHABLE
         _print(report, formats.format_lines(report), json)
-        codes.append(choose_code(report))
+        return choose_code(report)
+
+    return _react(main)
+
+
+def _react(main):
+    codes = []
+
+    async def run_main(reactor):
+        codes.append(await main(reactor))
 
     try:
-        task.react(lambda reactor: defer.ensureDeferred(main(reactor)))
+        task.react(lambda reactor: defer.ensureDeferred(run_main(reactor)))
     except SystemExit as error:
         if error.code:
             return error.code
@@ -187,7 +262,7 @@
     :param arguments: command-line arguments; those of the process by default.
     """
     code = defopt.run(
-        [check, publish, status, vms, explain],
+        [check, check_routes, publish, status, vms, explain],
         argv=arguments,
         short={},
         argparse_kwargs={
