Let one group a failure domain read the store, and starts copy from peers

Cause: each group had a reader, and each start listed five topics, so calls to the store grew with the number of groups and entries.

Where there are several groups, the leader of each group now decides from the reads that summaries report whether its group reads, and tells the members in its digest (is_reading_group). One group a failure domain reads; once its reads are stale, its other members take turns, then the other groups. Positions in summaries already made leaders fetch from leaders, so the news of any reader reaches all groups. An entry that starts lists the members and copies the other topics from a peer; it lists them from the store after 0.3 to 0.9 s. While the registrations can't be read, the other topics aren't tried. Facts that a peer already has are not sent again as a full topic. A single group reads as before; its start lists the members first.

Whether the store was away is now judged by the time between two reads, as the reads of other groups are known late.

Weighed: two readers for all (a failure domain that is cut off would learn late), and members deciding by themselves (they know one summary only).

--- a/packages/entry/tests/fleets.py
+++ b/packages/entry/tests/fleets.py
@@ -176,6 +176,7 @@
         self.deployment = deployments.Deployment(
             member, policy, random.Random(member.name)
         )
+        self.is_fetching = False
         self.reader_role = followers.ReaderRole(
             lambda: self.is_running and self.deployment.should_read_store(fleet.now_s)
         )
@@ -186,8 +187,9 @@
             self.apply_facts,
             followers.StoreHealth(fleet.clock, self.deployment),
             self.reader_role,
+            random.Random(member.name),
+            self.copy_facts,
         )
-        self.is_fetching = False
 
     def apply_facts(self, topic, changed, source):
         for fact in changed:
@@ -203,11 +205,23 @@
         self.is_fetching = True
         self.fleet.clock.callLater(self.fleet.fetch_s, self.fetch, peer.member.name)
 
+    def copy_facts(self, member):
+        copied = defer.Deferred()
+
+        def finish():
+            self.fetch(member.name)
+            copied.callback(None)
+
+        self.fleet.clock.callLater(self.fleet.fetch_s, finish)
+        return copied
+
     def fetch(self, name):
         self.is_fetching = False
         source = self.fleet.entries.get(name)
         if source is None or name in self.fleet.cut | self.fleet.paused:
             return
+        if self.fleet.is_parted(self.deployment.member.name, name):
+            return
         for topic in source.deployment.topics.values():
             own = self.deployment.get_topic(topic.name)
             if topic.is_loaded:
@@ -218,19 +232,23 @@
 
 
 class Fleet:
-    """Entries in five failure domains.
+    """Entries in some failure domains.
 
     :param seed: seed of what is random.
     :param poll_interval_s: seconds between two reads of the registrations.
+    :param domains: number of failure domains.
     """
 
-    def __init__(self, seed, poll_interval_s):
+    def __init__(self, seed, poll_interval_s, domains=GROUP_DOMAINS):
+        self._domains = domains
         self.clock = task.Clock()
         self.clock.advance(1_000.0)
         self.rng = random.Random(seed)
         self.store = Store(self.clock)
         self.entries = {}
         self.cut = set()
+        # Entries that reach only each other and the store.
+        self.parted = set()
         # Entries whose processes are paused.
         self.paused = set()
         self.fetch_s = FETCH_S
@@ -258,12 +276,16 @@
 
     def _start_one(self, name):
         self._run += 1
-        domain = f"d{int(name[1:]) % GROUP_DOMAINS}"
+        domain = f"d{int(name[1:]) % self._domains}"
         member = members.Member(name, f"run-{self._run}", "10.0.0.1", 7000, domain)
         self.entries[name] = Entry(self, member, self.policy)
         self.store.calls += 1
         self.store.append(stores.MEMBER_TOPIC, name, msgspec.json.encode(member))
 
+    def is_parted(self, name, other_name):
+        """Tells whether two entries can't reach each other."""
+        return (name in self.parted) != (other_name in self.parted)
+
     def kill(self, names):
         """Ends entries without notice."""
         for name in names:
@@ -304,6 +326,8 @@
             return
         for peer in peers:
             name = peer.member.name
+            if self.is_parted(sender.deployment.member.name, name):
+                continue
             if name in self.entries and name not in self.cut | self.paused:
                 for digest in digests:
                     self.entries[name].receive(digest)
--- a/packages/entry/wasabiknot_entry/edge_entries.py
+++ b/packages/entry/wasabiknot_entry/edge_entries.py
@@ -103,7 +103,7 @@
             _compute_capacity(settings),
             _find_relay_port(settings),
         )
-        rng = random.Random(secrets.randbits(64))
+        self._rng = rng = random.Random(secrets.randbits(64))
         policy = _create_policy(settings)
         self._deployment = deployments.Deployment(self._member, policy, rng)
         metrics = request_metrics.RequestMetrics()
@@ -201,6 +201,8 @@
             self._apply_facts,
             self._health,
             self._reader_role,
+            self._rng,
+            self._gossip.copy_from,
         )
         for topic, follower in followed.items():
             self._restorations.add_follower(topic, follower)
--- a/packages/entry/wasabiknot_entry/followers.py
+++ b/packages/entry/wasabiknot_entry/followers.py
@@ -100,6 +100,8 @@
 
 # Topics that an entry must be able to read if others are to rely on its reads.
 RELIED_ON_TOPICS = frozenset({stores.OPERATOR_TOPIC, stores.SERVER_TOPIC})
+# Topic that is read to find out whether the store answers: it is read without a wait.
+PROBE_TOPIC = stores.SERVER_TOPIC
 # Errors of calls to the store and of their responses.
 EXPECTED_ERRORS = (calls.CallError, StoreError, ValueError, msgspec.MsgspecError)
 
@@ -111,31 +113,42 @@
 class ReaderRole:
     """Blocks followers while another entry reads the store for the group.
 
+    While the store doesn't answer, only one follower tries, if there are many entries.
+
     :param should_read: function that returns whether this entry is the reader.
     """
 
     def __init__(self, should_read):
         self._should_read = should_read
+        # Function that returns whether only probes may call the store.
+        self.is_probing = lambda: False
         self._waiters = []
 
-    def wait(self):
+    def wait(self, is_probe=False):
         """Waits until this entry is the reader.
 
+        :param is_probe: whether the follower tries while the store doesn't answer.
         :return: deferred that fires with ``None``.
         """
-        if self._should_read():
+        if self._may_call(is_probe):
             return defer.succeed(None)
         waiter = defer.Deferred()
-        self._waiters.append(waiter)
+        self._waiters.append((waiter, is_probe))
         return waiter
 
+    def _may_call(self, is_probe):
+        return self._should_read() and (is_probe or not self.is_probing())
+
     def update(self):
         """Resumes the waiting followers if this entry has become the reader."""
         if not self._waiters or not self._should_read():
             return
         waiters, self._waiters = self._waiters, []
-        for waiter in waiters:
-            waiter.callback(None)
+        for waiter, is_probe in waiters:
+            if self._may_call(is_probe):
+                waiter.callback(None)
+            else:
+                self._waiters.append((waiter, is_probe))
 
 
 class Follower:
@@ -177,19 +190,34 @@
         self._reader_role = reader_role
         self._compute_poll_interval_s = compute_poll_interval_s
         self._is_listed = False
+        # Whether a peer has sent the topic, so that only a reader has to list it.
+        self._is_copied = False
+        # Function without parameters that is called after each listing.
+        self.handle_listed = None
         self._pending = None
         store.watch_era(self._handle_era)
 
-    def start(self):
-        """Starts following the topic."""
+    @property
+    def is_loaded(self):
+        """Whether the topic has been listed, or copied from a peer."""
+        return self._topic.is_loaded
+
+    def start(self, may_be_copied=False):
+        """Starts following the topic.
+
+        :param may_be_copied: whether a topic that a peer has sent is listed only when
+            this entry becomes the reader.
+        """
+        self._is_copied = may_be_copied and self._topic.is_loaded
         self._run().addErrback(journal.log_failure, f"follow {self._topic.name}")
 
     @defer.inlineCallbacks
     def _run(self):
         retry_delay_s = MIN_RETRY_DELAY_S
         while True:
-            if self._is_listed:
-                yield self._reader_role.wait()
+            if self._is_listed or self._is_copied:
+                is_probe = self._topic.name == PROBE_TOPIC
+                yield self._reader_role.wait(is_probe)
             try:
                 if self._is_listed:
                     yield self._read()
@@ -268,6 +296,8 @@
         position = positions.create_position(era, end)
         changed = self._topic.apply_listing(listed, position)
         self._apply_facts(changed, "store")
+        if self.handle_listed is not None:
+            self.handle_listed()
 
     def _log_unreadable(self, page):
         for problem in page.unreadable:
@@ -329,13 +359,18 @@
         """
         now_s = self._reactor.seconds()
         self._unread_topics.discard(topic_name)
-        if not self._unread_topics:
+        if topic_name in RELIED_ON_TOPICS and not self._unread_topics:
             self._deployment.store_reads.record_read(now_s)
         if self._unavailable_since_s is not None:
             away_ms = round((now_s - self._unavailable_since_s) * 1_000)
             journal.write(events.Event.STORE_FOUND, away_ms=away_ms)
             self._unavailable_since_s = None
 
+    @property
+    def is_lost(self):
+        """Whether the latest read of the registrations has failed."""
+        return PROBE_TOPIC in self._unread_topics
+
     def record_failure(self, topic_name, error):
         """Records a failed call.
 
--- a/packages/entry/wasabiknot_entry/gossip.py
+++ b/packages/entry/wasabiknot_entry/gossip.py
@@ -14,6 +14,8 @@
 # recent than this: its next read returns the changes soon enough.
 OWN_READ_MAX_AGE_S = 0.6
 FETCH_TIMEOUT_S = 1.2
+# An entry that starts asks another peer after this time.
+START_FETCH_TIMEOUT_S = 0.25
 UPDATES_CONTENT_TYPE = b"application/zlib"
 COMPRESSION_LEVEL = 1
 # Bound on the facts of a peer after decompression.
@@ -50,7 +52,8 @@
     for name, topic in deployment.topics.items():
         value = request.args.get(name.encode(), [b"0"])[0]
         since = int(value) if value.isdigit() else 0
-        if topic.is_loaded:
+        is_known = 0 < topic.change_position <= since
+        if topic.is_loaded and not is_known:
             updates.append(topic.build_update_since(since))
     request.setHeader(b"content-type", UPDATES_CONTENT_TYPE)
     # All group members fetch a large configuration at once, over narrow links.
@@ -209,10 +212,21 @@
         if deployment.roster.find(digest.name) is None:
             self._fetch_from(members.Member(digest.name, digest.run, *addr))
 
-    def _fetch_from(self, member):
+    def copy_from(self, member):
+        """Copies the facts of a peer to an entry that starts.
+
+        :param member: ``members.Member`` of the peer.
+        :return: deferred that fires with ``None``, also if the peer has sent none.
+        """
+        if self._is_fetching:
+            return defer.succeed(None)
+        return self._fetch_from(member, START_FETCH_TIMEOUT_S)
+
+    def _fetch_from(self, member, timeout_s=FETCH_TIMEOUT_S):
         self._is_fetching = True
-        fetched = self._fetch(member)
+        fetched = self._fetch(member, timeout_s)
         fetched.addErrback(journal.log_failure, "fetch facts")
+        return fetched
 
     def _fetch_if_behind(self, peer, now_s):
         deployment = self._deployment
@@ -225,7 +239,7 @@
         self._fetch_from(peer.member)
 
     @defer.inlineCallbacks
-    def _fetch(self, member):
+    def _fetch(self, member, timeout_s):
         address = f"{member.host}:{member.port}"
         query = "&".join(
             f"{name}={topic.change_position if topic.is_loaded else 0}"
@@ -238,14 +252,15 @@
                 self._pool,
                 address,
                 request,
-                FETCH_TIMEOUT_S,
-                calls.HEDGE_DELAY_S,
+                timeout_s,
+                calls.HEDGE_DELAY_S if timeout_s > calls.HEDGE_DELAY_S else None,
             )
             data = _decompress(response.body)
             updates = decoding.decode_json(data, list[facts.TopicUpdate])
         except (calls.CallError, msgspec.MsgspecError, zlib.error) as error:
             journal.write(events.Event.COPY_FAILED, peer=member.name, error=str(error))
-            self._deployment.record_fetch_failure(self._reactor.seconds())
+            if timeout_s > START_FETCH_TIMEOUT_S:
+                self._deployment.record_fetch_failure(self._reactor.seconds())
             return
         finally:
             self._is_fetching = False
--- a/packages/entry/wasabiknot_entry/subscriptions.py
+++ b/packages/entry/wasabiknot_entry/subscriptions.py
@@ -1,6 +1,6 @@
 """Follows the topics of the store that an entry needs."""
 
-from wasabiknot_entry import followers
+from wasabiknot_entry import followers, start_copies
 from wasabiknot_platform import configurations, stores
 
 # Long-poll waits: without a new record, a read of the store returns after this time.
@@ -21,7 +21,9 @@
 }
 
 
-def follow_topics(reactor, store, deployment, apply_facts, health, reader_role):
+def follow_topics(
+    reactor, store, deployment, apply_facts, health, reader_role, rng, copy_facts
+):
     """Starts to follow all topics.
 
     :param reactor: Twisted reactor.
@@ -31,6 +33,9 @@
         name of their source.
     :param health: ``followers.StoreHealth``.
     :param reader_role: ``followers.ReaderRole``.
+    :param rng: random number generator.
+    :param copy_facts: function of a ``members.Member`` that copies its facts; returns a
+        deferred.
     :return: mapping of topic names to ``followers.Follower``.
     """
     operator_topic = deployment.get_topic(stores.OPERATOR_TOPIC)
@@ -48,8 +53,15 @@
         stores.SERVER_TOPIC: lambda: deployment.policy.poll_interval_s,
     }
 
-    def follow(name):
-        follower = followers.Follower(
+    # In a small system each topic is tried on its own, so that one that can't be read
+    # delays no other.
+    reader_role.is_probing = lambda: (
+        deployment.roster.has_several_groups
+        and (health.is_lost or deployment.store_reads.is_unavailable(reactor.seconds()))
+    )
+
+    def build_follower(name):
+        return followers.Follower(
             reactor,
             store,
             deployment.get_topic(name),
@@ -59,7 +71,9 @@
             reader_role,
             intervals[name],
         )
-        follower.start()
-        return follower
 
-    return {name: follow(name) for name in intervals}
+    followed = {name: build_follower(name) for name in intervals}
+    others = [item for name, item in followed.items() if name != stores.MEMBER_TOPIC]
+    copier = start_copies.StartCopier(reactor, deployment, rng, copy_facts)
+    copier.start(followed[stores.MEMBER_TOPIC], others)
+    return followed
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -633,13 +633,36 @@
         failed_s = self._fetch_failure_s
         if failed_s is not None and now_s - failed_s < DIRECT_READ_S:
             return True
-        return store_readers.should_read(
-            self.roster,
-            self.store_reads.last_read_s,
-            self.policy.poll_interval_s,
-            now_s,
+        return store_readers.should_read(self.roster, self._get_reads(now_s), now_s)
+
+    def _get_reads(self, now_s):
+        started_s = now_s if self._started_s is None else self._started_s
+        return store_readers.Reads(
+            self.store_reads.last_read_s, started_s, self.policy.poll_interval_s
         )
 
+    def is_reading_group(self, now_s):
+        """Tells whether members of this entry's group read the store.
+
+        :param now_s: current time in seconds.
+        :return: ``False`` while another group of the failure domain does so.
+        """
+        if not self.roster.has_several_groups:
+            return True
+        return store_readers.is_reading_group(
+            self.roster, self._get_reads(now_s), now_s
+        )
+
+    def compute_group_read_age_ms(self, now_s):
+        """Computes the age of the latest read of the store by a member of the group.
+
+        :param now_s: current time in seconds.
+        :return: age in milliseconds; -1 if no read is known.
+        """
+        reads = self._get_reads(now_s)
+        read_s = store_readers.find_group_read(self.roster, reads, now_s)
+        return -1 if read_s is None else round((now_s - read_s) * 1_000)
+
     def _update_limits(self, reachable, peak, now_s):
         # Entries that were members lately may go on behind a network partition.
         is_majority = 2 * reachable > peak
@@ -719,6 +742,9 @@
         self.allowances.set_reporting_delay(
             len(self.roster.list_other_groups()), self.roster.summary_delay_s
         )
+        self.store_reads.reporting_delay_s = (
+            self.roster.summary_delay_s if self.roster.has_several_groups else 0.0
+        )
         is_majority = 2 * count.reachable > count.members
         for dispatcher in self._dispatchers.values():
             dispatcher.slot_share = (
--- a/packages/kernel/wasabiknot_kernel/digest_builders.py
+++ b/packages/kernel/wasabiknot_kernel/digest_builders.py
@@ -60,6 +60,7 @@
             faulty_servers=tuple(faulty_servers),
             unreached_services=self._entry.paths.list_unreached(),
             heard_ms=self._list_heard_ms(now_s),
+            is_reading_group=self._entry.is_reading_group(now_s),
         )
 
     def _list_responses(self, now_s):
@@ -99,6 +100,7 @@
         return msgspec.structs.replace(
             built,
             group=self._entry.roster.group.name,
+            read_age_ms=self._entry.compute_group_read_age_ms(now_s),
             evidence=self._entry.releases.merge_evidence(digests),
             reachable=count.reachable,
             members=count.members,
@@ -130,6 +132,7 @@
         return msgspec.structs.replace(
             built,
             group=members.REMOTE_GROUPS,
+            read_age_ms=self._entry.store_reads.compute_known_age_ms(now_s),
             evidence=self._entry.releases.merge_evidence(summaries, include_own=False),
             reachable=count.reachable,
             members=count.members,
--- a/packages/kernel/wasabiknot_kernel/events.py
+++ b/packages/kernel/wasabiknot_kernel/events.py
@@ -295,6 +295,9 @@
     DRAIN_ODD = EventDefinition(
         1803, logging.WARNING, "drain of failure domain {domain}: {problem}"
     )
+    START_COPIED = EventDefinition(
+        1881, logging.INFO, "copied all topics from {peer} after {elapsed_ms} ms"
+    )
     LINES_LEFT_OUT = EventDefinition(
         1902, logging.WARNING, "suppressed {count} lines of {event}"
     )
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -110,6 +110,7 @@
         by service, for the services that peers have listed as unreached.
     :param brittle_services: services whose servers have lately stated to be brittle, or
         to be so no more.
+    :param is_reading_group: whether members of the sender's group read the store.
     """
 
     name: str
@@ -136,6 +137,7 @@
     unreached_services: tuple[str, ...] = ()
     heard_ms: dict[str, int] = {}
     brittle_services: tuple[brittleness.BrittleReport, ...] = ()
+    is_reading_group: bool = True
 
     def find_channel(self):
         """Finds the channel by which the receiver learns what the digest reports.
@@ -318,6 +320,15 @@
         names = {self._name, *self._peers}
         return tuple(sorted(names - expired))
 
+    def list_domain_groups(self):
+        """Lists the groups of this entry's failure domain, in a common order.
+
+        :return: list of ``Group``, including the own one.
+        """
+        domain = self.group.domain
+        groups = [item for item in self._groups.values() if item.domain == domain]
+        return groups or [self.group]
+
     def list_other_groups(self):
         """Lists the groups that this entry is not a member of.
 
@@ -457,12 +468,20 @@
         :return: ``True`` if each member that sorts before it is unreachable or is
             shutting down.
         """
-        return not any(
-            peer.member.order < self.member.order
-            and not peer.is_unreachable(now_s)
-            and not peer.digest.is_stopping
-            for peer in self.list_group_peers()
-        )
+        return self.find_leader(now_s) is None
+
+    def find_leader(self, now_s):
+        """Finds the peer that leads the group of this entry.
+
+        :param now_s: current time in seconds.
+        :return: ``Peer``; ``None`` if this entry is the leader.
+        """
+        for peer in self.list_group_peers():
+            if peer.member.order > self.member.order:
+                return None
+            if not peer.is_unreachable(now_s) and not peer.digest.is_stopping:
+                return peer
+        return None
 
 
 class Count(msgspec.Struct, frozen=True):
--- a/packages/kernel/wasabiknot_kernel/store_reads.py
+++ b/packages/kernel/wasabiknot_kernel/store_reads.py
@@ -20,6 +20,8 @@
         self._newest_read_s = None
         self._recovered_s = None
         self._pending_removals = {}
+        # Time in seconds after which this entry hears of the reads of other groups.
+        self.reporting_delay_s = 0.0
 
     def record_read(self, now_s):
         """Records a successful read of the store by this entry.
@@ -42,7 +44,8 @@
         if previous_s is None:
             self._newest_read_s = read_s
             return
-        if now_s - previous_s > STORE_TIMEOUT_S:
+        # What counts is the time between the reads, not when this entry heard of them.
+        if read_s - previous_s > STORE_TIMEOUT_S:
             self._recovered_s = now_s
         self._newest_read_s = max(previous_s, read_s)
 
@@ -51,11 +54,10 @@
 
         :param now_s: current time in seconds.
         :return: ``True`` if the latest known read is older than
-            ``STORE_TIMEOUT_S``, or there was none.
+            ``STORE_TIMEOUT_S`` and the delay of reports, or there was none.
         """
-        return (
-            self._newest_read_s is None or now_s - self._newest_read_s > STORE_TIMEOUT_S
-        )
+        timeout_s = STORE_TIMEOUT_S + self.reporting_delay_s
+        return self._newest_read_s is None or now_s - self._newest_read_s > timeout_s
 
     def _has_just_recovered(self, now_s):
         return (
