Give customers shares of the engine time, and slots to the most urgent queues

Where capacity is short, a customer was served the more often the more it sent: the order within a rank was that of arrival, and a free slot went to any entry with waiting requests by a hash.

With fair_queueing each customer has a virtual time for each service and rank. Customers within their share go first, then those that can be in time, then the smallest lead. Digests name the work of at most 8 customers and the head of each queue; free slots go to the most urgent heads. A request is refused at once if those ahead of it take too long, and callers of a customer are told to return one after the other. The setting is rendered from the platform's list of contracts. The queue order, the admission and the claims leave dispatch.py; without the setting they decide as before.

Weighed: leads instead of uses to tell who is above its share (the lead is that of one request at times, and others seemed to be above theirs), slots by hash without the number of requests (slots stayed idle until the next digest), slots held free for customers within their share (idle while requests wait).

--- a/packages/entry/tests/test_edge_settings.py
+++ b/packages/entry/tests/test_edge_settings.py
@@ -64,6 +64,26 @@
         failed = load(SETTINGS_TEXT + "buffer_bytes: 1000\n")
         self.assertIn("buffer_bytes", str(failed.failure()))
 
+    def test_contract_asks_for_fair_queueing(self):
+        # Guards against shares of customers where the platform doesn't ask for them,
+        # and against a template that renders nothing where it names no contracts.
+        for text, expected in (
+            ("", False),
+            ("contracts:\n", False),
+            ("contracts: []\n", False),
+            ('contracts: ["drain", "hedge"]\n', False),
+            ('contracts: ["drain", "pressure"]\n', True),
+            ("fair_queueing: true\n", True),
+            ("contracts:\nfair_queueing: true\n", True),
+        ):
+            with self.subTest(text=text):
+                settings = load(SETTINGS_TEXT + text).unwrap()
+                self.assertEqual(settings.has_fair_queueing, expected)
+
+    def test_unreadable_contracts_are_reported(self):
+        failed = load(SETTINGS_TEXT + "contracts: pressure\n")
+        self.assertFalse(pipeline.is_successful(failed))
+
     def test_unknown_placement_is_reported(self):
         failed = load(SETTINGS_TEXT + "placement: best\n")
         self.assertFalse(pipeline.is_successful(failed))
--- a/packages/entry/wasabiknot_entry/edge_settings.py
+++ b/packages/entry/wasabiknot_entry/edge_settings.py
@@ -7,6 +7,7 @@
 
 from wasabiknot_entry import addresses, buffers
 from wasabiknot_kernel import choosers, documents
+from wasabiknot_platform import contracts as platform_contracts
 
 Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
 # At least one response of the largest size fits.
@@ -60,6 +61,8 @@
     :param bounds: ``Bounds``.
     :param buffer_bytes: bound on the bodies that the entry holds in memory.
     :param placement: name of the load-balancing policy, from ``choosers``.
+    :param fair_queueing: whether customers have shares in the engine time of a service.
+    :param contracts: contracts that the platform names; one may ask for such shares.
     """
 
     name: str
@@ -75,6 +78,15 @@
     bounds: Bounds
     buffer_bytes: BufferBytes = buffers.DEFAULT_MAX_BYTES
     placement: str = choosers.DEFAULT_NAME
+    fair_queueing: bool = False
+    contracts: tuple[str, ...] | None = None
+
+    @property
+    def has_fair_queueing(self):
+        """Whether the setting or a contract asks for shares of customers."""
+        return self.fair_queueing or platform_contracts.has_fair_queueing(
+            self.contracts
+        )
 
 
 def load_settings(path):
--- a/packages/kernel/tests/test_fleet_load.py
+++ b/packages/kernel/tests/test_fleet_load.py
@@ -32,6 +32,8 @@
     :param utilization: share of the slots that the load keeps busy.
     """
 
+    play_s = PLAY_S
+
     def __init__(self, seed, count, engines, utilization=UTILIZATION):
         self.speeds = {
             f"w{number}": SPEEDS[number % len(SPEEDS)] for number in range(engines)
@@ -52,8 +54,9 @@
         self.counted_refusals = 0
 
     def start(self, number):
+        self.runs[number] += 1
         entry = builders.build_deployment(
-            f"e{number:03}", number, f"d{number % DOMAINS}", 1
+            f"e{number:03}", number, f"d{number % DOMAINS}", self.runs[number]
         )
         self.entries[number] = entry
         for other in self.entries:
@@ -73,7 +76,7 @@
 
     def play(self):
         steps = 0
-        while self.elapsed_s < PLAY_S:
+        while self.elapsed_s < self.play_s:
             self.now_s += plays.STEP_S
             steps += 1
             self.advance_flights()
@@ -92,7 +95,7 @@
             duration_s = min(MAX_S, self.rng.expovariate(1 / MEAN_S))
             ticket = self.create_ticket(number, f"q{self.requests}")
             # Those at the end have no time to be answered.
-            if WARM_UP_S < self.elapsed_s < PLAY_S - OBJECTIVE_S:
+            if WARM_UP_S < self.elapsed_s < self.play_s - OBJECTIVE_S:
                 self.asked[ticket.request_id] = (self.now_s, duration_s)
             self.durations[ticket.request_id] = duration_s
             dispatcher = self.entries[number].get_dispatcher("pool")
@@ -163,7 +166,7 @@
     def count_served(self):
         """Counts the requests whose first event met the objective."""
         return sum(
-            self.first_events_s.get(request_id, PLAY_S) <= OBJECTIVE_S
+            self.first_events_s.get(request_id, self.play_s) <= OBJECTIVE_S
             for request_id in self.asked
         )
 
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -9,6 +9,7 @@
     choosers,
     crash_monitors,
     crashes,
+    customer_shares,
     digest_builders,
     dispatch,
     domain_drains,
@@ -49,6 +50,8 @@
     :param placement: name of the ``choosers.Chooser``.
     :param poll_interval_s: seconds between two reads of the registrations.
     :param canary_slack: requests that such a version may get beyond that fraction.
+    :param fair_queueing: whether customers have shares in the engine time of a
+        service.
     """
 
     retry_ratio: float
@@ -59,6 +62,7 @@
     placement: str = choosers.DEFAULT_NAME
     poll_interval_s: float = 0.5
     canary_slack: float = 0.0
+    fair_queueing: bool = False
 
 
 class Deployment:
@@ -125,6 +129,8 @@
         self.policy = policy
         self.releases.canary_share = policy.canary_share
         self.releases.canary_slack = policy.canary_slack
+        for dispatcher in self._dispatchers.values():
+            dispatcher.set_fair_queueing(policy.fair_queueing)
         for budget in self._budgets.values():
             budget.set_bounds(
                 policy.retry_ratio, policy.retry_window_s, policy.retry_slack
@@ -182,6 +188,7 @@
             dispatcher.domain = self.member.domain
             dispatcher.handle_load_change = self._announce_load
             dispatcher.set_engine(self._find_engine(service))
+            dispatcher.set_fair_queueing(self.policy.fair_queueing)
             self._dispatchers[service] = dispatcher
         return self._dispatchers[service]
 
@@ -591,6 +598,7 @@
         elif digest.group != members.REMOTE_GROUPS:
             counter = self.allowances.remote_used
         self.allowances.charge_peer_use(source, digest.run, digest.used, now_s, counter)
+        self._apply_customer_work(source, digest, now_s)
         self.releases.apply_evidence(source, digest.evidence)
         self.silences.apply_reports(source, digest.silence_reports, now_s)
         self.crash_monitor.apply_digest(source, digest, now_s)
@@ -602,6 +610,32 @@
         )
         return peer
 
+    def _apply_customer_work(self, source, digest, now_s):
+        scope = None
+        if not digest.group:
+            scope = customer_shares.Scope.GROUP
+            self._apply_queue_heads(digest, now_s)
+        elif digest.group != members.REMOTE_GROUPS:
+            scope = customer_shares.Scope.OTHER_GROUPS
+        for report in digest.customer_work:
+            dispatcher = self._dispatchers.get(report.service)
+            shares = dispatcher.order.shares if dispatcher is not None else None
+            if shares is not None:
+                shares.apply_report(source, digest.run, report, scope, now_s)
+
+    def _apply_queue_heads(self, digest, now_s):
+        for service, dispatcher in self._dispatchers.items():
+            head = digest.queue_heads.get(service)
+            dispatcher.record_peer_head(digest.name, head, now_s)
+
+    def list_shares(self):
+        """Lists the shares of customers in the engine time of the services.
+
+        :return: list of ``customer_shares.ServiceShares``; empty without fair queueing.
+        """
+        shares = [item.order.shares for item in self._dispatchers.values()]
+        return [item for item in shares if item is not None]
+
     def _set_remote_servers(self, server_ids):
         for dispatcher in self._dispatchers.values():
             dispatcher.remote_servers = server_ids
--- a/packages/kernel/wasabiknot_kernel/digest_builders.py
+++ b/packages/kernel/wasabiknot_kernel/digest_builders.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from wasabiknot_kernel import members, servers, statements
+from wasabiknot_kernel import customer_shares, members, servers, statements
 
 # Channels of the statements in the digest of one entry, in the summary of its group and
 # in the summary of the other groups.
@@ -43,13 +43,17 @@
             self._list_silences(now_s),
         )
         waiting = {}
+        queue_heads = {}
         faulty_servers = []
         for dispatcher in self._entry.list_dispatchers():
             dispatcher.is_waiting_advertised = len(dispatcher) > 0
+            head = dispatcher.advertise_queue_head(now_s)
             is_reached = not self._entry.paths.is_unreached(dispatcher.service)
             # What an entry cut off from them can't use or judge is left to the others.
             if len(dispatcher) and is_reached:
                 waiting[dispatcher.service] = len(dispatcher)
+                if head is not None:
+                    queue_heads[dispatcher.service] = head
             for server in dispatcher.servers.values():
                 server.advertised_sends = len(server.sends)
                 if is_reached and server.is_faulty(now_s):
@@ -61,8 +65,13 @@
             unreached_services=self._entry.paths.list_unreached(),
             heard_ms=self._list_heard_ms(now_s),
             is_reading_group=self._entry.is_reading_group(now_s),
+            queue_heads=queue_heads,
+            customer_work=self._list_work(customer_shares.Scope.ENTRY, now_s),
         )
 
+    def _list_work(self, scope, now_s):
+        return customer_shares.list_reports(self._entry.list_shares(), scope, now_s)
+
     def _list_responses(self, now_s):
         register = self._entry.crashes
         return register.list_responses() | register.list_part_responses(now_s)
@@ -104,6 +113,7 @@
             evidence=self._entry.releases.merge_evidence(digests),
             reachable=count.reachable,
             members=count.members,
+            customer_work=self._list_work(customer_shares.Scope.GROUP, now_s),
         )
 
     def build_remote_summary(self, now_s):
@@ -136,6 +146,7 @@
             evidence=self._entry.releases.merge_evidence(summaries, include_own=False),
             reachable=count.reachable,
             members=count.members,
+            customer_work=self._list_work(customer_shares.Scope.OTHER_GROUPS, now_s),
         )
 
     def _select_loads(self, loads):
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -14,6 +14,7 @@
 from wasabiknot_kernel import (
     arrivals,
     choosers,
+    customer_shares,
     durations,
     eligibility,
     estimates,
@@ -21,8 +22,11 @@
     group_servers,
     outcomes,
     prompt_parts,
+    queue_orders,
+    request_admission,
     servers,
     service_times,
+    slot_claims,
     slot_shares,
 )
 
@@ -55,9 +59,6 @@
 # Time for which a request occupies a slot, before the first samples, and their weight.
 INITIAL_HOLD_S = 1.0
 HOLD_WEIGHT = 0.05
-# Upper bound on that expected time, as a fraction of the objective. Without it the
-# longest prompts would count as late on arrival.
-MAX_FIRST_EVENT_FRACTION = 0.5
 # Longer samples of plain requests are clipped to this value.
 MAX_PLAIN_SAMPLE_MS = 2_000.0
 # Fraction of its slots that a backend server of another group must have free to be
@@ -66,16 +67,6 @@
 REMOTE_SAMPLE_SIZE = 3
 # Maximum number of requests in flight at a plain backend server, per slot.
 PLAIN_REQUESTS_PER_SLOT = 1.0
-# Fraction of the time to its deadline that a request may wait in the queue. Callers
-# that would wait longer are better served by a refusal with a retry time.
-MAX_WAIT_FRACTION = 0.3
-# Callers abandon a stream after the longest of these times without an event: a fixed
-# time, a multiple of its objective and a multiple of its maximum event gap.
-CALLER_TIMEOUT_S = 2.0
-CALLER_TIMEOUT_OBJECTIVES = 4
-CALLER_TIMEOUT_GAPS = 8
-# Fraction of that timeout that a stream may wait in the queue.
-MAX_CALLER_TIMEOUT_FRACTION = 0.5
 # Sliding window over which sent requests are counted to estimate the queue's rate.
 RATE_WINDOW_S = 1.5
 # Assumed interval between two sends when no backend server is available.
@@ -97,24 +88,6 @@
 HARMFUL_RETRY_AFTER_S = 10.0
 
 
-def compute_max_wait_s(ticket):
-    """Computes how long a request may wait before it is sent.
-
-    :param ticket: ``arrivals.Ticket``.
-    :return: seconds since its arrival.
-    """
-    route = ticket.route
-    max_wait_s = MAX_WAIT_FRACTION * (ticket.deadline_s - ticket.arrived_s)
-    if not route.is_stream:
-        return max_wait_s
-    caller_timeout_s = max(
-        CALLER_TIMEOUT_S,
-        CALLER_TIMEOUT_OBJECTIVES * route.objective_ms / 1_000,
-        CALLER_TIMEOUT_GAPS * route.gap_ms / 1_000,
-    )
-    return min(max_wait_s, MAX_CALLER_TIMEOUT_FRACTION * caller_timeout_s)
-
-
 class Assignment(msgspec.Struct, frozen=True):
     """A decision to send a request to a backend server now.
 
@@ -244,6 +217,16 @@
         # Average over all backend servers: the first event factor of engines, or
         # the duration of a plain request in milliseconds.
         self._average_first_event = estimates.MovingAverage(1.0, AVERAGE_WEIGHT)
+        self.order = queue_orders.QueueOrder(
+            self._estimate_first_event_s, self.estimate_work_s
+        )
+        # ``slot_claims.SlotClaims``; None without fair queueing.
+        self._claims = None
+        # Requests in flight when free slots were divided last, by backend server.
+        self._sends_at_claim = {}
+        # ``slot_claims.QueueHead`` in the last digest.
+        self._advertised_head = None
+        self.order.is_by_rank = self._chooser.orders_by_rank
 
     def set_engine(self, engine):
         """Sets the engine parameters of the service.
@@ -325,7 +308,26 @@
         if refused is not None:
             return [refused]
         self._waiting[id(ticket)] = ticket
-        return self.dispatch_waiting(now_s)
+        decisions = self.dispatch_waiting(now_s)
+        if self._claims is not None and self._is_more_urgent_than_advertised(now_s):
+            self._announce_load()
+        return decisions
+
+    def _is_more_urgent_than_advertised(self, now_s):
+        head = self.build_queue_head(now_s)
+        if head is None or self._advertised_head is None:
+            return head is not None
+        return head.urgency < self._advertised_head.urgency
+
+    def advertise_queue_head(self, now_s):
+        """Builds the head of the queue for the next digest.
+
+        :param now_s: current time, in seconds.
+        :return: ``slot_claims.QueueHead``; ``None`` if nothing waits, or without fair
+            queueing.
+        """
+        self._advertised_head = self.build_queue_head(now_s)
+        return self._advertised_head
 
     def withdraw(self, ticket):
         """Removes a request from the queue.
@@ -351,18 +353,21 @@
             return self._create_refusal(
                 ticket, exceptions.ErrorKind.NO_WORKER, "no server"
             )
-        ahead = self._count_ahead(ticket, now_s)
+        delay = self._estimate_delay(ticket, self._list_ahead(ticket, now_s), now_s)
+        ahead = delay.ahead
+        early = self._find_early_refusal(ticket, delay)
+        if early is not None:
+            return early
         open_servers = (item for item in self.servers.values() if not item.is_retired)
         stated_wait_s = self._estimate_stated_wait_s(open_servers, ahead + 1, now_s)
-        if stated_wait_s > compute_max_wait_s(ticket):
+        if stated_wait_s > request_admission.compute_max_wait_s(ticket):
             reason = f"{ahead} wait, servers take none for {stated_wait_s:.2f} s"
             kind = exceptions.ErrorKind.QUEUE_FULL
             return self._create_refusal(ticket, kind, reason, now_s, stated_wait_s)
         if not ahead:
             return None
-        wait_s = ahead * self._estimate_send_interval_s(now_s)
-        if wait_s > compute_max_wait_s(ticket):
-            reason = f"{ahead} wait, {wait_s:.2f} s"
+        if delay.wait_s > request_admission.compute_max_wait_s(ticket):
+            reason = f"{ahead} wait, {delay.wait_s:.2f} s"
             kind = exceptions.ErrorKind.QUEUE_FULL
             return self._create_refusal(ticket, kind, reason, now_s)
         return None
@@ -373,30 +378,100 @@
         server_ids = [item.server_id for item in candidates]
         return self._eligibility.estimate_wait_s(server_ids, count, now_s)
 
-    def _count_ahead(self, ticket, now_s):
-        queue_key = self._compute_queue_key(ticket, now_s)
-        return sum(
-            1
-            for item in self._waiting.values()
-            if not _is_returning(item)
-            and self._compute_queue_key(item, now_s) < queue_key
+    def _list_ahead(self, ticket, now_s):
+        waiting = [item for item in self._waiting.values() if not _is_returning(item)]
+        return self.order.list_ahead(ticket, waiting, now_s)
+
+    def _estimate_delay(self, ticket, ahead, now_s):
+        if self.order.shares is not None and self.is_engine:
+            return self._estimate_fair_delay(ticket, ahead, now_s)
+        interval_s = self._estimate_send_interval_s(now_s) if ahead else 0.0
+        wait_s = len(ahead) * interval_s
+        return request_admission.Delay(len(ahead), wait_s, interval_s)
+
+    def _estimate_fair_delay(self, ticket, ahead, now_s):
+        urgency = self.order.compute_urgency(ticket, now_s)
+        interval_s = self._estimate_slot_interval_s()
+        peers_ahead = self._claims.count_as_urgent(urgency, now_s)
+        return request_admission.estimate_delay(
+            ticket, ahead, peers_ahead, self.order.shares, interval_s, now_s
         )
 
-    def _compute_queue_key(self, ticket, now_s):
-        if not self._chooser.orders_by_rank:
-            return (ticket.arrived_s,)
-        # Within a rank, responses that have begun go first, then requests that can
-        # still meet their objective. Late ones have lost most of their value and would
-        # make further requests late.
-        # The rank of the customer comes first; that of the route breaks ties.
-        objective_s = ticket.route.objective_ms / 1_000
-        first_event_s = min(
-            self._estimate_first_event_s(ticket), MAX_FIRST_EVENT_FRACTION * objective_s
-        )
-        is_late = now_s + first_event_s > ticket.arrived_s + objective_s
-        is_unbegun = not ticket.is_begun
-        rank = ticket.rank
-        return (rank, is_unbegun, is_late, ticket.route.rank, ticket.arrived_s)
+    def _find_early_refusal(self, ticket, delay):
+        # A caller that doesn't wait as told would displace those that do.
+        returns = self.order.returns
+        if returns is None or not delay.ahead:
+            return None
+        remaining_s = returns.find_remaining_s(ticket)
+        if not remaining_s:
+            return None
+        reason = f"{delay.ahead} wait, returned {remaining_s:.2f} s too early"
+        kind = exceptions.ErrorKind.QUEUE_FULL
+        return Refusal(ticket, kind, remaining_s, reason)
+
+    def set_fair_queueing(self, is_fair):
+        """Sets whether customers have shares in the engine time of the service.
+
+        :param is_fair: ``False`` to order requests by rank and arrival only.
+        """
+        if is_fair == (self.order.shares is not None):
+            return
+        shares = customer_shares.ServiceShares(self.service) if is_fair else None
+        self.order.shares = shares
+        self.order.returns = request_admission.ReturnSchedule() if is_fair else None
+        self._claims = slot_claims.SlotClaims(self.name) if is_fair else None
+
+    def build_queue_head(self, now_s):
+        """Builds the head of the queue.
+
+        :param now_s: current time, in seconds.
+        :return: ``slot_claims.QueueHead``; ``None`` if nothing waits, or without fair
+            queueing.
+        """
+        if self._claims is None or not self._waiting:
+            return None
+        ordered = self.order.sort(self._waiting.values(), now_s)
+        urgencies = [self.order.compute_urgency(item, now_s) for item in ordered]
+        return slot_claims.build_head(urgencies, now_s - ordered[0].arrived_s)
+
+    def record_peer_head(self, source, head, now_s):
+        """Records the head of the queue of a peer of the group.
+
+        :param source: name of the peer.
+        :param head: ``slot_claims.QueueHead``; ``None`` if nothing waits there.
+        :param now_s: current time, in seconds.
+        """
+        if self._claims is not None:
+            self._claims.record_head(source, head, now_s)
+
+    def _select_claims(self, now_s):
+        if self._claims is None or not self.is_engine:
+            return
+        members = [
+            item
+            for item in self.servers.values()
+            if not item.is_retired and self._is_of_group(item)
+        ]
+        free_slots = {
+            item.server_id: max(0, item.slots - item.count_running())
+            for item in members
+        }
+        self._sends_at_claim = {item.server_id: len(item.sends) for item in members}
+        self.order.shares.is_short = len(self._claims) > 0 or len(self._waiting) > 1
+        self._claims.select(self.build_queue_head(now_s), free_slots, now_s)
+
+    def _is_of_group(self, server):
+        return not self._is_grouped or server.server_id in self.group_servers
+
+    def estimate_work_s(self, ticket):
+        """Estimates the engine time that a request takes at reference speed.
+
+        :param ticket: ``arrivals.Ticket``.
+        :return: seconds for which it occupies a slot.
+        """
+        tokens = ticket.estimate_output_tokens() or 0
+        event_count = math.ceil(tokens / self.event_tokens) if self.is_engine else 0
+        return service_times.predict_total_ms(ticket.prompt_tokens, event_count) / 1_000
 
     def _estimate_send_interval_s(self, now_s):
         # An entry of a large fleet sends too few requests to tell from them how soon a
@@ -409,16 +484,18 @@
         return RATE_WINDOW_S / max(1, len(self._send_times_s))
 
     def _estimate_group_interval_s(self):
-        members = [
-            self.servers[server_id]
-            for server_id in self.group_servers
-            if server_id in self.servers
-        ]
-        running = sum(min(item.count_running(), item.slots) for item in members)
         entries = max(1, len(self.waiting_entries))
-        return self._average_hold_s.value * entries / max(1, running)
+        return entries * self._estimate_slot_interval_s()
+
+    def _estimate_slot_interval_s(self):
+        # Time between two slots that become free in the group.
+        members = [item for item in self.servers.values() if self._is_of_group(item)]
+        running = sum(min(item.count_running(), item.slots) for item in members)
+        return self._average_hold_s.value / max(1, running)
 
     def _create_refusal(self, ticket, kind, reason, now_s=None, stated_wait_s=0.0):
+        if self.order.returns is not None and not stated_wait_s and now_s is not None:
+            return self._create_scheduled_refusal(ticket, kind, reason, now_s)
         send_interval_s = (
             DEFAULT_SEND_INTERVAL_S
             if now_s is None
@@ -434,6 +511,15 @@
         retry_after_s = wait_s * self._rng.uniform(least_factor, 1.5)
         return Refusal(ticket, kind, retry_after_s, reason)
 
+    def _create_scheduled_refusal(self, ticket, kind, reason, now_s):
+        ahead = self._list_ahead(ticket, now_s)
+        delay = self._estimate_delay(ticket, ahead, now_s)
+        wait_s = self.order.returns.schedule(
+            ticket, delay.wait_s, delay.interval_s, now_s
+        )
+        retry_after_s = wait_s * self._rng.uniform(*request_admission.RETURN_JITTER)
+        return Refusal(ticket, kind, retry_after_s, reason)
+
     def dispatch_waiting(self, now_s):
         """Assigns queued requests to free slots, in queue order.
 
@@ -441,13 +527,12 @@
         :return: list of ``Assignment``.
         """
         decisions = []
-        if not self._waiting or not self.has_capacity(now_s):
+        if not self._waiting:
             return decisions
-        waiting = sorted(
-            self._waiting.values(),
-            key=lambda item: self._compute_queue_key(item, now_s),
-        )
-        for ticket in waiting:
+        self._select_claims(now_s)
+        if not self.has_capacity(now_s):
+            return decisions
+        for ticket in self.order.sort(self._waiting.values(), now_s):
             if decisions and not self.has_capacity(now_s):
                 break
             harmful = self._find_harmful_refusal(ticket, now_s)
@@ -479,7 +564,10 @@
                 self.withdraw(ticket)
                 kind = exceptions.ErrorKind.NO_WORKER
                 decisions.append(self._create_refusal(ticket, kind, DRAINED))
-            elif not ticket.is_begun and waited_s > compute_max_wait_s(ticket):
+            elif (
+                not ticket.is_begun
+                and waited_s > request_admission.compute_max_wait_s(ticket)
+            ):
                 self.withdraw(ticket)
                 kind = exceptions.ErrorKind.QUEUE_FULL
                 reason = f"waited {waited_s:.2f} s"
@@ -715,6 +803,8 @@
         if self.is_brittle and not self.is_waiting_advertised:
             # The others may take one each before they hear of it.
             claimed = max(0, free_slots - self.group_size)
+        elif self._claims is not None and server.server_id in self._sends_at_claim:
+            return self._count_won_slots(server)
         elif len(self.waiting_entries) <= 1:
             claimed = free_slots
         else:
@@ -725,6 +815,12 @@
             )
         return server.advertised_sends + claimed - own_sends
 
+    def _count_won_slots(self, server):
+        # Slots that this entry has released since its last digest go to others as well
+        # if those hold more urgent requests.
+        sends = self._sends_at_claim[server.server_id]
+        return self._claims.count_won(server.server_id) + sends - len(server.sends)
+
     def choose(self, ticket, now_s):
         """Chooses a backend server by the policy of the chooser.
 
@@ -867,6 +963,9 @@
         ticket.tried.add(server.server_id)
         self._eligibility.record_send(server.server_id, ticket.request_id, now_s)
         self._send_times_s.append(now_s)
+        if self.order.shares is not None:
+            key = customer_shares.find_key(ticket)
+            self.order.shares.record_send(key, self.estimate_work_s(ticket), now_s)
         self._announce_load()
 
     def _announce_load(self):
@@ -936,6 +1035,10 @@
         if send is None:
             return
         duration_s = now_s - send.sent_s
+        if self.order.shares is not None:
+            correction_s = duration_s - self.estimate_work_s(ticket)
+            key = customer_shares.find_key(ticket)
+            self.order.shares.correct_send(key, correction_s, now_s)
         if outcome is outcomes.Outcome.COMPLETE:
             self._average_hold_s.add(duration_s)
             self._durations.add(ticket.route.name, duration_s)
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -8,10 +8,12 @@
 from wasabiknot_kernel import (
     brittleness,
     crash_records,
+    customer_shares,
     decoding,
     response_stats,
     servers,
     silences,
+    slot_claims,
     statements,
 )
 
@@ -111,6 +113,8 @@
     :param brittle_services: services whose servers have lately stated to be brittle, or
         to be so no more.
     :param is_reading_group: whether members of the sender's group read the store.
+    :param queue_heads: first request of each queue, by service.
+    :param customer_work: work of the customers that are furthest above their shares.
     """
 
     name: str
@@ -138,6 +142,8 @@
     heard_ms: dict[str, int] = {}
     brittle_services: tuple[brittleness.BrittleReport, ...] = ()
     is_reading_group: bool = True
+    queue_heads: dict[str, slot_claims.QueueHead] = {}
+    customer_work: tuple[customer_shares.CustomerWork, ...] = ()
 
     def find_channel(self):
         """Finds the channel by which the receiver learns what the digest reports.
