Hold back fewer tokens of rate limits for use that is not reported yet

A customer far beyond its limit was refused while up to half a second of its limit was left in the bucket: it was held back for what other groups may have admitted without a report.

With fair_queueing half of the tolerance may be taken by such use. Held back is at most what other groups could have admitted within 1.5 delays of their reports, less that half. It doesn't act while an entry isn't reached, as partitions take a part of the tolerance.

--- a/packages/kernel/tests/test_allowances.py
+++ b/packages/kernel/tests/test_allowances.py
@@ -6,7 +6,7 @@
 import builders
 from hypothesis import given, settings, stateful, strategies
 
-from wasabiknot_kernel import allowances, routes
+from wasabiknot_kernel import allowances, deployments, routes
 
 RATE = 20_000.0
 BURST = 20_000.0
@@ -328,6 +328,8 @@
     MEAN_TOKENS = 2_000
     # Length of the sizes' distribution, as of prompts of some tokens to some thousands.
     SIGMA = 1.2
+    # Fraction of the tolerance that use without a report may take.
+    UNREPORTED_FRACTION = 0.0
 
     def play(self, rate, use, hot_from_s=math.inf, hot_factor=1.0, seed=1):
         """Plays a customer; returns the refused share and what was admitted, by time.
@@ -340,6 +342,7 @@
         for group in groups:
             group.set_customers({"graz": customer}, -10.0)
             group.set_reporting_delay(self.GROUPS - 1, 2 * self.REPORT_S)
+            group.unreported_fraction = self.UNREPORTED_FRACTION
         asked = refused = 0
         admitted = []
         now_s = 0.0
@@ -408,3 +411,43 @@
                     _, admitted = self.play(rate, 1 / 1.8, 10.0, 7.5, seed)
                     bound = (rate * self.WINDOW_S + rate) * 1.1 + 140_000
                     self.assertLess(self.find_most_used(admitted), bound)
+
+
+class UnreportedUseTests(LargeFleetTests):
+    """The same bounds hold where use without a report takes part of the tolerance."""
+
+    UNREPORTED_FRACTION = deployments.UNREPORTED_FRACTION
+
+
+class HeldBackTests(unittest.TestCase):
+    """A customer with a large limit at few groups, with six times its usual load."""
+
+    def play(self, fraction):
+        play = LargeFleetTests()
+        play.GROUPS = 6
+        play.REPORT_S = 0.2
+        play.DURATION_S = 14.0
+        play.UNREPORTED_FRACTION = fraction
+        rate = 1_078_472.0
+        _, admitted = play.play(rate, 1 / 1.8, 8.0, 6.1)
+        bound = (rate * play.WINDOW_S + rate) * 1.1 + 140_000
+        self.assertLess(play.find_most_used(admitted), bound)
+        surge = [tokens for at_s, tokens in admitted if 8.0 <= at_s < 10.0]
+        return sum(surge) / rate
+
+    def test_fewer_tokens_are_held_back(self):
+        # Guards against refusals while the limit leaves tokens in the bucket.
+        before = self.play(0.0)
+        after = self.play(deployments.UNREPORTED_FRACTION)
+        self.assertGreater(after, before + 0.1)
+
+    def test_nothing_is_spent_beside_entries_that_are_not_reached(self):
+        limiter = build_allowances()
+        limiter.unreported_fraction = deployments.UNREPORTED_FRACTION
+        limiter.set_reporting_delay(5, 0.4)
+        limiter.set_member_counts(8, 8, 0.0)
+        for _ in range(100):
+            limiter.charge("graz", BURST / 200, 0.0)
+        self.assertEqual(limiter.charge("graz", 100, 0.0), 0.0)
+        limiter.set_member_counts(7, 8, 0.0)
+        self.assertGreater(limiter.charge("graz", 100, 0.0), 0.0)
--- a/packages/kernel/wasabiknot_kernel/allowances.py
+++ b/packages/kernel/wasabiknot_kernel/allowances.py
@@ -19,6 +19,12 @@
 # Lowest refill rate, as a fraction of the customer's rate, that is assumed when the
 # time until a retry is computed.
 MIN_RATE_FRACTION = 0.01
+# Time over which use is counted to find the most that other groups may have admitted
+# without a report, as a multiple of the delay of reports.
+REPORT_WINDOW_DELAYS = 1.5
+# Steps in which recent use is counted, and their largest number.
+USE_STEP_S = 0.05
+MAX_USE_STEPS = 128
 # Content of the buckets at the start of the process, in seconds of the customer's rate.
 # The previous run may have used the rest, and peers don't report what was used before.
 INITIAL_LEVEL_S = 0.1
@@ -37,6 +43,24 @@
     slack_tokens: float
 
 
+class _RecentUses:
+    """Tokens that a group has admitted lately, in steps of ``USE_STEP_S``."""
+
+    def __init__(self):
+        self._steps = collections.deque(maxlen=MAX_USE_STEPS)
+
+    def add(self, tokens, now_s):
+        if not self._steps or now_s - self._steps[-1][0] >= USE_STEP_S:
+            self._steps.append([now_s, 0.0])
+        self._steps[-1][1] += tokens
+
+    def count_since(self, since_s):
+        tokens = sum(
+            tokens for at_s, tokens in self._steps if at_s + USE_STEP_S > since_s
+        )
+        return max(0.0, tokens)
+
+
 class _Bucket(msgspec.Struct):
     level: float
     refilled_s: float
@@ -46,6 +70,7 @@
     updated_s: float = 0.0
     # Tokens that other groups may have admitted without a report, at the last charge.
     unreported: float = 0.0
+    uses: _RecentUses = msgspec.field(default_factory=_RecentUses)
 
 
 class Allowances:
@@ -72,6 +97,8 @@
         # Decaying sums of the tokens of admitted requests, and of their squares.
         self._sizes = 0.0
         self._squared_sizes = 0.0
+        # Fraction of the tolerance that use without a report may take.
+        self.unreported_fraction = 0.0
         self.used = collections.Counter()
         # Tokens admitted by this entry and, as reported, by the peers of its group.
         self.group_used = collections.Counter()
@@ -131,6 +158,7 @@
         elapsed_s = max(0.0, now_s - bucket.updated_s)
         bucket.group_rate *= math.exp(-elapsed_s / self._averaging_s)
         bucket.group_rate += tokens / self._averaging_s
+        bucket.uses.add(tokens, now_s)
         # Refunds by peers may be reported later than the use itself has decayed.
         bucket.group_rate = max(0.0, bucket.group_rate)
         bucket.updated_s = now_s
@@ -156,6 +184,22 @@
         rate = max(0.0, recent - chance) / self._averaging_s
         return rate * self._other_groups * self._report_delay_s
 
+    def _count_untolerated(self, bucket, now_s):
+        # Partitions of a network take their part of the tolerance themselves.
+        if not self.unreported_fraction or self._reachable < self._members:
+            return math.inf
+        most = self._other_groups * bucket.uses.count_since(
+            now_s - REPORT_WINDOW_DELAYS * self._report_delay_s
+        )
+        excess_tokens = self._compute_excess_tokens(bucket.rate, bucket.burst)
+        return max(0.0, most - self.unreported_fraction * excess_tokens)
+
+    def _compute_excess_tokens(self, rate, burst):
+        excess_tokens = self._tolerance.ratio * (
+            rate * self._tolerance.window_s + burst
+        )
+        return excess_tokens + self._tolerance.slack_tokens
+
     def compute_rate(self, rate, burst):
         """Computes the refill rate of this entry together with its reachable peers.
 
@@ -169,8 +213,7 @@
         if 2 * self._reachable == self._members:
             return rate * fraction
         window_s = self._tolerance.window_s
-        excess_tokens = self._tolerance.ratio * (rate * window_s + burst)
-        excess_tokens += self._tolerance.slack_tokens
+        excess_tokens = self._compute_excess_tokens(rate, burst)
         # Fewer than half of the members are in this partition, so 2 * fraction < 1.
         tolerated = (
             MINORITY_TOLERANCE_FRACTION * excess_tokens / window_s * 2 * fraction
@@ -199,6 +242,7 @@
         # The level may become negative. Otherwise a large request would starve while
         # smaller ones use up every token that is refilled.
         unreported = self._estimate_unreported(bucket, now_s)
+        unreported = min(unreported, self._count_untolerated(bucket, now_s))
         bucket.unreported = unreported
         if bucket.level > unreported:
             bucket.level -= tokens
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -36,6 +36,9 @@
 # Time for which an entry reads the store itself after it failed to fetch facts from a
 # peer.
 DIRECT_READ_S = 2.0
+# Fraction of the tolerance of limits that use without a report may take, where
+# customers have shares. The rest is for errors of its estimate.
+UNREPORTED_FRACTION = 0.5
 
 
 class Policy(msgspec.Struct, frozen=True):
@@ -85,6 +88,7 @@
         self.topics = {}
         self.roster = members.Roster(member)
         self.allowances = allowances.Allowances(policy.tolerance)
+        self._set_unreported_fraction()
         self.crashes = crashes.CrashRegister()
         self.crash_monitor = crash_monitors.CrashMonitor(self.crashes)
         self.releases = releases.Releases(policy.canary_share, rng, policy.canary_slack)
@@ -129,6 +133,7 @@
         self.policy = policy
         self.releases.canary_share = policy.canary_share
         self.releases.canary_slack = policy.canary_slack
+        self._set_unreported_fraction()
         for dispatcher in self._dispatchers.values():
             dispatcher.set_fair_queueing(policy.fair_queueing)
         for budget in self._budgets.values():
@@ -136,6 +141,10 @@
                 policy.retry_ratio, policy.retry_window_s, policy.retry_slack
             )
 
+    def _set_unreported_fraction(self):
+        fraction = UNREPORTED_FRACTION if self.policy.fair_queueing else 0.0
+        self.allowances.unreported_fraction = fraction
+
     def get_topic(self, name):
         """Returns a topic, creating it if needed.
 
