Report customers above their shares, and compare a queue in less time

An operator could not see from the log why a customer's requests wait or are refused while others are served. WK1841 and WK1842 name a customer that comes above its share while capacity is short, or is within it again for 5 s; a counter has both.

A new request was compared with the queue up to four times. Who is above its share is now computed once for each point in time, nothing is divided while no slot is free, and a request is announced by its own urgency.

--- a/packages/entry/wasabiknot_entry/change_logs.py
+++ b/packages/entry/wasabiknot_entry/change_logs.py
@@ -60,3 +60,16 @@
         rejections_per_s=change.rejections_per_s,
         source=source,
     )
+
+
+def log_share(change):
+    """Logs that a customer has come above its share, or is within it again.
+
+    :param change: ``share_changes.ShareChange``.
+    """
+    names = {"service": change.service, "customer": change.customer or "none"}
+    if not change.is_above:
+        journal.write(events.Event.CUSTOMER_WITHIN_SHARE, **names)
+        return
+    use_ms = round(change.use_s * 1_000)
+    journal.write(events.Event.CUSTOMER_ABOVE_SHARE, use_ms=use_ms, **names)
--- a/packages/entry/wasabiknot_entry/edge_entries.py
+++ b/packages/entry/wasabiknot_entry/edge_entries.py
@@ -268,6 +268,9 @@
             change_logs.log_path(change)
         for change in self._deployment.brittleness.pop_changes():
             change_logs.log_brittle(change)
+        for change in self._deployment.pop_share_changes(reactor.seconds()):
+            change_logs.log_share(change)
+            self._metrics.count_share_change(change)
         self._reader_role.update()
         self._crash_writer.check()
         crash_writers.log_observations(self._deployment.crashes, self._crash_metrics)
--- a/packages/entry/wasabiknot_entry/request_metrics.py
+++ b/packages/entry/wasabiknot_entry/request_metrics.py
@@ -81,6 +81,13 @@
             registry=self._registry,
         )
 
+        self._share_changes = prometheus_client.Counter(
+            "wasabiknot_share_changes",
+            "Customers that came above their shares, or within them again.",
+            ["kind"],
+            registry=self._registry,
+        )
+
     def add_collector(self, collector):
         """Adds a collector whose metrics are rendered as well.
 
@@ -113,6 +120,14 @@
         """Counts a request that a peer has handed over to this entry."""
         self._taken_over.inc()
 
+    def count_share_change(self, change):
+        """Counts a customer that came above its share, or within it again.
+
+        :param change: ``share_changes.ShareChange``.
+        """
+        kind = "above" if change.is_above else "within"
+        self._share_changes.labels(kind).inc()
+
     def count_idle_close(self):
         """Counts a caller's connection that was closed for being idle."""
         self._idle_closes.inc()
--- a/packages/kernel/tests/test_customer_shares.py
+++ b/packages/kernel/tests/test_customer_shares.py
@@ -4,7 +4,7 @@
 import msgspec
 from hypothesis import given, strategies
 
-from wasabiknot_kernel import customer_shares, members
+from wasabiknot_kernel import customer_shares, members, share_changes
 
 Scope = customer_shares.Scope
 BUSY = (1, "busy")
@@ -124,6 +124,23 @@
             self.assertLessEqual(lead_s, customer_shares.MAX_LEAD_S)
 
 
+class ShareObserverTests(unittest.TestCase):
+    def test_customer_is_reported_once_until_it_has_settled(self):
+        # Guards against a line in each tick for a customer at the border.
+        shares = customer_shares.ServiceShares("pool")
+        shares.is_short = True
+        observer = share_changes.ShareObserver()
+        changes = []
+        for step in range(300):
+            now_s = step / 10
+            if now_s < 5.0 and step % 10 < 8:
+                shares.record_send(BUSY, 1.0, now_s)
+                shares.record_send(CALM, 0.1, now_s)
+            changes += observer.observe([shares], now_s)
+        found = [(change.customer, change.is_above) for change in changes]
+        self.assertEqual(found, [("busy", True), ("busy", False)])
+
+
 class DigestTests(unittest.TestCase):
     def build_entry(self, name, is_fair=True):
         entry = builders.build_deployment(name)
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -28,6 +28,7 @@
     peer_loads,
     releases,
     service_times,
+    share_changes,
     silences,
     store_readers,
     store_reads,
@@ -102,6 +103,7 @@
         self.eligibility = eligibility.Eligibility(member.name)
         self.eligibility.limits.find_candidates = self._find_candidates
         self._limit_candidates = limit_candidates.LimitCandidates(self.roster)
+        self._share_observer = share_changes.ShareObserver()
         self._dispatchers = {}
         self._budgets = {}
         self._services_by_server = {}
@@ -645,6 +647,14 @@
         shares = [item.order.shares for item in self._dispatchers.values()]
         return [item for item in shares if item is not None]
 
+    def pop_share_changes(self, now_s):
+        """Finds the customers that are newly above their shares, or within them.
+
+        :param now_s: current time in seconds.
+        :return: list of ``share_changes.ShareChange``.
+        """
+        return self._share_observer.observe(self.list_shares(), now_s)
+
     def _set_remote_servers(self, server_ids):
         for dispatcher in self._dispatchers.values():
             dispatcher.remote_servers = server_ids
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -309,15 +309,15 @@
             return [refused]
         self._waiting[id(ticket)] = ticket
         decisions = self.dispatch_waiting(now_s)
-        if self._claims is not None and self._is_more_urgent_than_advertised(now_s):
-            self._announce_load()
+        if self._claims is not None and id(ticket) in self._waiting:
+            self._announce_urgency(ticket, now_s)
         return decisions
 
-    def _is_more_urgent_than_advertised(self, now_s):
-        head = self.build_queue_head(now_s)
-        if head is None or self._advertised_head is None:
-            return head is not None
-        return head.urgency < self._advertised_head.urgency
+    def _announce_urgency(self, ticket, now_s):
+        head = self._advertised_head
+        urgency = self.order.compute_urgency(ticket, now_s)
+        if head is None or urgency < head.urgency:
+            self._announce_load()
 
     def advertise_queue_head(self, now_s):
         """Builds the head of the queue for the next digest.
@@ -369,7 +369,7 @@
         if delay.wait_s > request_admission.compute_max_wait_s(ticket):
             reason = f"{ahead} wait, {delay.wait_s:.2f} s"
             kind = exceptions.ErrorKind.QUEUE_FULL
-            return self._create_refusal(ticket, kind, reason, now_s)
+            return self._create_refusal(ticket, kind, reason, now_s, delay=delay)
         return None
 
     def _estimate_stated_wait_s(self, candidates, count, now_s):
@@ -456,8 +456,10 @@
             item.server_id: max(0, item.slots - item.count_running())
             for item in members
         }
-        self._sends_at_claim = {item.server_id: len(item.sends) for item in members}
         self.order.shares.is_short = len(self._claims) > 0 or len(self._waiting) > 1
+        if not any(free_slots.values()):
+            return
+        self._sends_at_claim = {item.server_id: len(item.sends) for item in members}
         self._claims.select(self.build_queue_head(now_s), free_slots, now_s)
 
     def _is_of_group(self, server):
@@ -493,9 +495,11 @@
         running = sum(min(item.count_running(), item.slots) for item in members)
         return self._average_hold_s.value / max(1, running)
 
-    def _create_refusal(self, ticket, kind, reason, now_s=None, stated_wait_s=0.0):
+    def _create_refusal(
+        self, ticket, kind, reason, now_s=None, stated_wait_s=0.0, delay=None
+    ):
         if self.order.returns is not None and not stated_wait_s and now_s is not None:
-            return self._create_scheduled_refusal(ticket, kind, reason, now_s)
+            return self._create_scheduled_refusal(ticket, kind, reason, delay, now_s)
         send_interval_s = (
             DEFAULT_SEND_INTERVAL_S
             if now_s is None
@@ -511,9 +515,10 @@
         retry_after_s = wait_s * self._rng.uniform(least_factor, 1.5)
         return Refusal(ticket, kind, retry_after_s, reason)
 
-    def _create_scheduled_refusal(self, ticket, kind, reason, now_s):
-        ahead = self._list_ahead(ticket, now_s)
-        delay = self._estimate_delay(ticket, ahead, now_s)
+    def _create_scheduled_refusal(self, ticket, kind, reason, delay, now_s):
+        if delay is None:
+            ahead = self._list_ahead(ticket, now_s)
+            delay = self._estimate_delay(ticket, ahead, now_s)
         wait_s = self.order.returns.schedule(
             ticket, delay.wait_s, delay.interval_s, now_s
         )
--- a/packages/kernel/wasabiknot_kernel/events.py
+++ b/packages/kernel/wasabiknot_kernel/events.py
@@ -295,6 +295,14 @@
     DRAIN_ODD = EventDefinition(
         1803, logging.WARNING, "drain of failure domain {domain}: {problem}"
     )
+    CUSTOMER_ABOVE_SHARE = EventDefinition(
+        1841,
+        logging.INFO,
+        "{service}: {customer} is above its share, used {use_ms} ms of engine time",
+    )
+    CUSTOMER_WITHIN_SHARE = EventDefinition(
+        1842, logging.INFO, "{service}: {customer} is within its share again"
+    )
     START_COPIED = EventDefinition(
         1881, logging.INFO, "copied all topics from {peer} after {elapsed_ms} ms"
     )
--- a/packages/kernel/wasabiknot_kernel/queue_orders.py
+++ b/packages/kernel/wasabiknot_kernel/queue_orders.py
@@ -1,6 +1,6 @@
 """The order in which the waiting requests of a service are sent."""
 
-import msgspec
+import typing
 
 from wasabiknot_kernel import customer_shares
 
@@ -9,7 +9,7 @@
 MAX_FIRST_EVENT_FRACTION = 0.5
 
 
-class Urgency(msgspec.Struct, frozen=True, order=True):
+class Urgency(typing.NamedTuple):
     """What decides first when a request is sent; lower values go first.
 
     :param rank: rank of the customer, or of the route if the customer has none.
@@ -43,6 +43,10 @@
         self.shares = None
         # ``request_admission.ReturnSchedule`` if customers have shares.
         self.returns = None
+        # Whether customers are above their shares, by account, at the time of the last
+        # comparison.
+        self._above_share = {}
+        self._compared_s = None
 
     def compute_urgency(self, ticket, now_s):
         """Computes what decides first when a request is sent.
@@ -56,13 +60,20 @@
             self._estimate_first_event_s(ticket), MAX_FIRST_EVENT_FRACTION * objective_s
         )
         is_late = now_s + first_event_s > ticket.arrived_s + objective_s
-        is_above_share = self._is_above_share(ticket, now_s)
+        is_above_share = self._is_above_share(customer_shares.find_key(ticket), now_s)
         return Urgency(ticket.rank, not ticket.is_begun, is_above_share, is_late)
 
-    def _is_above_share(self, ticket, now_s):
+    def _is_above_share(self, account, now_s):
         if self.shares is None:
             return False
-        return self.shares.is_above_share(customer_shares.find_key(ticket), now_s)
+        # Many requests of one customer are compared at the same time.
+        if now_s != self._compared_s:
+            self._compared_s = now_s
+            self._above_share.clear()
+        if account not in self._above_share:
+            is_above_share = self.shares.is_above_share(account, now_s)
+            self._above_share[account] = is_above_share
+        return self._above_share[account]
 
     def _compute_key(self, ticket, now_s):
         if not self.is_by_rank:
