Place requests by the pace that backend servers state

Cause: a load line with four figures was discarded as a whole, and the load was read only at the end of a send. Entries chose by learned durations, which follow a machine that is shared with other work too late, and learned its noise as the server's own speed.

Learned durations are divided by the pace. The availability of a group's servers is found first, which spares that of the others while one has room.

Weighed: the newest figure only (test to follow); the mean without the deviation; values passed on from entry to entry (would be kept alive by digests).

--- a/packages/entry/tests/test_gateways.py
+++ b/packages/entry/tests/test_gateways.py
@@ -237,6 +237,19 @@
         self.gateway.record_statement(server, rejected, 0.0)
         self.assertEqual(self.deployment.eligibility.limits.find_rate("w1"), 2.5)
 
+    def test_load_in_a_head_counts_unless_it_is_of_another_server(self):
+        # Guards against a pace that is known only when a stream has ended.
+        self.configure()
+        server = self.deployment.find_server("w1")
+        stated = ((platform_headers.SERVER_LOAD, b"3,2,8,250"),)
+        misdirected = platform_headers.decode_response(421, stated)
+        self.gateway.record_statement(server, misdirected, 0.0)
+        self.assertFalse(server.pace.is_known(self.clock.seconds()))
+        head = platform_headers.decode_response(200, stated)
+        self.gateway.record_statement(server, head, 0.0)
+        self.assertTrue(server.pace.is_known(self.clock.seconds()))
+        self.assertEqual(server.reported_load, 5)
+
     def test_stopping_gateway_rejects_requests_after_delay(self):
         # A request admitted 3 s after SIGTERM was cut off when the grace period of the
         # shutdown ended.
--- a/packages/entry/wasabiknot_entry/deployment_views.py
+++ b/packages/entry/wasabiknot_entry/deployment_views.py
@@ -36,6 +36,7 @@
         self.record_evidence = deployment.record_evidence
         self.record_response = deployment.record_response
         self.try_start_trial = deployment.try_start_trial
+        self.record_load = deployment.record_load
         self.record_statement = deployment.record_statement
 
     @property
--- a/packages/entry/wasabiknot_entry/flows.py
+++ b/packages/entry/wasabiknot_entry/flows.py
@@ -388,9 +388,6 @@
             now_s,
             self._first_event_s,
         )
-        if result.head is not None and result.head.load is not None:
-            load = result.head.load
-            assignment.server.reported_load = load.running + load.waiting
         gateway.record_result(ticket, assignment.server, result, now_s)
         if result.outcome in (Outcome.COMPLETE, Outcome.CANCELLED):
             self._forward_response(result)
--- a/packages/kernel/wasabiknot_kernel/arrivals.py
+++ b/packages/kernel/wasabiknot_kernel/arrivals.py
@@ -23,14 +23,19 @@
 class ReportedLoad(msgspec.Struct, frozen=True):
     """The load that a backend server reports in a response.
 
+    A figure that is missing or can't be read is ``None``.
+
     :param running: running requests.
     :param waiting: requests queued at the server.
     :param slots: number of requests that the server runs concurrently.
+    :param pace: time that work takes on its machine now, in hundredths of the usual
+        time.
     """
 
-    running: int
-    waiting: int
-    slots: int
+    running: int | None
+    waiting: int | None
+    slots: int | None
+    pace: int | None = None
 
 
 class Arrival(msgspec.Struct, frozen=True):
--- a/packages/kernel/wasabiknot_kernel/choosers.py
+++ b/packages/kernel/wasabiknot_kernel/choosers.py
@@ -21,8 +21,11 @@
     :cvar orders_by_rank: whether the queue is ordered by rank instead of arrival.
     :cvar respects_slots: whether requests wait until a backend server has a free
         slot.
+    :cvar compares_scores: whether it chooses by score, so that entries that know the
+        same choose the same server.
     """
 
+    compares_scores = False
     orders_by_rank = True
     respects_slots = True
 
@@ -43,6 +46,8 @@
 class EarliestEvent(Chooser):
     """Chooses the server with the earliest expected first event."""
 
+    compares_scores = True
+
     def choose(self, candidates, score, rng):
         """Chooses the server with the lowest score; ties are broken at random."""
         return min(candidates, key=lambda server: (score(server), rng.random()))
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -362,6 +362,15 @@
         rejections_per_s = statement.rejections_per_s
         self.brittleness.record(service, rejections_per_s, sent_s, now_s)
 
+    def record_load(self, server, load, now_s):
+        """Records the load that a backend server states in a response.
+
+        :param server: ``servers.Server``.
+        :param load: ``arrivals.ReportedLoad``.
+        :param now_s: current time in seconds.
+        """
+        server.record_load(load, now_s)
+
     def record_answer(self, server, is_new, now_s):
         """Records that bytes of a backend server have reached this entry.
 
@@ -619,6 +628,7 @@
         self.eligibility.apply_reports(
             digest.limits, digest.leaving_servers, digest.find_channel(), now_s
         )
+        self._apply_paces(source, digest.paces, now_s)
         return peer
 
     def _apply_customer_work(self, source, digest, now_s):
@@ -655,6 +665,12 @@
         """
         return self._share_observer.observe(self.list_shares(), now_s)
 
+    def _apply_paces(self, source, reports, now_s):
+        for report in reports:
+            server = self.find_server(report.server_id)
+            if server is not None:
+                server.pace.apply_report(source, report, now_s)
+
     def _set_remote_servers(self, server_ids):
         for dispatcher in self._dispatchers.values():
             dispatcher.remote_servers = server_ids
--- a/packages/kernel/wasabiknot_kernel/digest_builders.py
+++ b/packages/kernel/wasabiknot_kernel/digest_builders.py
@@ -4,7 +4,13 @@
 
 import msgspec
 
-from wasabiknot_kernel import customer_shares, members, servers, statements
+from wasabiknot_kernel import (
+    customer_shares,
+    members,
+    server_paces,
+    servers,
+    statements,
+)
 
 # Channels of the statements in the digest of one entry, in the summary of its group and
 # in the summary of the other groups.
@@ -45,6 +51,7 @@
         waiting = {}
         queue_heads = {}
         faulty_servers = []
+        paces = []
         for dispatcher in self._entry.list_dispatchers():
             dispatcher.is_waiting_advertised = len(dispatcher) > 0
             head = dispatcher.advertise_queue_head(now_s)
@@ -58,6 +65,9 @@
                 server.advertised_sends = len(server.sends)
                 if is_reached and server.is_faulty(now_s):
                     faulty_servers.append(server.server_id)
+                pace = server.pace.build_report(server.server_id, now_s)
+                if pace is not None:
+                    paces.append(pace)
         return msgspec.structs.replace(
             built,
             waiting=waiting,
@@ -67,6 +77,7 @@
             is_reading_group=self._entry.is_reading_group(now_s),
             queue_heads=queue_heads,
             customer_work=self._list_work(customer_shares.Scope.ENTRY, now_s),
+            paces=server_paces.select_reports(paces),
         )
 
     def _list_work(self, scope, now_s):
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -9,7 +9,6 @@
 import math
 
 import msgspec
-import xxhash
 
 from wasabiknot_kernel import (
     arrivals,
@@ -24,34 +23,16 @@
     prompt_parts,
     queue_orders,
     request_admission,
+    server_scores,
     servers,
     service_times,
     slot_claims,
     slot_shares,
 )
 
-# Fraction of the prefill that is saved at an engine that caches the last prompt part.
-CACHED_PREFILL_SAVING = 0.9
-# Fraction of the prefill expected to be saved at the engine that all entries prefer
-# for the last part, if this entry has not sent the part there. It is small because
-# only 1% of the prompt tokens that engines read come from the cache.
-PREFERRED_PREFILL_SAVING = 0.05
-# Time for which an engine is assumed to cache a prompt part that it has read.
-CACHE_TTL_S = 20.0
 MAX_CACHED_PARTS = 512
-# Score penalty of a backend server at which every request fails; lower failure rates
-# are charged in proportion. It is a fraction of the time that callers wait.
-FAILURE_COST_MS = 600.0
-# Score penalty of a backend server in another failure domain. Traffic between them is
-# slower and dearer, so servers of about the same speed are chosen within the domain.
-OTHER_DOMAIN_COST_MS = 8.0
-# Weight of the time after the first event in the score. The request occupies a slot
-# for that time, and long responses belong on fast engines.
-REMAINING_TIME_WEIGHT = 0.05
 # Events of a stream between two samples of its event interval.
 PROGRESS_EVENTS = 4
-# Factor by which a response may exceed its estimated length.
-OUTPUT_LENGTH_MARGIN = 1.5
 # Margin on the expected time to the first event when the queue is ordered, so that
 # the requests sent first meet their objectives.
 FIRST_EVENT_MARGIN = 2.0
@@ -697,7 +678,9 @@
         event_count = (tokens or 0) / self.event_tokens
         if self.is_engine and event_count:
             interval_ms = self._average_event_interval_ms()
-            events_s = OUTPUT_LENGTH_MARGIN * event_count * interval_ms / 1_000
+            events_s = (
+                server_scores.OUTPUT_LENGTH_MARGIN * event_count * interval_ms / 1_000
+            )
             return self._estimate_first_event_s(ticket) + events_s
         longest_s = self._durations.estimate_longest_s(ticket.route.name)
         if longest_s is None:
@@ -706,7 +689,7 @@
 
     def _average_event_interval_ms(self):
         intervals = [
-            item.service_times.event_interval_ms.value
+            item.service_times.event_interval_ms.value * item.pace.newest
             for item in self.servers.values()
             if not item.is_retired
         ]
@@ -835,7 +818,7 @@
             ``None`` if no server can take the request.
         """
         usable = self._list_usable(ticket, now_s)
-        candidates = [item for item in usable if self._is_available(item, now_s)]
+        candidates = self._list_available(usable, now_s)
         if not candidates:
             # If every server is avoided, an attempt is better than a refusal.
             open_servers = [item for item in usable if not self._is_held(item, now_s)]
@@ -847,17 +830,27 @@
             candidates = avoided_servers
         return self._choose_best(ticket, candidates, now_s)
 
+    def _list_available(self, usable, now_s):
+        # The servers of other groups aren't used while one of the group has room.
+        if self._is_grouped:
+            members = [item for item in usable if item.server_id in self.group_servers]
+            available = [item for item in members if self._is_available(item, now_s)]
+            if available:
+                return available
+        return [item for item in usable if self._is_available(item, now_s)]
+
     def _choose_best(self, ticket, candidates, now_s):
         candidates = self._filter_by_group(candidates)
         if not candidates:
             return None
         preferred = self.find_preferred_server(ticket)
-
-        def score(server):
-            return self._score_ms(ticket, server, preferred, now_s)
-
-        chosen = self._chooser.choose(candidates, score, self._rng)
-        return chosen, score(chosen)
+        scorer = server_scores.Scorer(
+            ticket, self.domain, self.event_tokens, preferred, now_s
+        )
+        if self._chooser.compares_scores:
+            candidates = server_scores.sample(candidates, scorer, self._rng, now_s)
+        chosen = self._chooser.choose(candidates, scorer, self._rng)
+        return chosen, scorer(chosen)
 
     def _list_usable(self, ticket, now_s):
         usable = [item for item in self.servers.values() if not item.is_retired]
@@ -901,53 +894,9 @@
         :param ticket: ``arrivals.Ticket``.
         :return: id of the engine; ``None`` without prompt parts or engines.
         """
-        parts = ticket.arrival.parts
-        if not parts or not self.is_engine:
-            return None
-        name = parts[-1].name
-        return max(
-            (item.server_id for item in self.servers.values() if not item.is_retired),
-            key=lambda server_id: xxhash.xxh64_intdigest(
-                f"{name}/{server_id}".encode()
-            ),
-            default=None,
-        )
-
-    def _score_ms(self, ticket, server, preferred, now_s):
-        penalty_ms = server.failure_rate * FAILURE_COST_MS
-        if self.domain and server.registration.domain != self.domain:
-            penalty_ms += OTHER_DOMAIN_COST_MS
         if not self.is_engine:
-            queue_factor = 1 + len(server.sends) / max(1, server.slots)
-            return server.service_times.plain_ms.value * queue_factor + penalty_ms
-        own_tokens = self._estimate_prefill_tokens(ticket, server, preferred, now_s)
-        queued_tokens = server.count_pending_prefill() + own_tokens
-        factor = server.service_times.first_event_factor.value
-        utilization = server.count_running() / max(1, server.slots)
-        first_ms = (
-            service_times.predict_first_event_ms(queued_tokens)
-            * factor
-            * (1 + 0.5 * utilization)
-        )
-        event_count = ticket.estimate_output_tokens() / self.event_tokens
-        remaining_ms = server.service_times.event_interval_ms.value * event_count
-        time_left_ms = (ticket.deadline_s - now_s) * 1_000
-        late_ms = max(
-            0.0, first_ms + OUTPUT_LENGTH_MARGIN * remaining_ms - time_left_ms
-        )
-        return first_ms + REMAINING_TIME_WEIGHT * remaining_ms + late_ms + penalty_ms
-
-    def _estimate_prefill_tokens(self, ticket, server, preferred, now_s):
-        parts = ticket.arrival.parts
-        tokens = ticket.prompt_tokens
-        if not parts:
-            return tokens
-        cached_at_s = server.cached_parts.get(parts[-1].name)
-        if cached_at_s is not None and now_s - cached_at_s < CACHE_TTL_S:
-            return tokens * (1 - CACHED_PREFILL_SAVING)
-        if server.server_id == preferred:
-            return tokens * (1 - PREFERRED_PREFILL_SAVING)
-        return tokens
+            return None
+        return server_scores.find_preferred(ticket, self.servers.values())
 
     def record_send(self, ticket, server, now_s, expected_ms):
         """Records that a request is sent to a backend server.
@@ -957,7 +906,9 @@
         :param now_s: current time, in seconds.
         :param expected_ms: expected milliseconds to the first event.
         """
-        prefill_tokens = self._estimate_prefill_tokens(ticket, server, None, now_s)
+        prefill_tokens = server_scores.estimate_prefill_tokens(
+            ticket, server, None, now_s
+        )
         server.sends[ticket.request_id] = servers.Send(
             ticket=ticket,
             sent_s=now_s,
@@ -990,10 +941,11 @@
         send.first_event_s = now_s
         if self.is_engine:
             first_ms = (now_s - send.sent_s) * 1_000
+            pace = server.estimate_past_pace(now_s)
             factor = service_times.update_first_event_factor(
-                server.service_times, send.queued_prefill_tokens, first_ms
+                server.service_times, send.queued_prefill_tokens, first_ms / pace
             )
-            self._average_first_event.add(factor)
+            self._average_first_event.add(factor * pace)
             self._record_cached_part(ticket, server, now_s)
 
     def record_progress(self, ticket, server, event_count, now_s):
@@ -1011,9 +963,9 @@
         if send is None or send.first_event_s is None or event_count < 2:
             return
         if event_count % PROGRESS_EVENTS == 0:
-            server.service_times.event_interval_ms.add(
-                (now_s - send.first_event_s) * 1_000 / (event_count - 1)
-            )
+            interval_ms = (now_s - send.first_event_s) * 1_000 / (event_count - 1)
+            pace = server.estimate_past_pace(now_s)
+            server.service_times.event_interval_ms.add(interval_ms / pace)
 
     def _record_cached_part(self, ticket, server, now_s):
         parts = ticket.arrival.parts
@@ -1047,7 +999,7 @@
         if outcome is outcomes.Outcome.COMPLETE:
             self._average_hold_s.add(duration_s)
             self._durations.add(ticket.route.name, duration_s)
-            self._record_complete(server, duration_s)
+            self._record_complete(server, duration_s, now_s)
         elif outcome is outcomes.Outcome.REJECTED:
             ticket.rejected_by.add(server.server_id)
             server.record_rejection(now_s)
@@ -1055,9 +1007,10 @@
             is_backed_off = outcome in outcomes.BACKED_OFF
             server.record_failure(now_s, is_backed_off)
 
-    def _record_complete(self, server, duration_s):
+    def _record_complete(self, server, duration_s, now_s):
         server.record_success()
         if not self.is_engine:
             duration_ms = min(duration_s * 1_000, MAX_PLAIN_SAMPLE_MS)
-            server.service_times.plain_ms.add(duration_ms)
+            pace = server.estimate_past_pace(now_s)
+            server.service_times.plain_ms.add(duration_ms / pace)
             self._average_first_event.add(duration_ms)
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -11,6 +11,7 @@
     customer_shares,
     decoding,
     response_stats,
+    server_paces,
     servers,
     silences,
     slot_claims,
@@ -115,6 +116,7 @@
     :param is_reading_group: whether members of the sender's group read the store.
     :param queue_heads: first request of each queue, by service.
     :param customer_work: work of the customers that are furthest above their shares.
+    :param paces: paces that the sender has lately read from backend servers.
     """
 
     name: str
@@ -144,6 +146,7 @@
     is_reading_group: bool = True
     queue_heads: dict[str, slot_claims.QueueHead] = {}
     customer_work: tuple[customer_shares.CustomerWork, ...] = ()
+    paces: tuple[server_paces.PaceReport, ...] = ()
 
     def find_channel(self):
         """Finds the channel by which the receiver learns what the digest reports.
--- a/packages/kernel/wasabiknot_kernel/servers.py
+++ b/packages/kernel/wasabiknot_kernel/servers.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from wasabiknot_kernel import arrivals, eligibility, registrations
+from wasabiknot_kernel import arrivals, eligibility, registrations, server_paces
 
 # Backoff before a failed backend server is used again. It doubles with each
 # consecutive failure, up to the maximum.
@@ -19,6 +19,10 @@
 # Longest silence of a sound backend server. One that is silent for longer may have lost
 # the requests that wait there, and answer others.
 MAX_SILENCE_S = 2.0
+# Time in which the load that others have placed by a report falls to 1/e: what is
+# running there ends, and digests tell of a part of it.
+OTHER_LOAD_FADING_S = 0.5
+MAX_OTHER_LOAD_AGE_S = 2.0
 
 
 class Send(msgspec.Struct, eq=False):
@@ -85,6 +89,10 @@
         self.lost_address = None
         # Running and waiting requests, as stated in its newest response.
         self.reported_load = 0
+        self.pace = server_paces.ServerPace()
+        # Requests beyond those known here in the newest load with a pace, and its time.
+        self._other_load = 0
+        self._load_reported_s = -math.inf
         # Requests in flight in the last digest that this entry built.
         self.advertised_sends = 0
         # Whether the current digest of a peer in the group lists it as faulty, that
@@ -135,6 +143,43 @@
         """
         return len(self.sends) + sum(load.running for load in self.peer_loads.values())
 
+    def record_load(self, load, now_s):
+        """Records the load that the server has stated in a response to this entry.
+
+        What this entry and its peers have sent is known here, and counts in full. A
+        report says how much others have sent as well.
+
+        :param load: ``arrivals.ReportedLoad``.
+        :param now_s: current time, in seconds.
+        """
+        if load.running is not None:
+            self.reported_load = load.running + (load.waiting or 0)
+        if load.pace is None:
+            return
+        self.pace.record(load.pace, now_s)
+        if load.running is not None:
+            self._other_load = max(0, self.reported_load - self.count_running())
+            self._load_reported_s = now_s
+
+    def estimate_other_load(self, now_s):
+        """Estimates the requests that others have placed, by the newest report.
+
+        :param now_s: current time, in seconds.
+        :return: number of requests beyond those of ``count_running``.
+        """
+        age_s = max(0.0, now_s - self._load_reported_s)
+        if not self._other_load or age_s > MAX_OTHER_LOAD_AGE_S:
+            return 0.0
+        return self._other_load * math.exp(-age_s / OTHER_LOAD_FADING_S)
+
+    def estimate_past_pace(self, now_s):
+        """Estimates the pace at which work was done that has just ended.
+
+        :param now_s: current time, in seconds.
+        :return: multiple of the usual time; 1 for a server that states none.
+        """
+        return self.pace.estimate(now_s, server_paces.PAST_PRIOR_WEIGHT)
+
     def count_own_pending_prefill(self):
         """Counts the prompt tokens of this entry that await prefill.
 
