--- a/packages/entry/tests/test_server_metrics.py
+++ b/packages/entry/tests/test_server_metrics.py
@@ -14,7 +14,10 @@
         self.clock = task.Clock()
         self.eligibility = eligibility.Eligibility("e1")
         self.eligibility.apply_start("w1", 1, 0.0)
-        self.servers = server_metrics.ServerMetrics(self.clock, self.eligibility)
+        self.paces = []
+        self.servers = server_metrics.ServerMetrics(
+            self.clock, self.eligibility, lambda now_s: self.paces
+        )
         self.metrics = request_metrics.RequestMetrics()
         self.metrics.add_collector(self.servers)
 
@@ -45,6 +48,11 @@
         self.assertNotIn("deferred_seconds{", text)
         self.assertIn('statements_total{kind="unlimited",server="w1"} 1.0', text)
 
+    def test_pace_is_shown_while_it_is_known(self):
+        self.assertNotIn("wasabiknot_server_pace{", self.render())
+        self.paces.append(("w1", 2.5))
+        self.assertIn('wasabiknot_server_pace{server="w1"} 2.5', self.render())
+
     def test_number_of_servers_is_bounded(self):
         for number in range(server_metrics.MAX_SERVERS + 5):
             self.eligibility.record(f"w{number}", 1, ALL, 0.0, 0.0)
--- a/packages/entry/wasabiknot_entry/edge_entries.py
+++ b/packages/entry/wasabiknot_entry/edge_entries.py
@@ -136,7 +136,7 @@
         )
         self._metrics = metrics
         self._server_metrics = server_metrics.ServerMetrics(
-            reactor, self._deployment.eligibility
+            reactor, self._deployment.eligibility, self._deployment.list_paces
         )
         metrics.add_collector(self._server_metrics)
         self._crash_metrics = crash_metrics.CrashMetrics()
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -714,8 +714,11 @@
             journal.write(events.Event.STATEMENT_BAD, server=server_id, problem=problem)
         now_s = self.reactor.seconds()
         self._deployment.record_statement(server, head.statement, sent_s, now_s)
-        if head.load is not None:
-            self._deployment.record_load(server, head.load, now_s)
+        if head.load is None:
+            return
+        if self._deployment.record_load(server, head.load, now_s):
+            pace = round(100 * server.pace.estimate(now_s))
+            journal.write(events.Event.PACE_CHANGED, server=server_id, pace=pace)
 
     def record_event(self, ticket, server, now_s):
         """Records an event of a streamed response.
--- a/packages/entry/wasabiknot_entry/server_metrics.py
+++ b/packages/entry/wasabiknot_entry/server_metrics.py
@@ -16,9 +16,12 @@
 
     :param reactor: Twisted reactor.
     :param server_eligibility: ``eligibility.Eligibility``.
+    :param list_paces: function of the time in seconds that returns pairs of ids of
+        backend servers and their paces; none by default.
     """
 
-    def __init__(self, reactor, server_eligibility):
+    def __init__(self, reactor, server_eligibility, list_paces=None):
+        self._list_paces = list_paces or (lambda now_s: [])
         self._reactor = reactor
         self._eligibility = server_eligibility
         self._counts = collections.Counter()
@@ -64,6 +67,13 @@
             "Time for which a backend server still wants no request from this entry.",
             labels=["server"],
         )
+        pace = core.GaugeMetricFamily(
+            "wasabiknot_server_pace",
+            "Time that work takes at a backend server, as a multiple of the usual.",
+            labels=["server"],
+        )
+        for server_id, value in self._list_paces(self._reactor.seconds()):
+            pace.add_metric([server_id], value)
         for state in self._eligibility.list_states(self._reactor.seconds()):
             if state.limit_per_s is not None:
                 limit.add_metric([state.server_id], state.limit_per_s)
@@ -78,4 +88,4 @@
         )
         for domain in self._eligibility.drains.list_domains()[:MAX_DOMAINS]:
             drained.add_metric([domain], 1)
-        yield from (count, limit, leaving, deferred, drained)
+        yield from (count, limit, leaving, deferred, drained, pace)
--- a/packages/kernel/tests/test_server_paces.py
+++ b/packages/kernel/tests/test_server_paces.py
@@ -58,6 +58,17 @@
         self.record([100, 300] * 15, start_s=3.0)
         self.assertGreater(self.pace.estimate_deviation(6.0), 2 * steady + 0.5)
 
+    def test_change_to_slow_and_back_is_told_once(self):
+        # Guards against a log line for each response of a server near the bound.
+        paces = [100] * 5 + [350] * 20 + [180] * 10 + [100] * 30
+        changes = [
+            number
+            for number, pace in enumerate(paces)
+            if self.pace.record(pace, 0.1 * number)
+        ]
+        self.assertEqual(len(changes), 2)
+        self.assertTrue(5 < changes[0] < 25 < changes[1])
+
     def test_values_beyond_the_bounds_are_clipped(self):
         self.record([100_000, 1])
         self.assertLessEqual(self.pace.estimate(0.1), server_paces.MAX_PACE)
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -368,8 +368,22 @@
         :param server: ``servers.Server``.
         :param load: ``arrivals.ReportedLoad``.
         :param now_s: current time in seconds.
+        :return: whether the server has become slow by its pace, or is so no more.
         """
-        server.record_load(load, now_s)
+        return server.record_load(load, now_s)
+
+    def list_paces(self, now_s):
+        """Lists the paces of the backend servers that have stated one lately.
+
+        :param now_s: current time in seconds.
+        :return: list of pairs of ids and multiples of the usual time.
+        """
+        return [
+            (server_id, server.pace.estimate(now_s))
+            for dispatcher in self._dispatchers.values()
+            for server_id, server in dispatcher.servers.items()
+            if server.pace.is_known(now_s)
+        ]
 
     def record_answer(self, server, is_new, now_s):
         """Records that bytes of a backend server have reached this entry.
--- a/packages/kernel/wasabiknot_kernel/events.py
+++ b/packages/kernel/wasabiknot_kernel/events.py
@@ -275,6 +275,9 @@
         logging.WARNING,
         "{request}: response of {source} {address} breaks {rule}: {excerpt}",
     )
+    PACE_CHANGED = EventDefinition(
+        1821, logging.INFO, "server {server} takes {pace} hundredths of its usual time"
+    )
     PEER_TRAFFIC = EventDefinition(
         1502, logging.WARNING, "sent {sent_bytes} bytes to peers in a second"
     )
--- a/packages/kernel/wasabiknot_kernel/server_paces.py
+++ b/packages/kernel/wasabiknot_kernel/server_paces.py
@@ -29,6 +29,10 @@
 # away from the server, as the lowest score is chosen.
 MAX_AGE_S = 4 * TIME_CONSTANT_S
 HUNDREDTHS = 100
+# Paces from which a server counts as slow, and below which it no longer does, for the
+# log. They are apart, so that a pace near one of them isn't logged again and again.
+SLOW_PACE = 2.0
+RECOVERED_PACE = 1.25
 # Largest number of backend servers in the reports of one digest.
 MAX_REPORTS = 16
 # Age up to which a value is reported. Digests are sent several times in this time.
@@ -102,9 +106,10 @@
 class ServerPace:
     """The pace of one backend server, as known to this entry."""
 
-    __slots__ = ("_all", "_own", "_stated_s")
+    __slots__ = ("_all", "_own", "_stated_s", "is_slow")
 
     def __init__(self):
+        self.is_slow = False
         self._own = Samples()
         self._all = Samples()
         # Time of the newest value that each peer has reported.
@@ -120,10 +125,15 @@
 
         :param pace: hundredths of the usual time.
         :param now_s: current time in seconds.
+        :return: whether the server has become slow, or is so no more.
         """
         value = _clip(pace)
         self._own.add(value, now_s)
         self._all.add(value, now_s)
+        was_slow = self.is_slow
+        bound = RECOVERED_PACE if was_slow else SLOW_PACE
+        self.is_slow = self.estimate(now_s) > bound
+        return self.is_slow is not was_slow
 
     def apply_report(self, source, report, now_s):
         """Applies the report of a peer, unless its value is known.
--- a/packages/kernel/wasabiknot_kernel/server_scores.py
+++ b/packages/kernel/wasabiknot_kernel/server_scores.py
@@ -25,8 +25,8 @@
 REMAINING_TIME_WEIGHT = 0.05
 # Factor by which a response may exceed its estimated length.
 OUTPUT_LENGTH_MARGIN = 1.5
-# Standard deviations by which a pace counts above its mean. Objectives are missed by the
-# slow responses, and those come from machines whose pace varies much.
+# Standard deviations by which a pace counts above its mean. Objectives are missed by
+# the slow responses, and those come from machines whose pace varies much.
 PACE_DEVIATIONS = 1.0
 # Number of servers of which the best is chosen if they state their pace. The entries
 # that read the same statements would otherwise choose the same server. All entries
--- a/packages/kernel/wasabiknot_kernel/servers.py
+++ b/packages/kernel/wasabiknot_kernel/servers.py
@@ -151,15 +151,17 @@
 
         :param load: ``arrivals.ReportedLoad``.
         :param now_s: current time, in seconds.
+        :return: whether the server has become slow by its pace, or is so no more.
         """
         if load.running is not None:
             self.reported_load = load.running + (load.waiting or 0)
         if load.pace is None:
-            return
-        self.pace.record(load.pace, now_s)
+            return False
+        is_changed = self.pace.record(load.pace, now_s)
         if load.running is not None:
             self._other_load = max(0, self.reported_load - self.count_running())
             self._load_reported_s = now_s
+        return is_changed
 
     def estimate_other_load(self, now_s):
         """Estimates the requests that others have placed, by the newest report.
