Decide in the kernel which slow sends get a hedge

Cause: a few slow responses spoil the latency figures, and the operators accept some extra work for requests that may be repeated (docs/design/hard-load.md, part 4).

Weighed: a fixed delay, or a multiple of the expected time, hedges far too many sends of one route and none of another; so a send is compared with the 95th percentile of those of its route, size band and pace band. An entry of a large fleet has too few requests for that, so a class without 40 samples is compared by the factor beyond the expected time, by route. Strict windows for the two limits allow no hedge at all at an entry with two requests a second; so each send earns the operators' share of a hedge, and each request a quarter of its part of the retry budget, with at most two and one saved up.

Nothing calls the decision yet.

--- a/packages/kernel/wasabiknot_kernel/budgets.py
+++ b/packages/kernel/wasabiknot_kernel/budgets.py
@@ -6,6 +6,12 @@
 # Fraction of the ratio and slack that is used. The margin covers entries whose loads
 # peak at different times.
 SAFETY_FACTOR = 0.8
+# Fraction of the retries by the ratio that may be hedges, so that the larger part and
+# all of the slack remain for failures.
+HEDGE_FRACTION = 0.25
+# Hedges that are saved up while there are none. Few requests come to an entry of a
+# large fleet, and a quarter of their retries within a window is less than one.
+MAX_SAVED_HEDGES = 1.0
 # Windows, by the delay from their end until now, of which the one with the most
 # requests bounds the retries; in lengths of the window.
 REQUEST_WINDOW_DELAYS = (0.0, 0.5, 1.0)
@@ -52,6 +58,8 @@
     An entry uses no slack during the first window after its start, as it does not know
     what its previous run has used.
 
+    Hedges are retries too. Each request earns a part of one.
+
     :param ratio: retries allowed per request.
     :param window_s: length of the window in seconds.
     :param slack: retries that all entries together may send beyond the ratio.
@@ -63,6 +71,7 @@
         self._slack = slack
         self._requests = []
         self._retries = collections.deque()
+        self._saved_hedges = 0.0
         self.entry_count = 1
         self.has_slack = True
 
@@ -83,6 +92,8 @@
         :param now_s: current time in seconds.
         """
         self._requests.append(now_s)
+        earned = HEDGE_FRACTION * SAFETY_FACTOR * self._ratio
+        self._saved_hedges = min(MAX_SAVED_HEDGES, self._saved_hedges + earned)
         # Dropping is seldom worth it: it moves all that is left.
         if now_s - self._requests[0] > 2 * self._find_memory_s():
             self._drop_expired(now_s)
@@ -101,6 +112,17 @@
         self._retries.append(now_s)
         return True
 
+    def try_acquire_hedge(self, now_s):
+        """Uses one retry of the budget for a hedge, if the part of hedges has one left.
+
+        :param now_s: current time in seconds.
+        :return: whether the hedge may be sent.
+        """
+        if self._saved_hedges < 1.0 or not self.try_acquire(now_s):
+            return False
+        self._saved_hedges -= 1.0
+        return True
+
     def _count_lasting_requests(self, now_s):
         # Requests that permit a retry until it leaves the window, if no more come.
         return min(
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -17,6 +17,7 @@
     engine_paces,
     facts,
     group_servers,
+    hedging,
     helpers,
     limit_candidates,
     limits,
@@ -56,6 +57,7 @@
     :param canary_slack: requests that such a version may get beyond that fraction.
     :param fair_queueing: whether customers have shares in the engine time of a
         service.
+    :param hedge_share: largest share of hedges in all sends; 0 for none.
     """
 
     retry_ratio: float
@@ -67,6 +69,7 @@
     poll_interval_s: float = 0.5
     canary_slack: float = 0.0
     fair_queueing: bool = False
+    hedge_share: float = 0.0
 
 
 class Deployment:
@@ -102,6 +105,10 @@
         self.helpers = helpers.Helpers(self.roster, rng)
         self.eligibility = eligibility.Eligibility(member.name)
         self.eligibility.limits.find_candidates = self._find_candidates
+        self.hedging = hedging.Hedging(
+            self.crashes.is_suspected, self.eligibility.limits.find_rate
+        )
+        self.hedging.set_share(policy.hedge_share)
         self._limit_candidates = limit_candidates.LimitCandidates(self.roster)
         self._share_observer = share_changes.ShareObserver()
         self._dispatchers = {}
@@ -138,6 +145,7 @@
         self._set_unreported_fraction()
         for dispatcher in self._dispatchers.values():
             dispatcher.set_fair_queueing(policy.fair_queueing)
+        self.hedging.set_share(policy.hedge_share)
         for budget in self._budgets.values():
             budget.set_bounds(
                 policy.retry_ratio, policy.retry_window_s, policy.retry_slack
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -59,6 +59,8 @@
 DRAINED = "all servers are in drained failure domains"
 # Reason to leave a request at a silent server.
 MAY_STILL_RUN = "may still run"
+# Reason for no other send, silent or slow as the server may be.
+NO_SERVER = "no other server"
 # Time from which a server that takes nothing, by what it has stated, doesn't keep
 # requests from trying one in a backoff.
 HELD_S = 1.0
@@ -108,7 +110,7 @@
 
 
 class Stay(msgspec.Struct, frozen=True):
-    """A decision to leave a request at a backend server that is silent.
+    """A decision to leave a request at its backend server, silent or slow, alone.
 
     :param reason: what is missing for another send, for the log.
     """
@@ -588,14 +590,31 @@
         if self.may_still_run(ticket, now_s):
             return Stay(MAY_STILL_RUN)
         if not self.has_capacity(now_s):
-            return Stay("no other server")
+            return Stay(NO_SERVER)
         chosen = self._choose_substitute(ticket, now_s)
         if chosen is None:
-            return Stay("no other server")
+            return Stay(NO_SERVER)
         if not budget.try_acquire(now_s):
             return Stay(outcomes.NO_BUDGET)
         return self._assign(ticket, chosen, now_s)
 
+    def assign_hedge(self, ticket, has_spare_slot, budget, now_s):
+        """Assigns a request to another server as well, while its own one is slow.
+
+        :param ticket: ``arrivals.Ticket``; its sends include the slow one.
+        :param has_spare_slot: function of a ``servers.Server`` that tells whether it
+            may get extra work.
+        :param budget: ``budgets.RetryBudget`` of the service.
+        :param now_s: current time, in seconds.
+        :return: ``Assignment`` or ``Stay``.
+        """
+        chosen = self._choose_substitute(ticket, now_s, has_spare_slot)
+        if chosen is None:
+            return Stay(NO_SERVER)
+        if not budget.try_acquire_hedge(now_s):
+            return Stay(outcomes.NO_BUDGET)
+        return self._assign(ticket, chosen, now_s)
+
     def may_still_run(self, ticket, now_s):
         """Tells whether a plain request may just take as long as it does.
 
@@ -639,7 +658,7 @@
                 return server, send
         return None, None
 
-    def _choose_substitute(self, ticket, now_s):
+    def _choose_substitute(self, ticket, now_s, accepts=None):
         if self._find_harmful_refusal(ticket, now_s) is not None:
             return None
         waiting = self._waiting.values()
@@ -651,6 +670,8 @@
             for item in usable
             if item.server_id not in ticket.tried and self._is_available(item, now_s)
         ]
+        if accepts is not None:
+            candidates = [item for item in candidates if accepts(item)]
         return self._choose_best(ticket, candidates, now_s)
 
     def _goes_first(self, waiting, silent, now_s):
--- a/packages/kernel/wasabiknot_kernel/events.py
+++ b/packages/kernel/wasabiknot_kernel/events.py
@@ -306,6 +306,21 @@
     CUSTOMER_WITHIN_SHARE = EventDefinition(
         1842, logging.INFO, "{service}: {customer} is within its share again"
     )
+    HEDGE_SENT = EventDefinition(
+        1861, logging.INFO, "{request}: hedge sent to {server} after {after_ms} ms"
+    )
+    HEDGE_WON = EventDefinition(
+        1862, logging.INFO, "{request}: hedge at {server} goes on, {reason}"
+    )
+    HEDGE_LOST = EventDefinition(
+        1863, logging.INFO, "{request}: hedge at {server} cancelled, {reason}"
+    )
+    HEDGE_FAILED = EventDefinition(
+        1864, logging.INFO, "{request}: hedge at {server} failed, {reason}"
+    )
+    HEDGE_WITHHELD = EventDefinition(
+        1865, logging.INFO, "{request}: slow, but no hedge sent, {reason}"
+    )
     START_COPIED = EventDefinition(
         1881, logging.INFO, "copied all topics from {peer} after {elapsed_ms} ms"
     )
