Send a second time what is slow, and take the first response

Weighed: a flow that holds two equal sends would have to choose in each of its steps; so the flow keeps one send, and a hedge keeps its own records until it has won and the flow adopts it. Ruled out: a hedge that relays before it has won (mixed bytes), a hedge over a peer (two entries with one request), evidence of cancelled sends (a second send would count against a version for being slow only).

Without hedge_share nothing is watched, learned, sent or logged.

--- a/packages/entry/tests/test_edge.py
+++ b/packages/entry/tests/test_edge.py
@@ -194,6 +194,28 @@
         self.check_event(entry, "settings_bad")
         self.assertIsNone(entry.process.poll())
 
+    def test_share_of_hedges_beyond_its_range_keeps_the_settings_and_fails_a_start(
+        self,
+    ):
+        entry = self.start()
+        self.check_event(entry, "started")
+        with entry.path.open("a") as settings:
+            settings.write("hedge_share: 1.5\n")
+        self.assertIn("hedge_share", self.check_event(entry, "settings_bad")["error"])
+        self.assertIsNone(entry.process.poll())
+        entry.process.send_signal(signal.SIGTERM)
+        self.check_event(entry, "stopped")
+        environment = {edge_entries.SETTINGS_VARIABLE: str(entry.path)}
+        started = subprocess.run(
+            [sys.executable, "-m", "wasabiknot_entry.edge"],
+            env={**os.environ, **environment},
+            capture_output=True,
+            timeout=TIMEOUT_S,
+            check=False,
+        )
+        self.assertEqual(started.returncode, edge_entries.EXIT_BAD_SETTINGS)
+        self.assertIn(b"hedge_share", started.stderr)
+
     def test_port_in_use_ends_the_process(self):
         with socket.socket() as listener:
             listener.bind(("127.0.0.1", 0))
--- a/packages/entry/tests/test_edge_settings.py
+++ b/packages/entry/tests/test_edge_settings.py
@@ -89,3 +89,16 @@
         self.assertFalse(pipeline.is_successful(failed))
         text = str(failed.failure())
         self.assertIn("placement: expected one of: earliest-event", text)
+
+    def test_hedges_are_off_unless_the_setting_is_there(self):
+        self.assertEqual(load(SETTINGS_TEXT).unwrap().hedge_share, 0.0)
+        loaded = load(SETTINGS_TEXT + "hedge_share: 0.05\n").unwrap()
+        self.assertEqual(loaded.hedge_share, 0.05)
+
+    def test_share_of_hedges_beyond_its_range_is_an_error(self):
+        # A reload then keeps the previous settings, and a start fails.
+        for value in ("-0.01", "1.01", ".nan", ".inf", "true", "'0.1'", "[]"):
+            with self.subTest(value=value):
+                failed = load(SETTINGS_TEXT + f"hedge_share: {value}\n")
+                self.assertFalse(pipeline.is_successful(failed))
+                self.assertIn("hedge_share", str(failed.failure()))
--- a/packages/entry/wasabiknot_entry/deployment_views.py
+++ b/packages/entry/wasabiknot_entry/deployment_views.py
@@ -23,6 +23,7 @@
         self.member = deployment.member
         self.paths = deployment.paths
         self.helpers = deployment.helpers
+        self.hedging = deployment.hedging
         self.find_peer = deployment.find_peer
         self.choose_helper = deployment.choose_helper
         self.choose_slot_owner = deployment.choose_slot_owner
--- a/packages/entry/wasabiknot_entry/edge_entries.py
+++ b/packages/entry/wasabiknot_entry/edge_entries.py
@@ -548,6 +548,7 @@
         bounds.leaving_ms / 1_000 / POLLS_PER_LEAVING_BOUND,
         bounds.canary_slack,
         settings.has_fair_queueing,
+        settings.hedge_share,
     )
 
 
--- a/packages/entry/wasabiknot_entry/edge_settings.py
+++ b/packages/entry/wasabiknot_entry/edge_settings.py
@@ -10,6 +10,7 @@
 from wasabiknot_platform import contracts as platform_contracts
 
 Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
+Share = typing.Annotated[float, msgspec.Meta(ge=0, le=1)]
 # At least one response of the largest size fits.
 BufferBytes = typing.Annotated[int, msgspec.Meta(ge=4 * 1024 * 1024)]
 
@@ -63,6 +64,7 @@
     :param placement: name of the load-balancing policy, from ``choosers``.
     :param fair_queueing: whether customers have shares in the engine time of a service.
     :param contracts: contracts that the platform names; one may ask for such shares.
+    :param hedge_share: largest share of hedges in all sends; 0 for none.
     """
 
     name: str
@@ -80,6 +82,7 @@
     placement: str = choosers.DEFAULT_NAME
     fair_queueing: bool = False
     contracts: tuple[str, ...] | None = None
+    hedge_share: Share = 0.0
 
     @property
     def has_fair_queueing(self):
--- a/packages/entry/wasabiknot_entry/flows.py
+++ b/packages/entry/wasabiknot_entry/flows.py
@@ -8,6 +8,7 @@
     journal,
     relays,
     send_attempts,
+    send_records,
 )
 from wasabiknot_kernel import (
     dispatch,
@@ -75,6 +76,7 @@
         self._forwarded_head = None
         # Decision on the silence of the backend server, if it is silent.
         self._silence_decision = None
+        self._send_watch = gateway.hedges.create_watch(self)
         self._sent_s = 0.0
         # Time of the send or of the newest event, as the server has it, in seconds.
         self._heard_s = 0.0
@@ -101,6 +103,11 @@
             return WAITING
         return self._attempt.phase.value
 
+    @property
+    def has_input(self):
+        """Whether received bytes of its attempt aren't handled yet."""
+        return self._attempt is not None and self._attempt.has_input
+
     @property
     def dispatcher(self):
         """The dispatcher of the service that handles the request."""
@@ -138,24 +145,45 @@
             waited_ms=round(assignment.waited_s * 1_000),
             score_ms=round(assignment.score_ms),
         )
+        self._send_watch.start(assignment)
         self._attempt = send_attempts.SendAttempt(
             self._gateway.reactor,
             self._gateway.pool,
             assignment,
-            self._build_server_request,
+            lambda: self.build_server_request(assignment.server),
             self,
         )
 
+    def adopt(self, assignment, attempt, sent_s):
+        """Goes on with another send, the hedge.
+
+        :param assignment: ``dispatch.Assignment`` of the hedge.
+        :param attempt: its ``send_attempts.SendAttempt``.
+        :param sent_s: time at which it was sent, in seconds.
+        :return: assignment and attempt so far; ``None`` if that has ended.
+        """
+        is_replaced = self._attempt is not None
+        replaced = (self._assignment, self._attempt) if is_replaced else None
+        self._gateway.silent_flows.discard(self)
+        self._assignment = assignment
+        self._attempt = attempt
+        self._reset_send(sent_s)
+        return replaced
+
     def _start_send(self):
         self._silence_decision = None
         if self._request.channel.has_caller_left():
             self.handle_disconnect()
             return False
-        self._sent_s = self._gateway.reactor.seconds()
-        self._heard_s = self._sent_s
+        self._reset_send(self._gateway.reactor.seconds())
+        return True
+
+    def _reset_send(self, sent_s):
+        self._silence_decision = None
+        self._sent_s = sent_s
+        self._heard_s = sent_s
         self._received_count = 0
         self._first_event_s = None
-        return True
 
     def _compute_remaining_ms(self):
         return (self.ticket.deadline_s - self._gateway.reactor.seconds()) * 1_000
@@ -164,12 +192,18 @@
         is_resume = self.last_event_id > self.ticket.arrival.last_event_id
         return self.last_event_id if is_resume else 0
 
-    def _build_server_request(self):
+    def build_server_request(self, server):
+        """Builds the request to a backend server, which is sent at once.
+
+        :param server: ``servers.Server``.
+        :return: ``connections.Request``.
+        """
+        self._send_watch.record_sent()
         headers = platform_headers.build_request_headers(
             self._headers,
             len(self._body),
             self.ticket,
-            self._assignment.server.server_id,
+            server.server_id,
             self._compute_remaining_ms(),
             self._find_resume_id(),
         )
@@ -204,6 +238,7 @@
         """
         if not self._start_send():
             return
+        self._send_watch.cancel()
         gateway = self._gateway
         ticket = self.ticket
         granted = max(1, ticket.route.attempts - ticket.sends)
@@ -278,6 +313,7 @@
         self._heard_s = now_s
         if self._first_event_s is None:
             self._first_event_s = now_s - self._sent_s
+            self._send_watch.record_response()
         self.dispatcher.record_first_event(self.ticket, server, now_s)
         self.dispatcher.record_progress(
             self.ticket, server, self._received_count, now_s
@@ -297,6 +333,9 @@
         now_s = gateway.reactor.seconds()
         previous = self._silence_decision
         self._assignment.server.record_silence(max(self._heard_s, now_s - silent_s))
+        if self._send_watch.is_hedged:
+            # The hedge is the other send.
+            return False
         decision = gateway.handovers.replace_silent_server(
             ticket, self.has_time(now_s), now_s
         )
@@ -370,26 +409,18 @@
         gateway.silent_flows.discard(self)
         now_s = gateway.reactor.seconds()
         ticket = self.ticket
-        if result.outcome not in outcomes.NOT_EXECUTED:
-            ticket.may_have_run = True
-        if result.outcome in outcomes.NOT_SENT:
-            ticket.sends -= 1
         if result.outcome is Outcome.UNREACHABLE:
             ticket.unreached += 1
-        dispatcher = self.dispatcher
-        dispatcher.record_end(ticket, assignment.server, result.outcome, now_s)
-        elapsed_s = now_s - self._sent_s
-        gateway.record_evidence(
+        send = send_records.Send(
             ticket,
             assignment.server,
-            result.outcome,
-            elapsed_s,
+            self._sent_s,
             self._received_count,
-            now_s,
             self._first_event_s,
         )
-        gateway.record_result(ticket, assignment.server, result, now_s)
+        send_records.record_result(gateway, send, result)
         if result.outcome in (Outcome.COMPLETE, Outcome.CANCELLED):
+            self._send_watch.record_response(result.head.status)
             self._forward_response(result)
         elif isinstance(self._silence_decision, dispatch.Assignment):
             self._log_failed_attempt(result, Step.RESEND, result.outcome.value)
@@ -397,6 +428,8 @@
         elif isinstance(self._silence_decision, members.Member):
             self._log_failed_attempt(result, Step.RESEND, result.outcome.value)
             self.hand_over(self._silence_decision, result.outcome.value)
+        elif self._send_watch.take_over():
+            self._log_failed_attempt(result, Step.RESEND, "hedged")
         else:
             self._handle_failed_attempt(result, now_s)
         gateway.dispatch_waiting(ticket.service)
@@ -510,6 +543,7 @@
             self.dispatcher.record_end(self.ticket, decision.server, cancelled, now_s)
 
     def _cancel_attempt(self, is_timed_out):
+        self._send_watch.cancel()
         self._release_substitute()
         attempt, self._attempt = self._attempt, None
         assignment, self._assignment = self._assignment, None
@@ -568,6 +602,7 @@
     def abandon(self):
         """Ends the work on the request after a failure, without a response."""
         self._end()
+        self._send_watch.cancel()
         attempt, self._attempt = self._attempt, None
         assignment, self._assignment = self._assignment, None
         if attempt is not None:
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -16,6 +16,7 @@
     error_responses,
     eventloops,
     flows,
+    hedges,
     inputs,
     journal,
     liveness,
@@ -134,6 +135,7 @@
         self.handovers = peer_handovers.Handovers(
             reactor, self.pool, deployment, metrics
         )
+        self.hedges = hedges.Hedges(self, deployment, metrics)
         self._body_writers = set()
         self._rng = rng
         self._deployment = deployment
@@ -766,6 +768,11 @@
         for channel in self._channels:
             channel.announce_close()
 
+    @property
+    def is_stopping(self):
+        """Whether the graceful stop has begun."""
+        return self._stop is not None
+
     @property
     def is_drained(self):
         """Whether the stop may end: nothing is in flight, or the time is over."""
--- a/packages/entry/wasabiknot_entry/request_metrics.py
+++ b/packages/entry/wasabiknot_entry/request_metrics.py
@@ -87,6 +87,12 @@
             ["kind"],
             registry=self._registry,
         )
+        self._hedges = prometheus_client.Counter(
+            "wasabiknot_hedges",
+            "Second sends of slow requests, by what became of them.",
+            ["step", "reason"],
+            registry=self._registry,
+        )
 
     def add_collector(self, collector):
         """Adds a collector whose metrics are rendered as well.
@@ -128,6 +134,14 @@
         kind = "above" if change.is_above else "within"
         self._share_changes.labels(kind).inc()
 
+    def count_hedge(self, step, reason):
+        """Counts a hedge that was sent, won, lost, failed or was withheld.
+
+        :param step: which of them.
+        :param reason: why it was withheld, or how it ended; empty for a send.
+        """
+        self._hedges.labels(step, reason).inc()
+
     def count_idle_close(self):
         """Counts a caller's connection that was closed for being idle."""
         self._idle_closes.inc()
--- a/packages/entry/wasabiknot_entry/send_attempts.py
+++ b/packages/entry/wasabiknot_entry/send_attempts.py
@@ -168,12 +168,17 @@
         """Whether no response to an earlier request has come over the connection."""
         return self._connection is None or not self._connection.earlier_requests
 
+    @property
+    def has_input(self):
+        """Whether received bytes of the response aren't handled yet."""
+        return self._connection is not None and self._connection.has_input
+
     def check_silence(self):
         """Ends the attempt if another server takes its request, as this one is silent.
 
         Otherwise the server may go on.
         """
-        if self._connection is not None and self._connection.has_input:
+        if self.has_input:
             self._start_timer(SILENCE_CHECK_INTERVAL_S)
             return
         silent_s = self._reactor.seconds() - self._heard_s
