Find slow sends by sorted samples instead of a histogram that needs a compiler

Cause: hdrh has no wheel, so the build of the entries would compile it, on machines that start without a compiler, for a percentile of a few hundred values.

Change: the newest 256 samples of a class are kept and sorted, as durations keeps those of routes.

--- a/packages/kernel/tests/test_send_durations.py
+++ b/packages/kernel/tests/test_send_durations.py
@@ -48,7 +48,7 @@
         # Guards against hedges of sends that take as long as most others.
         rng = random.Random(seed)
         expectation = build_expectation()
-        for _ in range(send_durations.PERIOD_SAMPLES):
+        for _ in range(send_durations.RECENT_SAMPLES):
             self.durations.add(expectation, scale_s * rng.uniform(1.0, 3.0))
         slow_s = self.durations.find_slow_s(expectation)
         later = [scale_s * rng.uniform(1.0, 3.0) for _ in range(500)]
@@ -78,14 +78,14 @@
         # Guards against a percentile of times that are long past.
         expectation = build_expectation()
         for _ in range(8):
-            add_samples(self.durations, expectation, 0.1, send_durations.PERIOD_SAMPLES)
-        changed = send_durations.PERIOD_SAMPLES + send_durations.MIN_SAMPLES
+            add_samples(self.durations, expectation, 0.1, send_durations.RECENT_SAMPLES)
+        changed = send_durations.RECENT_SAMPLES + send_durations.MIN_SAMPLES
         add_samples(self.durations, expectation, 0.4, changed)
         self.assertAlmostEqual(self.durations.find_slow_s(expectation), 0.4, 2)
 
-    def test_percentile_lasts_over_the_begin_of_a_period(self):
+    def test_percentile_lasts_while_samples_are_replaced(self):
         expectation = build_expectation()
-        for count in range(3 * send_durations.PERIOD_SAMPLES):
+        for count in range(3 * send_durations.RECENT_SAMPLES):
             self.durations.add(expectation, 0.1)
             if count >= send_durations.MIN_SAMPLES:
                 self.assertIsNotNone(self.durations.find_slow_s(expectation))
--- a/packages/kernel/wasabiknot_kernel/send_durations.py
+++ b/packages/kernel/wasabiknot_kernel/send_durations.py
@@ -7,29 +7,23 @@
 """
 
 import collections
+import math
 
 import msgspec
-from hdrh import histogram
 
 from wasabiknot_kernel import routes
 
-# Percentile of the comparable sends beyond which a send counts as slow.
-SLOW_PERCENTILE = 95.0
-# Samples without which nothing is slow: two of them are beyond the percentile.
+# Fraction of the comparable sends that a slow send has exceeded.
+SLOW_FRACTION = 0.95
+# Samples without which nothing is slow: two of them are beyond the fraction.
 MIN_SAMPLES = 40
-# Samples after which a new period begins, so that the percentile follows the load.
-PERIOD_SAMPLES = 256
+# Newest samples that are compared with, so that the comparison follows the load.
+RECENT_SAMPLES = 256
+# Longer samples are clipped to this value.
+MAX_DURATION_S = 120.0
 # Bound on the classes and on the routes that are remembered. Prompts and paces fall
 # into a few bands each, and versions of the configuration change routes.
 MAX_SERIES = 128
-# Range and resolution of the histograms: tenths of a millisecond, or hundredths of the
-# expected time. The counters have 16 bits, as a period is short.
-MAX_VALUE = 1_200_000
-SIGNIFICANT_DIGITS = 2
-COUNTER_BYTES = 2
-TENTHS_PER_MS = 10
-TENTHS_PER_S = 10_000
-HUNDREDTHS = 100
 
 
 class SendClass(msgspec.Struct, frozen=True):
@@ -72,37 +66,25 @@
 
 
 class _Series:
-    # The samples of the running period and of the one before it.
+    # The newest samples.
 
     def __init__(self):
-        self._current = _create_histogram()
-        self._previous = None
+        self._samples = collections.deque(maxlen=RECENT_SAMPLES)
         self._slow_value = None
 
     def add(self, value):
-        if self._current.total_count >= PERIOD_SAMPLES:
-            self._previous = self._current
-            self._current = _create_histogram()
-        self._current.record_value(min(max(1, round(value)), MAX_VALUE))
+        self._samples.append(value)
         self._slow_value = None
 
     def find_slow_value(self):
-        if self._slow_value is None:
+        if self._slow_value is None and len(self._samples) >= MIN_SAMPLES:
             self._slow_value = self._compute_slow_value()
         return self._slow_value
 
     def _compute_slow_value(self):
-        if self._current.total_count >= MIN_SAMPLES:
-            return self._current.get_value_at_percentile(SLOW_PERCENTILE)
-        if self._previous is None:
-            return None
-        return self._previous.get_value_at_percentile(SLOW_PERCENTILE)
-
-
-def _create_histogram():
-    return histogram.HdrHistogram(
-        1, MAX_VALUE, SIGNIFICANT_DIGITS, word_size=COUNTER_BYTES
-    )
+        # A sort of so few samples costs less than a histogram with a range for them all.
+        ordered = sorted(self._samples)
+        return ordered[math.ceil(SLOW_FRACTION * len(ordered)) - 1]
 
 
 class _SeriesTable:
@@ -132,7 +114,7 @@
 
     def __init__(self):
         self._by_class = _SeriesTable()
-        # Factors by which the expected time was exceeded, in hundredths.
+        # Factors by which the expected time was exceeded.
         self._by_route = _SeriesTable()
 
     def count_series(self):
@@ -151,11 +133,11 @@
         :param expectation: ``Expectation``.
         :param duration_s: seconds from the send to its response, or to its cancelling.
         """
-        tenths = duration_s * TENTHS_PER_S
+        duration_s = min(max(0.0, duration_s), MAX_DURATION_S)
         send_class = expectation.send_class
-        self._by_class.add(send_class, tenths)
-        factor = tenths / (TENTHS_PER_MS * max(1.0, expectation.expected_ms))
-        self._by_route.add(send_class.route, HUNDREDTHS * factor)
+        self._by_class.add(send_class, duration_s)
+        factor = 1_000 * duration_s / max(1.0, expectation.expected_ms)
+        self._by_route.add(send_class.route, factor)
 
     def find_slow_s(self, expectation):
         """Finds the time after which a send is slower than nearly all comparable ones.
@@ -163,11 +145,10 @@
         :param expectation: ``Expectation``.
         :return: seconds from the send; ``None`` while there are too few samples.
         """
-        slow_tenths = self._by_class.find_slow_value(expectation.send_class)
-        if slow_tenths is not None:
-            return slow_tenths / TENTHS_PER_S
+        slow_s = self._by_class.find_slow_value(expectation.send_class)
+        if slow_s is not None:
+            return slow_s
         slow_factor = self._by_route.find_slow_value(expectation.send_class.route)
         if slow_factor is None:
             return None
-        expected_ms = max(1.0, expectation.expected_ms)
-        return slow_factor / HUNDREDTHS * expected_ms / 1_000
+        return slow_factor * max(1.0, expectation.expected_ms) / 1_000
