--- a/packages/kernel/wasabiknot_kernel/send_durations.py
+++ b/packages/kernel/wasabiknot_kernel/send_durations.py
@@ -82,7 +82,7 @@
         return self._slow_value
 
     def _compute_slow_value(self):
-        # A sort of so few samples costs less than a histogram with a range for them all.
+        # So few samples are sorted faster than a histogram of their range is scanned.
         ordered = sorted(self._samples)
         return ordered[math.ceil(SLOW_FRACTION * len(ordered)) - 1]
 
