Limit the requests to cold backend servers

Cause: a server that has just started, or whose failure domain has just been given back, got as many requests as a warm one. Its warm-up only kept its latencies out of evidence.

Change: warmups keeps until when each server counts as cold: as stated by its registration or a response, for warmupS after a drain, and for warmupS + 2 s after a refused or reset connection, which digests pass on with its age. Cold servers have the limit warmupPerS in a second LimitTable; half of the tolerance is for the senders' saved requests, and a new sender waits for 1 s. An entry that does not know the members sends them nothing. limits.estimate_wait_s became limit_waits, as both tables hold.

--- a/packages/entry/tests/test_drain_orders.py
+++ b/packages/entry/tests/test_drain_orders.py
@@ -3,9 +3,11 @@
 import gatewaycases
 import loglines
 import msgspec
+from twisted.internet import error
+from twisted.python import failure
 
-from wasabiknot_entry import drain_orders
-from wasabiknot_kernel import facts, registrations
+from wasabiknot_entry import change_logs, drain_orders
+from wasabiknot_kernel import facts, registrations, routes
 from wasabiknot_platform import configurations
 
 
@@ -144,3 +146,43 @@
         self.assertEqual(server.failure_rate, 0.0)
         self.assertFalse(server.is_avoided(self.reactor.seconds()))
         self.assertEqual(len(server.sends), 0)
+
+
+class ColdServerTests(gatewaycases.GatewayCase):
+    """A server whose service limits cold ones."""
+
+    def setUp(self):
+        super().setUp()
+        service = routes.Service("desk", "/", 10, None, 3.0, 9.3)
+        self.configure(gatewaycases.build_configuration(2, services=(service,)))
+        self.send = self.connect(gatewaycases.build_head())
+
+    def is_cold(self):
+        return self.deployment.eligibility.warmups.is_cold("w1")
+
+    def test_reset_connection_makes_its_server_count_as_cold(self):
+        # Guards against a burst to a server that has restarted meanwhile.
+        connection = self.accept(0)
+        connection.connectionLost(gatewaycases.CLOSED)
+        self.assertTrue(self.is_cold())
+
+    def test_refused_connection_makes_its_server_count_as_cold(self):
+        factory = self.reactor.tcpClients[0][2]
+        refused = failure.Failure(error.ConnectionRefusedError())
+        factory.clientConnectionFailed(None, refused)
+        self.assertTrue(self.is_cold())
+
+    def test_complete_response_leaves_its_server_warm(self):
+        self.respond(self.accept(0))
+        self.assertFalse(self.is_cold())
+
+    def test_change_is_logged(self):
+        self.accept(0).connectionLost(gatewaycases.CLOSED)
+        with self.assertLogs("wasabiknot", "INFO") as logs:
+            for change in self.deployment.eligibility.pop_changes():
+                change_logs.log_statement(change)
+            self.deployment.eligibility.tick(60.0, {"w1"})
+            for change in self.deployment.eligibility.pop_changes():
+                change_logs.log_statement(change)
+        self.assertEqual(len(loglines.list_lines(logs, "WK1804")), 1)
+        self.assertEqual(len(loglines.list_lines(logs, "WK1805")), 1)
--- a/packages/entry/tests/test_edge_settings.py
+++ b/packages/entry/tests/test_edge_settings.py
@@ -5,6 +5,7 @@
 from returns import pipeline
 
 from wasabiknot_entry import edge_settings
+from wasabiknot_kernel import warmups
 
 SETTINGS_TEXT = """
 name: e1
@@ -102,3 +103,23 @@
                 failed = load(SETTINGS_TEXT + f"hedge_share: {value}\n")
                 self.assertFalse(pipeline.is_successful(failed))
                 self.assertIn("hedge_share", str(failed.failure()))
+
+
+class WarmupToleranceTests(unittest.TestCase):
+    def find(self, *lines):
+        text = SETTINGS_TEXT + "".join(f"  {line}\n" for line in lines)
+        return edge_settings.find_warmup_tolerance(load(text).unwrap().bounds)
+
+    def test_bounds_that_the_platform_does_not_set_have_defaults(self):
+        # Guards against a start that fails as the template renders nothing.
+        default = warmups.Tolerance()
+        self.assertEqual(self.find(), default)
+        self.assertEqual(self.find("warmup_overrun:", "warmup_slack: "), default)
+
+    def test_bounds_that_it_sets_hold(self):
+        found = self.find("warmup_overrun: 1.2", "warmup_slack: 0")
+        self.assertEqual(found, warmups.Tolerance(1.2, 0.0))
+
+    def test_impossible_bounds_are_settings_errors(self):
+        for line in ("warmup_overrun: 0.5", "warmup_slack: -1"):
+            self.assertFalse(pipeline.is_successful(load(f"{SETTINGS_TEXT}  {line}")))
--- a/packages/entry/tests/test_server_metrics.py
+++ b/packages/entry/tests/test_server_metrics.py
@@ -4,7 +4,7 @@
 from twisted.internet import task
 
 from wasabiknot_entry import request_metrics, server_metrics
-from wasabiknot_kernel import eligibility, statements
+from wasabiknot_kernel import eligibility, routes, statements
 
 ALL = statements.Statement(limit_per_s=5.5, is_leaving=True, retry_after_s=3.0)
 
@@ -65,3 +65,16 @@
         self.assertIn(line, self.render())
         self.eligibility.drains.lift("graz")
         self.assertNotIn(line, self.render())
+
+    def test_cold_servers_are_shown_and_counted(self):
+        service = routes.Service("pool", "/", 0, None, 3.0, 9.3)
+        self.eligibility.warmups.find_service = lambda _: service
+        self.eligibility.warmups.record_statement("w1", 3.0, 0.0)
+        self.clock.advance(1.0)
+        text = self.render()
+        self.assertIn('wasabiknot_server_cold_seconds{server="w1"} 2.0', text)
+        self.assertIn('statements_total{kind="cold",server="w1"} 1.0', text)
+        self.eligibility.tick(3.0, {"w1"})
+        text = self.render()
+        self.assertNotIn("cold_seconds{", text)
+        self.assertIn('statements_total{kind="warm",server="w1"} 1.0', text)
--- a/packages/entry/wasabiknot_entry/change_logs.py
+++ b/packages/entry/wasabiknot_entry/change_logs.py
@@ -21,6 +21,15 @@
     elif change.kind is statements.ChangeKind.LEAVING:
         event = events.Event.LEAVING_STATED
         journal.write(event, server=change.server_id, source=source)
+    elif change.kind is statements.ChangeKind.COLD:
+        journal.write(
+            events.Event.SERVER_COLD,
+            server=change.server_id,
+            seconds=change.value,
+            reason=change.reason,
+        )
+    elif change.kind is statements.ChangeKind.WARM:
+        journal.write(events.Event.SERVER_WARM, server=change.server_id)
     else:
         event = events.Event.DEFERRAL_STATED
         journal.write(event, server=change.server_id, seconds=change.value)
--- a/packages/entry/wasabiknot_entry/deployment_views.py
+++ b/packages/entry/wasabiknot_entry/deployment_views.py
@@ -30,6 +30,7 @@
         self.is_path_lost = deployment.is_path_lost
         self.record_answer = deployment.record_answer
         self.record_path_failure = deployment.record_path_failure
+        self.record_broken_connection = deployment.record_broken_connection
         self.get_budget = deployment.get_budget
         self.allowances = deployment.allowances
         self.crashes = deployment.crashes
--- a/packages/entry/wasabiknot_entry/edge_entries.py
+++ b/packages/entry/wasabiknot_entry/edge_entries.py
@@ -343,6 +343,8 @@
             self._deployment.has_servers = True
         elif topic == stores.CRASH_TOPIC:
             self._deployment.has_crashes = True
+        elif topic == stores.MEMBER_TOPIC:
+            self._deployment.has_members = True
         handlers = {
             stores.OPERATOR_TOPIC: self._apply_operator_fact,
             stores.SERVER_TOPIC: self._apply_server,
@@ -549,6 +551,7 @@
         bounds.canary_slack,
         settings.has_fair_queueing,
         settings.hedge_share,
+        edge_settings.find_warmup_tolerance(bounds),
     )
 
 
--- a/packages/entry/wasabiknot_entry/edge_settings.py
+++ b/packages/entry/wasabiknot_entry/edge_settings.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from wasabiknot_entry import addresses, buffers
-from wasabiknot_kernel import choosers, documents
+from wasabiknot_kernel import choosers, documents, warmups
 from wasabiknot_platform import contracts as platform_contracts
 
 Positive = typing.Annotated[float, msgspec.Meta(gt=0)]
@@ -14,6 +14,9 @@
 # At least one response of the largest size fits.
 BufferBytes = typing.Annotated[int, msgspec.Meta(ge=4 * 1024 * 1024)]
 
+WarmupOverrun = typing.Annotated[float, msgspec.Meta(ge=1)]
+WarmupSlack = typing.Annotated[float, msgspec.Meta(ge=0)]
+
 
 class Bounds(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Service-level bounds of the deployment.
@@ -30,6 +33,9 @@
     :param canary_share: fraction of the traffic that an unproven version may get.
     :param canary_slack: requests beyond that which such a version may get.
     :param rollback_ms: longest time until a bad version gets no more requests.
+    :param warmup_overrun: factor on the limit of a cold backend server that it bears in
+        one second; ``None`` for the default.
+    :param warmup_slack: requests that it bears on top of that; ``None`` likewise.
     """
 
     configuration_ms: Positive
@@ -44,6 +50,8 @@
     canary_share: float
     rollback_ms: Positive
     canary_slack: float = 0.0
+    warmup_overrun: WarmupOverrun | None = None
+    warmup_slack: WarmupSlack | None = None
 
 
 class Settings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -104,5 +112,19 @@
     return read.bind(_check_placement)
 
 
+def find_warmup_tolerance(bounds):
+    """Finds by how much cold backend servers may get more than their limit.
+
+    :param bounds: ``Bounds``; those that the platform doesn't set have a default.
+    :return: ``warmups.Tolerance``.
+    """
+    default = warmups.Tolerance()
+    overrun, slack = bounds.warmup_overrun, bounds.warmup_slack
+    return warmups.Tolerance(
+        default.overrun if overrun is None else overrun,
+        default.slack if slack is None else slack,
+    )
+
+
 def _check_placement(document):
     return documents.check_choice(document, "placement", choosers.list_names())
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -671,6 +671,8 @@
         if result.outcome is Outcome.WITHDRAWN:
             self._metrics.count_attempt(result.outcome)
             return
+        if result.is_refused or result.is_connection_lost:
+            self._deployment.record_broken_connection(server, now_s)
         if _is_path_failure(result):
             self.record_path_failure(server, result.is_new_connection, now_s)
         if result.outcome is Outcome.UNREACHABLE:
--- a/packages/entry/wasabiknot_entry/send_attempts.py
+++ b/packages/entry/wasabiknot_entry/send_attempts.py
@@ -57,6 +57,7 @@
         the connection.
     :param ends_with_connection: whether the connection was closed with the end of the
         response, which then may not be the end that the server meant.
+    :param is_connection_lost: whether the connection ended before the response.
     """
 
     outcome: Outcome
@@ -66,6 +67,7 @@
     is_refused: bool = False
     is_new_connection: bool = True
     ends_with_connection: bool = False
+    is_connection_lost: bool = False
 
 
 class SendAttempt:
@@ -333,6 +335,7 @@
                 self._head,
                 detail=reason.value,
                 is_new_connection=self.is_new_connection,
+                is_connection_lost=True,
             )
             self._finish(result)
 
--- a/packages/entry/wasabiknot_entry/server_metrics.py
+++ b/packages/entry/wasabiknot_entry/server_metrics.py
@@ -74,6 +74,11 @@
         )
         for server_id, value in self._list_paces(self._reactor.seconds()):
             pace.add_metric([server_id], value)
+        cold = core.GaugeMetricFamily(
+            "wasabiknot_server_cold_seconds",
+            "Time for which a backend server still counts as cold.",
+            labels=["server"],
+        )
         for state in self._eligibility.list_states(self._reactor.seconds()):
             if state.limit_per_s is not None:
                 limit.add_metric([state.server_id], state.limit_per_s)
@@ -81,6 +86,8 @@
                 leaving.add_metric([state.server_id], 1)
             if state.deferred_s:
                 deferred.add_metric([state.server_id], state.deferred_s)
+            if state.cold_s:
+                cold.add_metric([state.server_id], state.cold_s)
         drained = core.GaugeMetricFamily(
             "wasabiknot_drained_domain",
             "1 for a failure domain that operators have drained.",
@@ -88,4 +95,4 @@
         )
         for domain in self._eligibility.drains.list_domains()[:MAX_DOMAINS]:
             drained.add_metric([domain], 1)
-        yield from (count, limit, leaving, deferred, drained, pace)
+        yield from (count, limit, leaving, deferred, cold, drained, pace)
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -31,8 +31,10 @@
     service_times,
     share_changes,
     silences,
+    statements,
     store_readers,
     store_reads,
+    warmups,
 )
 
 # Time for which an entry reads the store itself after it failed to fetch facts from a
@@ -58,6 +60,8 @@
     :param fair_queueing: whether customers have shares in the engine time of a
         service.
     :param hedge_share: largest share of hedges in all sends; 0 for none.
+    :param warmup_tolerance: ``warmups.Tolerance``, by how much cold backend servers may
+        get more requests than their limit.
     """
 
     retry_ratio: float
@@ -70,6 +74,7 @@
     canary_slack: float = 0.0
     fair_queueing: bool = False
     hedge_share: float = 0.0
+    warmup_tolerance: warmups.Tolerance = warmups.Tolerance()
 
 
 class Deployment:
@@ -89,6 +94,8 @@
         self.table = None
         self.has_servers = False
         self.has_crashes = False
+        # Whether the entries are known among which limits are divided.
+        self.has_members = False
         self.topics = {}
         self.roster = members.Roster(member)
         self.allowances = allowances.Allowances(policy.tolerance)
@@ -106,9 +113,13 @@
         self.eligibility = eligibility.Eligibility(member.name)
         self.eligibility.limits.find_candidates = self._find_candidates
         self.hedging = hedging.Hedging(
-            self.crashes.is_suspected, self.eligibility.limits.find_rate
+            self.crashes.is_suspected, self.eligibility.find_rate
         )
         self.hedging.set_share(policy.hedge_share)
+        self.eligibility.warmups.limits.find_candidates = self._find_candidates
+        self.eligibility.warmups.limits.share = 0.0
+        self.eligibility.warmups.find_service = self._find_service
+        self.eligibility.warmups.tolerance = policy.warmup_tolerance
         self._limit_candidates = limit_candidates.LimitCandidates(self.roster)
         self._share_observer = share_changes.ShareObserver()
         self._dispatchers = {}
@@ -146,6 +157,7 @@
         for dispatcher in self._dispatchers.values():
             dispatcher.set_fair_queueing(policy.fair_queueing)
         self.hedging.set_share(policy.hedge_share)
+        self.eligibility.warmups.tolerance = policy.warmup_tolerance
         for budget in self._budgets.values():
             budget.set_bounds(
                 policy.retry_ratio, policy.retry_window_s, policy.retry_slack
@@ -188,6 +200,7 @@
         # Backend servers may register before their service is configured.
         for service, dispatcher in self._dispatchers.items():
             dispatcher.set_engine(self._find_engine(service))
+        self.eligibility.warmups.tick(now_s, self._services_by_server)
         return True
 
     def get_dispatcher(self, service):
@@ -273,8 +286,32 @@
             self.crash_monitor.record_start(registration, previous_server, now_s)
             server.warm_until_s = now_s + registration.warmup_ms / 1_000
             self._peer_loads.apply_known(server)
+        self._apply_warmup(server, now_s)
         self.releases.record_version(registration.service, registration.version, now_s)
 
+    def _apply_warmup(self, server, now_s):
+        left_s = server.registration.warmup_ms / 1_000
+        self.eligibility.warmups.record_statement(server.server_id, left_s, now_s)
+        if self.eligibility.warmups.is_cold(server.server_id):
+            # It may have become cold again.
+            server.warm_until_s = max(server.warm_until_s, now_s + left_s)
+
+    def _find_service(self, server_id):
+        name = self._services_by_server.get(server_id)
+        return self.table.find_service(name) if self.table and name else None
+
+    def record_broken_connection(self, server, now_s):
+        """Records that a connection to a backend server was refused or reset.
+
+        It may have ended, and come back cold before its registration says so.
+
+        :param server: ``servers.Server``.
+        :param now_s: current time in seconds.
+        """
+        started_ms = server.registration.started_ms
+        own = statements.Channel.OWN
+        self.eligibility.record_break(server.server_id, started_ms, now_s, own, now_s)
+
     def order_drain(self, domain):
         """Drains a failure domain: nothing more is sent to its backend servers.
 
@@ -283,7 +320,8 @@
         """
         step = self.eligibility.drains.order(domain)
         self._assign_servers()
-        return domain_drains.DrainChange(domain, step, self._count_servers(domain))
+        count = len(self._list_servers(domain))
+        return domain_drains.DrainChange(domain, step, count)
 
     def lift_drain(self, domain, now_s):
         """Returns a drained failure domain to service.
@@ -294,12 +332,12 @@
         """
         if not self.eligibility.drains.lift(domain):
             return None
+        listed = self._list_servers(domain)
+        for server in listed:
+            self.eligibility.warmups.record_drain_end(server.server_id, now_s)
         self._assign_servers()
         lifted = domain_drains.DrainStep.LIFTED
-        return domain_drains.DrainChange(domain, lifted, self._count_servers(domain))
-
-    def _count_servers(self, domain):
-        return len(self._list_servers(domain))
+        return domain_drains.DrainChange(domain, lifted, len(listed))
 
     def _list_servers(self, domain):
         return [
@@ -644,6 +682,9 @@
         self.releases.apply_evidence(source, digest.evidence)
         self.silences.apply_reports(source, digest.silence_reports, now_s)
         self.crash_monitor.apply_digest(source, digest, now_s)
+        self.eligibility.apply_break_reports(
+            digest.broken_servers, digest.find_channel(), now_s
+        )
         self.brittleness.apply_reports(
             digest.brittle_services, digest.find_channel(), now_s
         )
@@ -757,7 +798,10 @@
     def _update_limits(self, reachable, peak, now_s):
         # Entries that were members lately may go on behind a network partition.
         is_majority = 2 * reachable > peak
-        self.eligibility.limits.share = 1.0 if is_majority else reachable / peak
+        share = 1.0 if is_majority else reachable / peak
+        self.eligibility.limits.share = share
+        # Without the other entries, this one would count as the only sender.
+        self.eligibility.warmups.limits.share = share if self.has_members else 0.0
         self.eligibility.tick(now_s, self._services_by_server)
 
     def _find_candidates(self, server_id, now_s):
--- a/packages/kernel/wasabiknot_kernel/digest_builders.py
+++ b/packages/kernel/wasabiknot_kernel/digest_builders.py
@@ -195,6 +195,7 @@
             ),
             silence_reports=silent,
             brittle_services=self._entry.brittleness.list_reports(now_s, channels),
+            broken_servers=self._entry.eligibility.warmups.list_breaks(now_s, channels),
         )
 
     def _list_loads(self):
--- a/packages/kernel/wasabiknot_kernel/eligibility.py
+++ b/packages/kernel/wasabiknot_kernel/eligibility.py
@@ -8,6 +8,7 @@
 | limit of requests a second | ``limits`` | it states none | all entries |
 | leaving | here | this start of the server is gone | all entries |
 | no request for a time | ``deferrals`` | a trial after it succeeds | this entry |
+| being cold | ``warmups`` | that time is over | this entry |
 
 What operators order for failure domains is in ``domain_drains``.
 """
@@ -16,7 +17,14 @@
 
 import msgspec
 
-from wasabiknot_kernel import deferrals, domain_drains, limits, statements
+from wasabiknot_kernel import (
+    deferrals,
+    domain_drains,
+    limit_waits,
+    limits,
+    statements,
+    warmups,
+)
 
 # Time for which a leaving server that isn't registered is remembered: its registration
 # may come back after an outage of the store.
@@ -48,6 +56,8 @@
         self.limits = limits.LimitTable(name, self._changes)
         self._deferrals = deferrals.DeferralTable()
         self.drains = domain_drains.DomainDrains()
+        self.warmups = warmups.Warmups(name, self._changes)
+        self._limit_tables = (self.limits, self.warmups.limits)
         # By the server's id and its start: peers may still report an earlier start.
         self._leaving = {}
         # Starts of the servers in Unix milliseconds, and since when those that aren't
@@ -86,6 +96,8 @@
                 self.limits.record(server_id, statement.limit_per_s, sent_s, now_s)
             if statement.is_leaving:
                 self._record_leaving(server_id, started_ms, own, now_s)
+        if statement.cold_s is not None:
+            self.warmups.record_statement(server_id, statement.cold_s, now_s)
         retry_after_s = statement.retry_after_s
         if self._deferrals.record(server_id, retry_after_s, sent_s, now_s):
             kind = statements.ChangeKind.DEFERRING
@@ -106,6 +118,34 @@
         kind = statements.ChangeKind.LEAVING
         self._changes.append(statements.Change(server_id, kind, None, source))
 
+    def record_break(self, server_id, started_ms, broken_s, channel, now_s):
+        """Records that a server has refused or reset a connection.
+
+        :param server_id: id of the backend server.
+        :param started_ms: start of the server, in Unix milliseconds; 0 if unknown.
+        :param broken_s: time in seconds at which an entry saw it.
+        :param channel: ``statements.Channel`` by which this entry learned it.
+        :param now_s: current time in seconds.
+        """
+        if self._starts.get(server_id, started_ms) != started_ms:
+            # The registration of a later start is known.
+            return
+        with self._note_changes(channel, now_s):
+            seen = warmups.Break(started_ms, broken_s, channel)
+            self.warmups.record_break(server_id, seen, now_s)
+
+    def apply_break_reports(self, reports, channel, now_s):
+        """Applies what a digest of a peer says of broken connections.
+
+        :param reports: iterable of ``statements.BreakReport``.
+        :param channel: ``statements.Channel`` of the digest.
+        :param now_s: current time in seconds.
+        """
+        for report in reports:
+            broken_s = now_s - report.age_ms / 1_000
+            started_ms = report.started_ms
+            self.record_break(report.server_id, started_ms, broken_s, channel, now_s)
+
     def apply_reports(self, limit_reports, leaving_reports, channel, now_s):
         """Applies what a digest of a peer says of backend servers.
 
@@ -146,7 +186,16 @@
     @property
     def has_waits(self):
         """Whether any backend server has stated a limit or named a time."""
-        return bool(self.limits) or bool(self._deferrals)
+        return any(self._limit_tables) or bool(self._deferrals)
+
+    def find_rate(self, server_id):
+        """Finds the lowest limit of a backend server, also that of a cold one.
+
+        :param server_id: id of the backend server.
+        :return: requests a second from all entries together; ``None`` for no limit.
+        """
+        found = [table.find_rate(server_id) for table in self._limit_tables]
+        return min((rate for rate in found if rate is not None), default=None)
 
     def may_send(self, server_id, now_s):
         """Tells whether a request may be sent to a backend server now.
@@ -155,8 +204,9 @@
         :param now_s: current time in seconds.
         :return: ``False`` if the server's limit or its wish to be left alone forbid it.
         """
-        is_open = self._deferrals.may_send(server_id, now_s)
-        return is_open and self.limits.may_send(server_id, now_s)
+        if not self._deferrals.may_send(server_id, now_s):
+            return False
+        return all(table.may_send(server_id, now_s) for table in self._limit_tables)
 
     def record_send(self, server_id, request_id, now_s):
         """Records that a request is sent to a backend server.
@@ -165,7 +215,8 @@
         :param request_id: id of the request.
         :param now_s: current time in seconds.
         """
-        self.limits.record_send(server_id, now_s)
+        for table in self._limit_tables:
+            table.record_send(server_id, now_s)
         self._deferrals.record_send(server_id, request_id, now_s)
 
     def record_end(self, server_id, request_id):
@@ -192,7 +243,7 @@
             if not wait_s
         ]
         if undeferred:
-            return self.limits.estimate_wait_s(undeferred, count, now_s)
+            return limit_waits.estimate_s(self._limit_tables, undeferred, count, now_s)
         return min(waits_s)
 
     def tick(self, now_s, known_ids):
@@ -202,6 +253,7 @@
         :param known_ids: ids of the registered backend servers.
         """
         self.limits.tick(now_s, known_ids)
+        self.warmups.tick(now_s, known_ids)
         self._forget_unregistered(now_s, known_ids)
         for key, leaving in list(self._leaving.items()):
             is_old = now_s - leaving.stated_s > LEAVING_MEMORY_S
@@ -222,6 +274,7 @@
                 del self._starts[server_id], self._away_since_s[server_id]
                 self.limits.forget(server_id)
                 self._deferrals.forget(server_id)
+                self.warmups.forget(server_id, now_s)
 
     def count_remembered(self):
         """Counts the backend servers whose starts are remembered.
@@ -244,6 +297,7 @@
         listed = {
             *self.limits.list_ids(),
             *self._deferrals.list_ids(),
+            *self.warmups.limits.list_ids(),
             *leaving_ids,
         }
         return [
@@ -252,6 +306,7 @@
                 self.limits.find_rate(server_id),
                 server_id in leaving_ids,
                 self._deferrals.find_wait_s(server_id, now_s),
+                self.warmups.find_left_s(server_id, now_s),
             )
             for server_id in sorted(listed)
         ]
--- a/packages/kernel/wasabiknot_kernel/events.py
+++ b/packages/kernel/wasabiknot_kernel/events.py
@@ -298,6 +298,10 @@
     DRAIN_ODD = EventDefinition(
         1803, logging.WARNING, "drain of failure domain {domain}: {problem}"
     )
+    SERVER_COLD = EventDefinition(
+        1804, logging.INFO, "server {server} is cold for {seconds} s: {reason}"
+    )
+    SERVER_WARM = EventDefinition(1805, logging.INFO, "server {server} is warm")
     CUSTOMER_ABOVE_SHARE = EventDefinition(
         1841,
         logging.INFO,
--- a/packages/kernel/wasabiknot_kernel/limits.py
+++ b/packages/kernel/wasabiknot_kernel/limits.py
@@ -27,7 +27,8 @@
 # sending a request, to find out whether the limit still holds.
 SILENCE_S = 30.0
 TURN_S = 5.0
-RANKING_CACHE_SIZE = 256
+# At least the number of backend servers that may have a limit at a time.
+RANKING_CACHE_SIZE = 1_024
 # Time for which an ended limit is remembered.
 MEMORY_S = 10.0
 
@@ -103,6 +104,11 @@
         self.find_candidates = lambda server_id, now_s: Candidates((name,))
         # Fraction of a limit that the entries in touch with this one may use.
         self.share = 1.0
+        # Function of a limit that returns the largest number of senders.
+        self.count_senders = _count_senders
+        # Time in seconds for which an entry that becomes a sender waits, while the
+        # former one may not know it yet.
+        self.takeover_s = 0.0
 
     def __len__(self):
         return len(self._limits)
@@ -168,7 +174,7 @@
 
     def _find_place(self, server_id, limit, now_s):
         candidates = self.find_candidates(server_id, now_s)
-        max_senders = int(limit.rate_per_s) + SPARE_REQUESTS
+        max_senders = self.count_senders(limit.rate_per_s)
         senders = min(len(candidates.preferred), max_senders)
         ranking = _rank(server_id, candidates)
         rank = ranking.index(self._name) if self._name in ranking else len(ranking)
@@ -187,7 +193,13 @@
             if is_ended or (is_unknown and age_s > statements.UNREGISTERED_MEMORY_S):
                 del self._limits[server_id]
             else:
-                self._update_pace(server_id, limit, now_s)
+                self._update_role(server_id, limit, now_s)
+
+    def _update_role(self, server_id, limit, now_s):
+        was_sender = limit.pace.rate_per_s > 0.0
+        self._update_pace(server_id, limit, now_s)
+        if self.takeover_s and not was_sender and limit.pace.rate_per_s > 0.0:
+            limit.pace.hold(now_s + self.takeover_s)
 
     def forget(self, server_id):
         """Forgets what a backend server has stated, as it has ended or restarted.
@@ -247,23 +259,16 @@
             # The response to this request tells; until then no further one is sent.
             limit.stated_s = now_s
 
-    def estimate_wait_s(self, server_ids, count, now_s):
-        """Estimates how long a number of requests wait for the limits of servers.
+    def find_pace(self, server_id):
+        """Finds at what pace this entry sends to a backend server.
 
-        :param server_ids: ids of the backend servers that may take the requests.
-        :param count: number of requests.
-        :param now_s: current time in seconds.
-        :return: seconds until the last of them may be sent; infinite if this entry is
-            the sender of none.
+        :param server_id: id of the backend server.
+        :return: ``paces.Pace``; ``None`` if the server has no limit.
         """
-        if any(self.may_send(server_id, now_s) for server_id in server_ids):
-            return 0.0
-        limits = [self._limits[server_id] for server_id in server_ids]
-        rate_per_s = sum(limit.pace.rate_per_s for limit in limits)
-        if rate_per_s <= 0.0:
-            return float("inf")
-        saved = sum(limit.pace.count_saved(now_s) for limit in limits)
-        return max(0.0, count - saved) / rate_per_s
+        limit = self._limits.get(server_id)
+        if limit is None or limit.rate_per_s is None:
+            return None
+        return limit.pace
 
     def list_reports(self, now_s, channels):
         """Lists the latest statements for a digest.
@@ -282,6 +287,10 @@
         )
 
 
+def _count_senders(rate_per_s):
+    return int(rate_per_s) + SPARE_REQUESTS
+
+
 @functools.lru_cache(maxsize=RANKING_CACHE_SIZE)
 def _rank(server_id, candidates):
     return (
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -117,6 +117,8 @@
     :param queue_heads: first request of each queue, by service.
     :param customer_work: work of the customers that are furthest above their shares.
     :param paces: paces that the sender has lately read from backend servers.
+    :param broken_servers: backend servers that have lately refused or reset a
+        connection, if their services limit cold ones.
     """
 
     name: str
@@ -147,6 +149,7 @@
     queue_heads: dict[str, slot_claims.QueueHead] = {}
     customer_work: tuple[customer_shares.CustomerWork, ...] = ()
     paces: tuple[server_paces.PaceReport, ...] = ()
+    broken_servers: tuple[statements.BreakReport, ...] = ()
 
     def find_channel(self):
         """Finds the channel by which the receiver learns what the digest reports.
--- a/packages/kernel/wasabiknot_kernel/paces.py
+++ b/packages/kernel/wasabiknot_kernel/paces.py
@@ -32,12 +32,22 @@
         :param now_s: current time in seconds.
         :return: number of requests with fractions, at most ``MAX_SAVED_REQUESTS``.
         """
-        elapsed_s = max(0.0, now_s - self._counted_s)
+        if now_s <= self._counted_s:
+            return self._saved
+        elapsed_s = now_s - self._counted_s
         saved = self._saved + self.rate_per_s * elapsed_s
         self._saved = min(MAX_SAVED_REQUESTS, saved)
         self._counted_s = now_s
         return self._saved
 
+    def hold(self, until_s):
+        """Saves up nothing until a time.
+
+        :param until_s: time in seconds.
+        """
+        self._saved = 0.0
+        self._counted_s = max(self._counted_s, until_s)
+
     def may_send(self, now_s):
         """Tells whether a request may be sent now.
 
--- a/packages/kernel/wasabiknot_kernel/routes.py
+++ b/packages/kernel/wasabiknot_kernel/routes.py
@@ -97,12 +97,17 @@
     :param health_path: path of the health check.
     :param max_connections: maximum connections to one backend server.
     :param engine: engine parameters; ``None`` for plain services.
+    :param warmup_s: time in seconds for which a backend server is cold after its start.
+    :param warmup_per_s: requests a second that a cold backend server bears from all
+        entries together; 0 for no limit.
     """
 
     name: ServiceName
     health_path: str
     max_connections: int
     engine: Engine | None
+    warmup_s: float = 0.0
+    warmup_per_s: float = 0.0
 
 
 class Customer(msgspec.Struct, frozen=True):
--- a/packages/kernel/wasabiknot_kernel/statements.py
+++ b/packages/kernel/wasabiknot_kernel/statements.py
@@ -31,6 +31,8 @@
     :param problems: texts on the values that could not be read.
     :param rejections_per_s: rejections a second that a server of its service bears
         without falling over; ``None`` if it doesn't say so.
+    :param cold_s: time in seconds for which the server is still cold; ``None`` if it
+        doesn't say so.
     """
 
     limit_per_s: float | None = None
@@ -39,6 +41,7 @@
     retry_after_s: float | None = None
     problems: tuple[str, ...] = ()
     rejections_per_s: int | None = None
+    cold_s: float | None = None
 
 
 class LimitReport(msgspec.Struct, frozen=True, array_like=True):
@@ -66,6 +69,19 @@
     started_ms: int
 
 
+class BreakReport(msgspec.Struct, frozen=True, array_like=True):
+    """A backend server that has refused or reset a connection, in a digest.
+
+    :param server_id: id of the server.
+    :param started_ms: its start, in Unix milliseconds; 0 if unknown.
+    :param age_ms: time in milliseconds since then.
+    """
+
+    server_id: str
+    started_ms: int
+    age_ms: int
+
+
 class ServerState(msgspec.Struct, frozen=True):
     """What holds for a backend server by its statements.
 
@@ -73,12 +89,14 @@
     :param limit_per_s: requests a second from all entries together, or ``None``.
     :param is_leaving: whether the server has stated that it is leaving.
     :param deferred_s: time in seconds for which it still wants no request.
+    :param cold_s: time in seconds for which it still counts as cold.
     """
 
     server_id: str
     limit_per_s: float | None
     is_leaving: bool
     deferred_s: float
+    cold_s: float
 
 
 class ChangeKind(enum.Enum):
@@ -88,6 +106,8 @@
     UNLIMITED = "unlimited"
     LEAVING = "leaving"
     DEFERRING = "deferring"
+    COLD = "cold"
+    WARM = "warm"
 
 
 def is_reported(channel, stated_s, channels, now_s):
@@ -108,11 +128,13 @@
     :param server_id: id of the server.
     :param kind: ``ChangeKind``.
     :param value: limit in requests a second, or time in seconds for which the server
-        wants no request.
+        wants no request or is cold.
     :param source: ``Channel``.
+    :param reason: short text; only of cold servers.
     """
 
     server_id: str
     kind: ChangeKind
     value: float | None
     source: Channel
+    reason: str = ""
