--- a/packages/kernel/tests/test_share_load.py
+++ b/packages/kernel/tests/test_share_load.py
@@ -4,6 +4,7 @@
 import functools
 import heapq
 import math
+import random
 import statistics
 import unittest
 
@@ -23,6 +24,8 @@
 GREEDY_FACTOR = 7
 # The nominal capacity leaves out the time to the first event and the step of the play.
 HOLD_RATIO = fleet_load.MEAN_S / (fleet_load.MEAN_S + fleet_load.FIRST_S + plays.STEP_S)
+URGENT_SHARE = 0.1
+CUT_S = (6.0, 11.0)
 RESTART_EVERY_S = 5.0
 # Time before their deadlines at which callers give up returning.
 GIVE_UP_S = 8.5
@@ -40,8 +43,9 @@
     :param engines: number of engines.
     :param retries: whether callers of that customer return at once when refused.
     :param loss: share of the digests that are lost.
-    :param mute: number of entries that restart with their requests lost, one after the
-        other.
+    :param restarts: number of entries that restart with their requests lost, one after
+        the other.
+    :param cut_s: times in seconds between which one entry exchanges no digests.
     """
 
     play_s = 16.0
@@ -55,15 +59,21 @@
         engines=ENGINES,
         retries=False,
         loss=plays.DIGEST_LOSS,
-        mute=0,
+        restarts=0,
+        cut_s=(0.0, 0.0),
     ):
         self.is_fair = is_fair
         self.retries = retries
         self.loss = loss
-        self.mute = mute
+        # Separate, so that all plays with one seed have the same requests.
+        self.losses = random.Random(seed)
+        self.left_restarts = restarts
+        self.cut_s = cut_s
         self.returning = []
         self.restarted = 0
         self.owners = {}
+        # Number of the entry at which each request arrives.
+        self.numbers = {}
         self.changed = set()
         self.refused_by_customer = collections.Counter()
         self.retry_after_s = []
@@ -85,6 +95,7 @@
         ticket = super().create_ticket(number, request_id)
         ticket.customer = self.rng.choices(CUSTOMERS, self.weights)[0]
         self.owners[request_id] = ticket.customer
+        self.numbers[request_id] = number
         return ticket
 
     def apply(self, number, decisions):
@@ -121,9 +132,15 @@
             self.changed.discard(number)
         super().advance_entry(number, steps)
 
+    def is_cut(self, name):
+        start_s, end_s = self.cut_s
+        return name == "e000" and start_s <= self.elapsed_s < end_s
+
     def deliver(self, digests, peers):
         for peer in peers:
-            if self.rng.random() >= self.loss:
+            if self.is_cut(peer.member.name) or self.is_cut(digests[0].name):
+                continue
+            if self.losses.random() >= self.loss:
                 entry = self.entries[int(peer.member.name[1:])]
                 for digest in digests:
                     entry.apply_digest(digest, self.now_s)
@@ -138,10 +155,12 @@
             self.apply(number, dispatcher.submit(ticket, self.now_s))
 
     def restart_one(self):
-        if self.mute and self.elapsed_s > RESTART_EVERY_S * (1 + self.restarted):
+        if self.left_restarts and self.elapsed_s > RESTART_EVERY_S * (
+            1 + self.restarted
+        ):
             number = self.restarted
             self.restarted += 1
-            self.mute -= 1
+            self.left_restarts -= 1
             for flight in self.flights:
                 if flight.number == number:
                     self.busy[flight.decision.server.server_id] -= 1
@@ -207,6 +226,40 @@
     return statistics.fmean(share for name, share in shares.items() if name != GREEDY)
 
 
+class Ranks(Market):
+    """A market in which a tenth of the requests are urgent, from any customer."""
+
+    def __init__(self, *arguments, **options):
+        # Waiting times in seconds of urgent requests that others were sent before.
+        self.passed_over_s = []
+        self.urgent_waits_s = []
+        super().__init__(*arguments, **options)
+
+    def create_ticket(self, number, request_id):
+        ticket = super().create_ticket(number, request_id)
+        if self.rng.random() < URGENT_SHARE:
+            ticket.rank = 0
+        return ticket
+
+    def apply(self, number, decisions):
+        for decision in decisions:
+            if isinstance(decision, dispatch.Refusal):
+                continue
+            if decision.ticket.rank == 0:
+                self.urgent_waits_s.append(decision.waited_s)
+            else:
+                self.passed_over_s += self.list_urgent_waits_s()
+        super().apply(number, decisions)
+
+    def list_urgent_waits_s(self):
+        return [
+            self.now_s - ticket.arrived_s
+            for entry in self.entries
+            for ticket in entry.get_dispatcher("pool").list_waiting()
+            if ticket.rank == 0
+        ]
+
+
 @functools.cache
 def play_competition():
     return Market(1, GREEDY_FACTOR, True).play()
@@ -246,6 +299,22 @@
         self.assertLess(fair.overfilled, 0.1 * fair.sends)
 
 
+class RankTests(unittest.TestCase):
+    def test_urgent_requests_are_not_passed_over_for_long(self):
+        # Guards against an entry that sends what is less urgent on its own slots.
+        for loss in (plays.DIGEST_LOSS, 0.3):
+            with self.subTest(loss=loss):
+                fair = Ranks(1, GREEDY_FACTOR, True, loss=loss).play()
+                self.assertGreater(len(fair.urgent_waits_s), 50)
+                self.assertLessEqual(max(fair.passed_over_s, default=0.0), 0.4)
+
+    def test_urgent_requests_wait_less_than_today(self):
+        today = Ranks(1, GREEDY_FACTOR, False).play()
+        fair = Ranks(1, GREEDY_FACTOR, True).play()
+        mean_s = statistics.fmean(fair.urgent_waits_s)
+        self.assertLess(mean_s, 0.5 * statistics.fmean(today.urgent_waits_s))
+
+
 class FailureTests(unittest.TestCase):
     def test_others_are_served_while_digests_are_lost(self):
         for loss in (0.3, 0.6):
@@ -253,8 +322,44 @@
                 fair = Market(1, GREEDY_FACTOR, True, loss=loss).play()
                 self.assertGreater(fair.measure_answered(), 0.9)
 
+    def test_entry_that_was_cut_off_goes_on_with_what_it_hears(self):
+        # Guards against claims and totals that are kept from before.
+        # What it sends meanwhile overfills engines, with or without shares.
+        whole = play_competition()
+        today = Market(1, GREEDY_FACTOR, False, cut_s=CUT_S).play()
+        fair = Market(1, GREEDY_FACTOR, True, cut_s=CUT_S).play()
+        self.assertGreater(fair.measure_answered(), 0.9)
+        self.assertLess(fair.overfilled, 1.3 * today.overfilled)
+        self.assertGreater(fair.sends, 0.9 * whole.sends)
+
     def test_slots_left_to_an_entry_that_has_died_are_used(self):
         # Guards against slots that stay free for a queue that nobody sends from.
         whole = play_competition()
-        broken = Market(1, GREEDY_FACTOR, True, mute=2).play()
+        broken = Market(1, GREEDY_FACTOR, True, restarts=2).play()
         self.assertGreater(broken.sends, 0.9 * whole.sends)
+
+
+class Groups(Market):
+    """A market with several groups in each of five failure domains."""
+
+    play_s = 9.0
+
+
+class GroupTests(unittest.TestCase):
+    def test_others_are_served_in_all_groups(self):
+        # Guards against shares that hold in one group only.
+        today = Groups(1, GREEDY_FACTOR, False, count=40, engines=36).play()
+        fair = Groups(1, GREEDY_FACTOR, True, count=40, engines=36).play()
+        self.assertLess(today.measure_answered(), 0.8)
+        self.assertGreater(fair.measure_answered(), 0.95)
+        self.assertGreater(fair.sends, 0.95 * today.sends)
+        by_domain = collections.Counter()
+        asked = collections.Counter()
+        for request_id in fair.asked:
+            if fair.owners[request_id] != GREEDY:
+                domain = fair.numbers[request_id] % fleet_load.DOMAINS
+                asked[domain] += 1
+                by_domain[domain] += request_id in fair.first_events_s
+        for domain, count in asked.items():
+            with self.subTest(domain=domain):
+                self.assertGreater(by_domain[domain], 0.9 * count)
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -411,7 +411,7 @@
         :return: ``slot_claims.QueueHead``; ``None`` if nothing waits, or without fair
             queueing.
         """
-        if self._claims is None or not self._waiting:
+        if self._claims is None or not self._waiting or not self.is_engine:
             return None
         ordered = self.order.sort(self._waiting.values(), now_s)
         urgencies = [self.order.compute_urgency(item, now_s) for item in ordered]
@@ -428,7 +428,10 @@
             self._claims.record_head(source, head, now_s)
 
     def _select_claims(self, now_s):
-        if self._claims is None or not self.is_engine:
+        if self._claims is None:
+            return
+        self.order.shares.is_short = len(self._claims) > 0 or len(self._waiting) > 1
+        if not self.is_engine:
             return
         members = [
             item
@@ -439,7 +442,6 @@
             item.server_id: max(0, item.slots - item.count_running())
             for item in members
         }
-        self.order.shares.is_short = len(self._claims) > 0 or len(self._waiting) > 1
         if not any(free_slots.values()):
             return
         self._sends_at_claim = {item.server_id: len(item.sends) for item in members}
