Ask for drains and limits with fewer calls per backend server

Cause: each decision asks every backend server whether it is drained and limited. Change: the set of drained domains is asked directly, and both limit tables without a generator.

--- a/packages/kernel/wasabiknot_kernel/domain_drains.py
+++ b/packages/kernel/wasabiknot_kernel/domain_drains.py
@@ -38,12 +38,13 @@
     """The failure domains to which nothing is sent."""
 
     def __init__(self):
-        self._domains = set()
+        # Set of ``Domain``; to be changed by the functions below alone.
+        self.domains = set()
         # Incremented whenever a domain is drained or returns to service.
         self.version = 0
 
     def __bool__(self):
-        return bool(self._domains)
+        return bool(self.domains)
 
     def order(self, domain):
         """Drains a failure domain.
@@ -51,9 +52,9 @@
         :param domain: failure domain.
         :return: ``DrainStep``: ordered, or repeated if it was drained already.
         """
-        if domain in self._domains:
+        if domain in self.domains:
             return DrainStep.REPEATED
-        self._domains.add(domain)
+        self.domains.add(domain)
         self.version += 1
         return DrainStep.ORDERED
 
@@ -63,22 +64,15 @@
         :param domain: failure domain.
         :return: whether it was drained.
         """
-        if domain not in self._domains:
+        if domain not in self.domains:
             return False
-        self._domains.discard(domain)
+        self.domains.discard(domain)
         self.version += 1
         return True
 
-    def is_drained(self, domain):
-        """Tells whether nothing may be sent to the backend servers of a domain.
-
-        :param domain: failure domain.
-        """
-        return domain in self._domains
-
     def list_domains(self):
         """Lists the drained failure domains.
 
         :return: sorted list of names.
         """
-        return sorted(self._domains)
+        return sorted(self.domains)
--- a/packages/kernel/wasabiknot_kernel/eligibility.py
+++ b/packages/kernel/wasabiknot_kernel/eligibility.py
@@ -202,11 +202,14 @@
 
         :param server_id: id of the backend server.
         :param now_s: current time in seconds.
-        :return: ``False`` if the server's limit or its wish to be left alone forbid it.
+        :return: ``False`` if a limit of the server or its wish to be left alone forbid
+            it.
         """
         if not self._deferrals.may_send(server_id, now_s):
             return False
-        return all(table.may_send(server_id, now_s) for table in self._limit_tables)
+        if not self.limits.may_send(server_id, now_s):
+            return False
+        return self.warmups.limits.may_send(server_id, now_s)
 
     def record_send(self, server_id, request_id, now_s):
         """Records that a request is sent to a backend server.
--- a/packages/kernel/wasabiknot_kernel/servers.py
+++ b/packages/kernel/wasabiknot_kernel/servers.py
@@ -117,7 +117,7 @@
     @property
     def is_drained(self):
         """Whether operators have drained the failure domain of the server."""
-        return self._eligibility.drains.is_drained(self.registration.domain)
+        return self.registration.domain in self._eligibility.drains.domains
 
     @property
     def is_ending(self):
