Send requests only to the regions that route and customer allow

Cause: allowedRegions of routes and tenants was ignored.

Weighed: an unknown region counts as not allowed, as a domain that the settings don't list would break the promise otherwise; an empty list allows all, like a missing one.

Change: regions maps failure domains to regions, as the settings region and domain_regions give them, which the template renders. The lists of route and customer are combined on admission; the choice of servers, substitutes, hedges and resumptions, and that of peers for handovers obey. Without an allowed server a request gets 503, also one that waits.

--- a/packages/entry/tests/test_edge_settings.py
+++ b/packages/entry/tests/test_edge_settings.py
@@ -123,3 +123,18 @@
     def test_impossible_bounds_are_settings_errors(self):
         for line in ("warmup_overrun: 0.5", "warmup_slack: -1"):
             self.assertFalse(pipeline.is_successful(load(f"{SETTINGS_TEXT}  {line}")))
+
+
+class RegionTests(unittest.TestCase):
+    def test_regions_that_the_platform_does_not_set_are_unknown(self):
+        # Guards against a start that fails as the template renders nothing.
+        for lines in ("", "region:\ndomain_regions: \n"):
+            settings = load(SETTINGS_TEXT + lines).unwrap()
+            self.assertIsNone(settings.region)
+            self.assertIsNone(settings.domain_regions)
+
+    def test_regions_are_read_as_the_template_renders_them(self):
+        lines = 'region: "north"\ndomain_regions: {"graz":"north","linz":"south"}\n'
+        settings = load(SETTINGS_TEXT + lines).unwrap()
+        self.assertEqual(settings.region, "north")
+        self.assertEqual(settings.domain_regions, {"graz": "north", "linz": "south"})
--- a/packages/entry/wasabiknot_entry/edge_entries.py
+++ b/packages/entry/wasabiknot_entry/edge_entries.py
@@ -47,6 +47,7 @@
     deployments,
     events,
     members,
+    regions,
     release_records,
     routes,
 )
@@ -552,6 +553,7 @@
         settings.has_fair_queueing,
         settings.hedge_share,
         edge_settings.find_warmup_tolerance(bounds),
+        regions.build_map(settings.region, settings.domain, settings.domain_regions),
     )
 
 
--- a/packages/entry/wasabiknot_entry/edge_settings.py
+++ b/packages/entry/wasabiknot_entry/edge_settings.py
@@ -73,6 +73,8 @@
     :param fair_queueing: whether customers have shares in the engine time of a service.
     :param contracts: contracts that the platform names; one may ask for such shares.
     :param hedge_share: largest share of hedges in all sends; 0 for none.
+    :param region: region in which the entry runs, or ``None``.
+    :param domain_regions: region of each failure domain, or ``None``.
     """
 
     name: str
@@ -91,6 +93,8 @@
     fair_queueing: bool = False
     contracts: tuple[str, ...] | None = None
     hedge_share: Share = 0.0
+    region: str | None = None
+    domain_regions: dict[str, str] | None = None
 
     @property
     def has_fair_queueing(self):
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -32,6 +32,7 @@
     exceptions,
     outcomes,
     pauses,
+    regions,
     routes,
     stops,
 )
@@ -430,6 +431,9 @@
             deadline_s=arrived_s + timeout_ms / 1_000 - RESPONSE_MARGIN_S,
             version=self._deployment.table.version,
             fingerprint=content.hexdigest(),
+            allowed_regions=regions.combine(
+                route.allowed_regions, customer.allowed_regions if customer else ()
+            ),
         )
 
     def _can_finish(self, ticket, now_s):
--- a/packages/kernel/wasabiknot_kernel/arrivals.py
+++ b/packages/kernel/wasabiknot_kernel/arrivals.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from wasabiknot_kernel import routes
+from wasabiknot_kernel import regions, routes
 
 RequestId = typing.NewType("RequestId", str)
 
@@ -97,6 +97,7 @@
     :param handovers: number of times that it was handed over to a peer.
     :param is_path_trial: whether it was sent to find out whether servers that didn't
         answer this entry answer again.
+    :param allowed_regions: regions to which it may be sent; ``None`` for all.
     """
 
     arrival: Arrival
@@ -121,6 +122,7 @@
     unreached: int = 0
     handovers: int = 0
     is_path_trial: bool = False
+    allowed_regions: frozenset[regions.Region] | None = None
 
     @property
     def request_id(self):
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -27,6 +27,7 @@
     paths,
     pauses,
     peer_loads,
+    regions,
     releases,
     service_times,
     share_changes,
@@ -62,6 +63,7 @@
     :param hedge_share: largest share of hedges in all sends; 0 for none.
     :param warmup_tolerance: ``warmups.Tolerance``, by how much cold backend servers may
         get more requests than their limit.
+    :param region_map: ``regions.RegionMap`` of the failure domains.
     """
 
     retry_ratio: float
@@ -75,6 +77,7 @@
     fair_queueing: bool = False
     hedge_share: float = 0.0
     warmup_tolerance: warmups.Tolerance = warmups.Tolerance()
+    region_map: regions.RegionMap = regions.RegionMap()
 
 
 class Deployment:
@@ -156,6 +159,7 @@
         self._set_unreported_fraction()
         for dispatcher in self._dispatchers.values():
             dispatcher.set_fair_queueing(policy.fair_queueing)
+            dispatcher.region_map = policy.region_map
         self.hedging.set_share(policy.hedge_share)
         self.eligibility.warmups.tolerance = policy.warmup_tolerance
         for budget in self._budgets.values():
@@ -218,6 +222,7 @@
             dispatcher.find_refused = self.crashes.find_refused
             dispatcher.name = self.member.name
             dispatcher.domain = self.member.domain
+            dispatcher.region_map = self.policy.region_map
             dispatcher.handle_load_change = self._announce_load
             dispatcher.set_engine(self._find_engine(service))
             dispatcher.set_fair_queueing(self.policy.fair_queueing)
@@ -467,7 +472,13 @@
         if ticket.handovers >= helpers.MAX_HANDOVERS:
             return None
         since_s = self.paths.find_unreached_since_s(ticket.service)
-        return self.helpers.choose(ticket.service, since_s, now_s)
+        return self.helpers.choose(
+            ticket.service, since_s, now_s, self._find_askable(ticket)
+        )
+
+    def _find_askable(self, ticket):
+        known = self.policy.region_map
+        return lambda member: known.may_hand_over(ticket.allowed_regions, member.domain)
 
     def choose_slot_owner(self, ticket, now_s):
         """Chooses a peer for a request if others have all slots of brittle servers.
@@ -482,7 +493,9 @@
             return None
         if ticket.handovers >= helpers.MAX_HANDOVERS:
             return None
-        return self.helpers.choose_owner(ticket.service, names, now_s)
+        return self.helpers.choose_owner(
+            ticket.service, names, now_s, self._find_askable(ticket)
+        )
 
     def is_path_lost(self, service, now_s):
         """Tells whether servers that don't answer this entry answer its peers.
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -22,6 +22,7 @@
     outcomes,
     prompt_parts,
     queue_orders,
+    regions,
     request_admission,
     server_scores,
     servers,
@@ -57,6 +58,7 @@
 MAX_SOUND_PROBABILITY = 0.01
 # Reason to refuse a request that waits.
 DRAINED = "all servers are in drained failure domains"
+NO_REGION = "no server in an allowed region"
 # Reason to leave a request at a silent server.
 MAY_STILL_RUN = "may still run"
 # Reason for no other send, silent or slow as the server may be.
@@ -190,6 +192,7 @@
         self.name = ""
         # Failure domain of this entry; empty if it doesn't matter.
         self.domain = ""
+        self.region_map = regions.RegionMap()
         # Versions of the groups, servers and drains from which group_servers follows.
         self.group_servers_key = None
         # Output tokens per stream event.
@@ -332,16 +335,16 @@
             return harmful
         if ticket.is_begun:
             return None
-        if not any(not item.is_retired for item in self.servers.values()):
-            return self._create_refusal(
-                ticket, exceptions.ErrorKind.NO_WORKER, "no server"
-            )
+        open_servers = self._list_open(ticket)
+        if not open_servers:
+            no_worker = exceptions.ErrorKind.NO_WORKER
+            reason = "no server" if ticket.allowed_regions is None else NO_REGION
+            return self._create_refusal(ticket, no_worker, reason)
         delay = self._estimate_delay(ticket, self._list_ahead(ticket, now_s), now_s)
         ahead = delay.ahead
         early = self._find_early_refusal(ticket, delay)
         if early is not None:
             return early
-        open_servers = (item for item in self.servers.values() if not item.is_retired)
         stated_wait_s = self._estimate_stated_wait_s(open_servers, ahead + 1, now_s)
         if stated_wait_s > request_admission.compute_max_wait_s(ticket):
             reason = f"{ahead} wait, servers take none for {stated_wait_s:.2f} s"
@@ -550,10 +553,11 @@
             if harmful is not None:
                 self.withdraw(ticket)
                 decisions.append(harmful)
-            elif is_drained and not ticket.is_begun:
+            elif not ticket.is_begun and (is_drained or self._is_excluded(ticket)):
                 self.withdraw(ticket)
                 kind = exceptions.ErrorKind.NO_WORKER
-                decisions.append(self._create_refusal(ticket, kind, DRAINED))
+                reason = DRAINED if is_drained else NO_REGION
+                decisions.append(self._create_refusal(ticket, kind, reason))
             elif (
                 not ticket.is_begun
                 and waited_s > request_admission.compute_max_wait_s(ticket)
@@ -564,6 +568,17 @@
                 decisions.append(self._create_refusal(ticket, kind, reason, now_s))
         return decisions
 
+    def _list_open(self, ticket):
+        listed = [item for item in self.servers.values() if not item.is_retired]
+        allowed = ticket.allowed_regions
+        if allowed is None:
+            return listed
+        may_run = self.region_map.may_run
+        return [item for item in listed if may_run(allowed, item.registration.domain)]
+
+    def _is_excluded(self, ticket):
+        return ticket.allowed_regions is not None and not self._list_open(ticket)
+
     def _is_drained(self):
         # Drains hold for long; of other causes, the servers are mostly back soon.
         if not self._eligibility.drains:
@@ -876,7 +891,7 @@
         return chosen, scorer(chosen)
 
     def _list_usable(self, ticket, now_s):
-        usable = [item for item in self.servers.values() if not item.is_retired]
+        usable = self._list_open(ticket)
         if self.select is not None:
             usable = self.select(ticket, usable, now_s)
         if _is_returning(ticket):
--- a/packages/kernel/wasabiknot_kernel/helpers.py
+++ b/packages/kernel/wasabiknot_kernel/helpers.py
@@ -23,6 +23,10 @@
 MAX_ANSWER_AGE_S = 0.5
 
 
+def _is_any(member):
+    return True
+
+
 class Helpers:
     """The peers that send requests for this entry, and how many they have now.
 
@@ -36,13 +40,15 @@
         self._in_flight = collections.Counter()
         self._refused_until_s = {}
 
-    def choose(self, service, unreached_since_s, now_s):
+    def choose(self, service, unreached_since_s, now_s, is_askable=_is_any):
         """Chooses a peer for a request, the one with the fewest requests first.
 
         :param service: name of the service.
         :param unreached_since_s: time in seconds since which no server has answered
             this entry; ``None`` if some do.
         :param now_s: current time in seconds.
+        :param is_askable: function of a ``members.Member`` that tells whether it may
+            get the request.
         :return: ``members.Member``; ``None`` if no peer can help.
         """
         if self._in_flight.total() >= MAX_HANDED_OVER:
@@ -50,7 +56,7 @@
         peers = [
             peer
             for peer in self._list_group_peers(service, now_s)
-            if self._may_ask(peer.member, service, now_s)
+            if is_askable(peer.member) and self._may_ask(peer.member, service, now_s)
         ]
         answered = [
             peer
@@ -61,21 +67,24 @@
         candidates = answered or peers
         if candidates:
             return min(candidates, key=lambda peer: self._order(peer, service)).member
-        return self._choose_remote(service, now_s)
+        return self._choose_remote(service, now_s, is_askable)
 
-    def choose_owner(self, service, names, now_s):
+    def choose_owner(self, service, names, now_s, is_askable=_is_any):
         """Chooses an entry that has slots of a service, for one that has none.
 
         :param service: name of the service.
         :param names: names of the entries that have slots.
         :param now_s: current time in seconds.
+        :param is_askable: as for ``choose``.
         :return: ``members.Member``; ``None`` if none of them can be asked.
         """
         peers = [self._roster.find(name) for name in names]
         candidates = [
             peer.member
             for peer in peers
-            if peer is not None and self._may_ask(peer.member, service, now_s)
+            if peer is not None
+            and is_askable(peer.member)
+            and self._may_ask(peer.member, service, now_s)
         ]
         if not candidates or self._in_flight.total() >= MAX_HANDED_OVER:
             return None
@@ -105,11 +114,15 @@
         requests = self._in_flight[peer.member.name] + waiting
         return (requests, is_far, self._rng.random())
 
-    def _choose_remote(self, service, now_s):
+    def _choose_remote(self, service, now_s, is_askable):
         # All of a failure domain may be cut off, and a group is within one.
         own = self._roster.member
         group = self._roster.group.members
-        others = [peer.member for peer in self._roster if peer.member.name not in group]
+        others = [
+            peer.member
+            for peer in self._roster
+            if peer.member.name not in group and is_askable(peer.member)
+        ]
         others.sort(
             key=lambda member: (
                 member.domain == own.domain,
--- a/packages/kernel/wasabiknot_kernel/routes.py
+++ b/packages/kernel/wasabiknot_kernel/routes.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from wasabiknot_kernel import regions
+
 RouteName = typing.NewType("RouteName", str)
 ServiceName = typing.NewType("ServiceName", str)
 CustomerName = typing.NewType("CustomerName", str)
@@ -51,6 +53,7 @@
         backend server.
     :param is_public: whether requests need no API key.
     :param is_resumable: whether a stream may continue at another backend server.
+    :param allowed_regions: regions to which requests are sent; empty for all.
     """
 
     name: RouteName
@@ -65,6 +68,7 @@
     attempts: int
     is_public: bool
     is_resumable: bool
+    allowed_regions: tuple[regions.Region, ...] = ()
 
     @property
     def is_stream(self):
@@ -119,6 +123,7 @@
     :param tokens_per_s: rate limit in tokens per second; 0 for no limit.
     :param burst_tokens: burst allowed beyond the rate limit, in tokens.
     :param plain_tokens: tokens charged for a request without token counts.
+    :param allowed_regions: regions to which its requests are sent; empty for all.
     """
 
     name: CustomerName
@@ -127,6 +132,7 @@
     tokens_per_s: float
     burst_tokens: float
     plain_tokens: int
+    allowed_regions: tuple[regions.Region, ...] = ()
 
 
 class Limits(msgspec.Struct, frozen=True):
