--- a/packages/kernel/wasabiknot_kernel/budgets.py
+++ b/packages/kernel/wasabiknot_kernel/budgets.py
@@ -7,11 +7,12 @@
 # peak at different times.
 SAFETY_FACTOR = 0.8
 # Fraction of the retries by the ratio that may be hedges, so that the larger part and
-# all of the slack remain for failures.
+# all of the slack remain for failures. Within a window it allows at least one hedge, as
+# few requests come to an entry of a large fleet.
 HEDGE_FRACTION = 0.25
-# Hedges that are saved up while there are none. Few requests come to an entry of a
-# large fleet, and a quarter of their retries within a window is less than one.
-MAX_SAVED_HEDGES = 1.0
+MIN_HEDGES_PER_WINDOW = 1
+# Hedges that are saved up while there are none: slow sends come together.
+MAX_SAVED_HEDGES = 5.0
 # Windows, by the delay from their end until now, of which the one with the most
 # requests bounds the retries; in lengths of the window.
 REQUEST_WINDOW_DELAYS = (0.0, 0.5, 1.0)
@@ -58,7 +59,8 @@
     An entry uses no slack during the first window after its start, as it does not know
     what its previous run has used.
 
-    Hedges are retries too. Each request earns a part of one.
+    Hedges are retries too. Each request earns a part of one, and a fraction of the
+    retries within a window may be hedges.
 
     :param ratio: retries allowed per request.
     :param window_s: length of the window in seconds.
@@ -71,6 +73,7 @@
         self._slack = slack
         self._requests = []
         self._retries = collections.deque()
+        self._hedges = collections.deque()
         self._saved_hedges = 0.0
         self.entry_count = 1
         self.has_slack = True
@@ -118,11 +121,20 @@
         :param now_s: current time in seconds.
         :return: whether the hedge may be sent.
         """
-        if self._saved_hedges < 1.0 or not self.try_acquire(now_s):
+        self._drop_expired(now_s)
+        if self._saved_hedges < 1.0 or not self._has_window_hedge(now_s):
+            return False
+        if not self.try_acquire(now_s):
             return False
         self._saved_hedges -= 1.0
+        self._hedges.append(now_s)
         return True
 
+    def _has_window_hedge(self, now_s):
+        allowed = SAFETY_FACTOR * self._ratio * self._count_lasting_requests(now_s)
+        part = max(MIN_HEDGES_PER_WINDOW, HEDGE_FRACTION * allowed)
+        return len(self._hedges) + 1 <= part
+
     def _count_lasting_requests(self, now_s):
         # Requests that permit a retry until it leaves the window, if no more come.
         return min(
@@ -143,8 +155,9 @@
     def _drop_expired(self, now_s):
         oldest_s = now_s - self._find_memory_s()
         del self._requests[: bisect.bisect_right(self._requests, oldest_s)]
-        while self._retries and self._retries[0] < now_s - self._window_s:
-            self._retries.popleft()
+        for sends in (self._retries, self._hedges):
+            while sends and sends[0] < now_s - self._window_s:
+                sends.popleft()
 
     def _find_memory_s(self):
         return (1.0 + max(REQUEST_WINDOW_DELAYS)) * self._window_s
