Compare a send with those at servers of the same stated pace

Change: the band of the pace is that of the learned duration times the stated pace as estimated at the send; without a stated pace it is the one as before.

--- a/packages/entry/wasabiknot_entry/hedges.py
+++ b/packages/entry/wasabiknot_entry/hedges.py
@@ -129,9 +129,8 @@
         if not is_watched or not hedging.may_be_hedged(ticket):
             return
         self._sent_s = self._reactor.seconds()
-        self._expectation = send_durations.Expectation(
-            send_durations.classify(ticket, assignment.server), assignment.score_ms
-        )
+        send_class = send_durations.classify(ticket, assignment.server, self._sent_s)
+        self._expectation = send_durations.Expectation(send_class, assignment.score_ms)
         delay_s = knowledge.find_delay_s(ticket, self._expectation)
         if delay_s is not None:
             self._call_later(delay_s)
--- a/packages/kernel/tests/test_hedging.py
+++ b/packages/kernel/tests/test_hedging.py
@@ -214,7 +214,7 @@
         self.assertEqual(hedges, hedging.MAX_SAVED_HEDGES)
 
     def test_delay_is_that_of_slow_sends(self):
-        send_class = send_durations.classify(self.ticket, self.first.server)
+        send_class = send_durations.classify(self.ticket, self.first.server, NOW_S)
         expectation = send_durations.Expectation(send_class, 100.0)
         find_delay_s = self.knowledge.find_delay_s
         self.assertIsNone(find_delay_s(self.ticket, expectation))
--- a/packages/kernel/tests/test_send_durations.py
+++ b/packages/kernel/tests/test_send_durations.py
@@ -26,10 +26,20 @@
         server = builders.build_dispatcher().servers["w0"]
         short = builders.build_ticket(prompt=600)
         long = builders.build_ticket(prompt=6_000)
-        kind = send_durations.classify(short, server)
-        self.assertNotEqual(kind, send_durations.classify(long, server))
+        kind = send_durations.classify(short, server, 0.0)
+        self.assertNotEqual(kind, send_durations.classify(long, server, 0.0))
         server.service_times.event_interval_ms.value *= 3
-        self.assertNotEqual(kind, send_durations.classify(short, server))
+        self.assertNotEqual(kind, send_durations.classify(short, server, 0.0))
+
+    def test_pace_that_a_server_states_is_part_of_its_class(self):
+        server = builders.build_dispatcher().servers["w0"]
+        ticket = builders.build_ticket()
+        kind = send_durations.classify(ticket, server, 10.0)
+        for step in range(20):
+            server.pace.record(400, 10.0 + step / 10)
+        self.assertNotEqual(kind, send_durations.classify(ticket, server, 12.0))
+        # The pace is forgotten; the class is that of the learned durations again.
+        self.assertEqual(kind, send_durations.classify(ticket, server, 60.0))
 
 
 class SlowTests(unittest.TestCase):
--- a/packages/kernel/wasabiknot_kernel/send_durations.py
+++ b/packages/kernel/wasabiknot_kernel/send_durations.py
@@ -51,17 +51,21 @@
     expected_ms: float
 
 
-def classify(ticket, server):
+def classify(ticket, server, now_s):
     """Finds the class of a send.
 
+    Learned durations don't include the pace that a backend server states.
+
     :param ticket: ``arrivals.Ticket``.
     :param server: ``servers.Server`` that it is sent to.
+    :param now_s: current time in seconds.
     :return: ``SendClass``.
     """
+    pace_ms = server.pace_ms * server.pace.estimate(now_s)
     return SendClass(
         ticket.route.name,
         int(ticket.prompt_tokens).bit_length(),
-        int(server.pace_ms).bit_length(),
+        int(pace_ms).bit_length(),
     )
 
 
