Send peers what has changed since the last full digest, in MessagePack

Cause: each digest was JSON with all loads by id, the tokens used by all customers and, during a release, all evidence; it went to nine peers up to 20 times a second. Facts had their values in base64, and whole topics were sent again that the peer knew.

A digest now refers to the last full one of its stream and holds the fields and items that differ. A receiver that lacks the full digest asks for it. Keys are indexes into a list that comes with the full digest. Digests between two regular ones leave the use out, evidence is told every 0.5 s, or every 0.2 s with new failures. Loads are announced between regular digests while less than 16 KB/s is sent. Facts are MessagePack if asked for. Members state the format that they understand, so entries of the previous version get and send JSON as before.

Ruled out: changes against the previous digest (a lost one leaves wrong state), ids by the order of the registrations (entries may know different ones).

--- a/benchmarks/gossip.py
+++ b/benchmarks/gossip.py
@@ -1,12 +1,14 @@
-"""Measures the cost of gossip between 8, 80 and 330 entries.
+"""Measures the cost of gossip between entries.
 
-Run as ``python benchmarks/gossip.py``. Each entry has requests in flight at a few
-backend servers. Sizes are those of encoded datagrams; times are the CPU time of one
-process.
+Run as ``python benchmarks/gossip.py`` for 59, 137 and 330 entries under load, or with
+``sizes`` for the sizes of single digests of 8, 80 and 330 entries. Under load, all
+entries of a site send requests and exchange digests in memory on one clock. Times are
+the CPU time of one process, with all that the load itself costs.
 """
 
 import pathlib
 import random
+import statistics
 import sys
 import time
 
@@ -14,8 +16,10 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "packages/kernel/tests"))
+sys.path.insert(0, str(ROOT / "packages/entry/tests"))
 
 import builders  # noqa: E402
+import peerloads  # noqa: E402
 
 from wasabiknot_kernel import (  # noqa: E402
     members,
@@ -25,6 +29,14 @@
 )
 
 SIZES = ((8, 9), (80, 49), (330, 780))
+# Sites under load. The first two are those of docs/design/hard-load.md in a burst.
+SITES = (
+    peerloads.Site(entries=59, domains=3, engines=45, slots=7, requests_per_s=28.0),
+    peerloads.Site(entries=137, domains=4, engines=56, slots=6, requests_per_s=1.8),
+    peerloads.Site(entries=330, domains=5, engines=780, slots=10, requests_per_s=7.3),
+)
+WARM_UP_S = 2.0
+LOAD_S = 4.0
 DOMAINS = 5
 DIGESTS_PER_S = 10
 USED_SERVERS = 6
@@ -170,10 +182,39 @@
     return len(msgspec.json.encode(members.Bundle((digest,))))
 
 
+def measure_load(site):
+    """Measures what the entries of a site send under load and prints the result.
+
+    :param site: ``peerloads.Site``.
+    """
+    fleet = peerloads.LoadedFleet(site)
+    fleet.play(WARM_UP_S)
+    since_s = fleet.clock.seconds()
+    start_s = time.process_time()
+    fleet.play(LOAD_S)
+    cpu_s = time.process_time() - start_s
+    now_s = fleet.clock.seconds()
+    leaders, others = [], []
+    for entry in fleet.entries:
+        is_leader = entry.deployment.roster.is_leader(now_s)
+        (leaders if is_leader else others).append(entry.list_sent(since_s))
+    print(f"{site.entries} entries, {site.requests_per_s} requests a second each:")
+    for name, sent in (("leaders", leaders), ("others", others)):
+        most = max(max(sizes) for sizes in sent)
+        mean = statistics.mean(size for sizes in sent for size in sizes)
+        print(f"  {name} send {mean / 1e3:.1f} KB/s, at most {most / 1e3:.1f} KB/s")
+    cpu_ms = cpu_s / LOAD_S / site.entries * 1e3
+    print(f"  {cpu_ms:.1f} ms of processor a second and entry")
+
+
 def main():
-    """Measures all sizes of deployment."""
-    for count, servers in SIZES:
-        measure(count, servers)
+    """Measures all sites, or all sizes of deployment."""
+    if sys.argv[1:] == ["sizes"]:
+        for count, servers in SIZES:
+            measure(count, servers)
+        return
+    for site in SITES:
+        measure_load(site)
 
 
 if __name__ == "__main__":
--- a/packages/entry/wasabiknot_entry/edge_entries.py
+++ b/packages/entry/wasabiknot_entry/edge_entries.py
@@ -103,6 +103,7 @@
             settings.domain,
             _compute_capacity(settings),
             _find_relay_port(settings),
+            members.CHANGES_FORMAT,
         )
         self._rng = rng = random.Random(secrets.randbits(64))
         policy = _create_policy(settings)
--- a/packages/entry/wasabiknot_entry/gossip.py
+++ b/packages/entry/wasabiknot_entry/gossip.py
@@ -5,10 +5,16 @@
 import msgspec
 from twisted.internet import defer, protocol
 
-from wasabiknot_entry import calls, journal, pages, peer_traffic
-from wasabiknot_kernel import decoding, events, facts, members, pacing, summaries
+from wasabiknot_entry import (
+    calls,
+    fact_pages,
+    journal,
+    pages,
+    peer_streams,
+    peer_traffic,
+)
+from wasabiknot_kernel import events, members, pacing, summaries
 
-FACTS_PATH = "/facts"
 METRICS_PATH = b"/metrics"
 # An entry that reads the store does not fetch from peers while its last read is more
 # recent than this: its next read returns the changes soon enough.
@@ -16,14 +22,13 @@
 FETCH_TIMEOUT_S = 1.2
 # An entry that starts asks another peer after this time.
 START_FETCH_TIMEOUT_S = 0.25
-UPDATES_CONTENT_TYPE = b"application/zlib"
-COMPRESSION_LEVEL = 1
-# Bound on the facts of a peer after decompression.
-MAX_UPDATES_BYTES = 32 * 1024 * 1024
 # An unchanged digest is sent only once per this number of intervals.
 UNCHANGED_DIGEST_INTERVALS = 3
 # Shortest time between two digests that tell of changed loads.
 MIN_ANNOUNCEMENT_INTERVAL_S = 0.05
+# Rate up to which digests tell of changed loads between two regular ones. What is sent
+# to peers must stay under ``peer_traffic.MAX_BYTES_PER_S``.
+ANNOUNCED_BYTES_PER_S = 16_000
 # Time for which changed positions are sent with each digest; otherwise they are sent
 # with those that would be sent unchanged as well.
 POSITIONS_REPEAT_S = 1.0
@@ -38,34 +43,15 @@
     :return: a Twisted protocol factory.
     """
 
-    def serve_updates(request):
-        content = _serve_updates(deployment, request)
-        traffic.count(peer_traffic.Kind.FACTS, len(content))
-        return content
-
-    handlers = {FACTS_PATH.encode(): serve_updates, METRICS_PATH: metrics}
+    handlers = {
+        fact_pages.PATH.encode(): fact_pages.create_handler(deployment, traffic),
+        METRICS_PATH: metrics,
+    }
     return pages.create_factory(handlers.get)
 
 
-def _serve_updates(deployment, request):
-    updates = []
-    for name, topic in deployment.topics.items():
-        value = request.args.get(name.encode(), [b"0"])[0]
-        since = int(value) if value.isdigit() else 0
-        is_known = 0 < topic.change_position <= since
-        if topic.is_loaded and not is_known:
-            updates.append(topic.build_update_since(since))
-    request.setHeader(b"content-type", UPDATES_CONTENT_TYPE)
-    # All group members fetch a large configuration at once, over narrow links.
-    return zlib.compress(msgspec.json.encode(updates), COMPRESSION_LEVEL)
-
-
-def _decompress(data):
-    decompressor = zlib.decompressobj()
-    content = decompressor.decompress(data, MAX_UPDATES_BYTES)
-    if not decompressor.eof:
-        raise zlib.error("incomplete, or longer than the bound")
-    return content
+def _leave_out_use(digest):
+    return msgspec.structs.replace(digest, sequence=0, read_age_ms=0, used={})
 
 
 class Gossip(protocol.DatagramProtocol):
@@ -90,9 +76,14 @@
         self._apply_facts = apply_facts
         self._traffic = traffic
         self._pacer = pacing.Pacer(link_mbps)
+        self._announcement_pacer = pacing.Pacer(link_mbps, ANNOUNCED_BYTES_PER_S)
+        self._streams = peer_streams.PeerStreams()
         self._is_fetching = False
         self._interval_count = 0
+        # Contents of the last digests: of the last regular one, unless loads have been
+        # announced since, and of the last one without the use.
         self._last_digest = None
+        self._last_rest = None
         self._positions = {}
         self._positions_changed_s = 0.0
         self._sent_s = 0.0
@@ -112,7 +103,7 @@
         digest = self._deployment.build_digest(now_s)
         if self._can_skip(digest, now_s):
             return
-        digests = [self._shorten(digest, now_s)]
+        digests = [digest]
         is_leader = roster.has_several_groups and roster.is_leader(now_s)
         if is_leader and self._pacer.has_room(now_s):
             digests.extend(self._send_summaries(now_s))
@@ -128,23 +119,33 @@
             return
         now_s = self._reactor.seconds()
         due_s = self._sent_s + MIN_ANNOUNCEMENT_INTERVAL_S
-        delay_s = max(0.0, due_s - now_s, self._pacer.compute_delay_s(now_s))
+        delay_s = max(
+            0.0,
+            due_s - now_s,
+            self._pacer.compute_delay_s(now_s),
+            self._announcement_pacer.compute_delay_s(now_s),
+        )
         self._announcement = self._reactor.callLater(delay_s, self._announce)
 
     def _announce(self):
         self._announcement = None
         now_s = self._reactor.seconds()
         digest = self._deployment.build_digest(now_s)
-        if not self._is_changed(digest):
+        rest = _leave_out_use(digest)
+        if rest == self._last_rest:
             return
+        self._last_rest = rest
+        # The next regular digest tells of the use.
+        self._last_digest = None
         self._sent_s = now_s
         peers = self._deployment.roster.list_group_peers()
-        self._send([self._shorten(digest, now_s)], peers)
+        self._send([digest], peers, omits_use=True)
 
     def _is_changed(self, digest):
         content = msgspec.structs.replace(digest, sequence=0, read_age_ms=0)
         is_changed = content != self._last_digest
         self._last_digest = content
+        self._last_rest = _leave_out_use(digest)
         return is_changed
 
     def _can_skip(self, digest, now_s):
@@ -157,15 +158,18 @@
     def _is_unchanged_due(self):
         return self._interval_count % UNCHANGED_DIGEST_INTERVALS == 0
 
-    def _shorten(self, digest, now_s):
+    def _shorten(self, digests, now_s):
         # Positions are most of a digest and change rarely.
+        digest = digests[0]
+        if digest.group:
+            return digests
         if digest.positions != self._positions:
             self._positions = digest.positions
             self._positions_changed_s = now_s
         is_new = now_s - self._positions_changed_s < POSITIONS_REPEAT_S
         if is_new or self._is_unchanged_due:
-            return digest
-        return msgspec.structs.replace(digest, positions={})
+            return digests
+        return [msgspec.structs.replace(digest, positions={}), *digests[1:]]
 
     def _send_summaries(self, now_s):
         roster = self._deployment.roster
@@ -173,42 +177,61 @@
         changed_s = self._deployment.eligibility.changed_s
         due = self._schedule.advance(is_regular, changed_s, now_s)
         if due.group:
-            summary = [self._deployment.build_group_summary(now_s)]
-            for group in roster.list_other_groups():
-                recipients = roster.list_summary_recipients(group, now_s)
-                self._send(summary, recipients, peer_traffic.Kind.SUMMARY)
+            summary = self._deployment.build_group_summary(now_s)
+            recipients = [
+                peer
+                for group in roster.list_other_groups()
+                for peer in roster.list_summary_recipients(group, now_s)
+            ]
+            self._send([summary], recipients, peer_traffic.Kind.SUMMARY)
         return [self._deployment.build_remote_summary(now_s)] if due.remote else []
 
-    def _send(self, digests, peers, kind=peer_traffic.Kind.DIGEST):
-        data = msgspec.json.encode(members.Bundle(tuple(digests)))
+    def _send(self, digests, peers, kind=peer_traffic.Kind.DIGEST, omits_use=False):
+        now_s = self._reactor.seconds()
+        modern, others = [], []
+        for peer in peers:
+            has_changes = peer.member.digest_format >= members.CHANGES_FORMAT
+            (modern if has_changes else others).append(peer)
+        if modern:
+            data = self._streams.encode(digests, now_s, omits_use)
+            self._write(data, modern, kind, now_s)
+        if others:
+            bundle = members.Bundle(tuple(self._shorten(digests, now_s)))
+            self._write(msgspec.json.encode(bundle), others, kind, now_s)
+
+    def _write(self, data, peers, kind, now_s):
         size_bytes = len(data) * len(peers)
         self._traffic.count(kind, size_bytes)
-        self._pacer.record_send(size_bytes, self._reactor.seconds())
+        self._pacer.record_send(size_bytes, now_s)
+        self._announcement_pacer.record_send(size_bytes, now_s)
         for peer in peers:
             self.transport.write(data, (peer.member.host, peer.member.port))
 
     def datagramReceived(self, data, addr):  # noqa: N802
         """Applies the digests in a datagram from a peer."""
+        now_s = self._reactor.seconds()
         try:
-            bundle = decoding.decode_json(data, members.Bundle)
+            digests, reply = self._streams.decode(data, now_s)
         except msgspec.MsgspecError as error:
             journal.write(events.Event.DATAGRAM_BAD, peer=addr[0], error=str(error))
             return
-        now_s = self._reactor.seconds()
-        self._fetch_from_unknown(bundle, addr)
-        for digest in bundle.digests:
+        if reply is not None and self.transport is not None:
+            self._traffic.count(peer_traffic.Kind.DIGEST, len(reply))
+            self.transport.write(reply, addr)
+        self._fetch_from_unknown(digests, addr)
+        for digest in digests:
             peer = self._deployment.apply_digest(digest, now_s)
             if peer is not None and not self._is_fetching:
                 self._fetch_if_behind(peer, now_s)
 
-    def _fetch_from_unknown(self, bundle, addr):
+    def _fetch_from_unknown(self, digests, addr):
         # Peers keep the address of an entry across its restart and continue to send
         # digests to it. While the store is unavailable, a restarted entry cannot read
         # the member records, so these unknown senders are its only source of facts.
         deployment = self._deployment
-        if deployment.is_ready or self._is_fetching or not bundle.digests:
+        if deployment.is_ready or self._is_fetching or not digests:
             return
-        digest = bundle.digests[0]
+        digest = digests[0]
         if deployment.roster.find(digest.name) is None:
             self._fetch_from(members.Member(digest.name, digest.run, *addr))
 
@@ -241,11 +264,8 @@
     @defer.inlineCallbacks
     def _fetch(self, member, timeout_s):
         address = f"{member.host}:{member.port}"
-        query = "&".join(
-            f"{name}={topic.change_position if topic.is_loaded else 0}"
-            for name, topic in self._deployment.topics.items()
-        )
-        request = calls.build_request("GET", f"{FACTS_PATH}?{query}", address)
+        target = fact_pages.build_target(self._deployment.topics.values())
+        request = calls.build_request("GET", target, address)
         try:
             response = yield calls.call(
                 self._reactor,
@@ -255,8 +275,7 @@
                 timeout_s,
                 calls.HEDGE_DELAY_S if timeout_s > calls.HEDGE_DELAY_S else None,
             )
-            data = _decompress(response.body)
-            updates = decoding.decode_json(data, list[facts.TopicUpdate])
+            updates = fact_pages.decode(response)
         except (calls.CallError, msgspec.MsgspecError, zlib.error) as error:
             journal.write(events.Event.COPY_FAILED, peer=member.name, error=str(error))
             if timeout_s > START_FETCH_TIMEOUT_S:
--- a/packages/kernel/wasabiknot_kernel/allowances.py
+++ b/packages/kernel/wasabiknot_kernel/allowances.py
@@ -303,9 +303,9 @@
             # ago, or requests that another leader of the group has reported.
             return
         for name, tokens in used.items():
-            bucket = self._buckets.get(name)
             new_tokens = tokens - previous.get(name, 0)
-            if bucket is None or not new_tokens:
+            bucket = self._buckets.get(name) if new_tokens else None
+            if bucket is None:
                 continue
             self._refill(bucket, now_s)
             bucket.level = min(bucket.level - new_tokens, bucket.burst)
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -129,6 +129,8 @@
         self._budgets = {}
         self._services_by_server = {}
         self._peer_loads = peer_loads.PeerLoads(self.find_server)
+        # Use that each source has stated last.
+        self._applied_use = {}
         self.store_reads = store_reads.StoreReads()
         self.pauses = pauses.PauseDetector()
         self._fetch_failure_s = None
@@ -690,7 +692,12 @@
             counter = self.allowances.group_used
         elif digest.group != members.REMOTE_GROUPS:
             counter = self.allowances.remote_used
-        self.allowances.charge_peer_use(source, digest.run, digest.used, now_s, counter)
+        # A digest that tells of loads only repeats the use of the previous one.
+        if self._applied_use.get(source) is not digest.used:
+            self._applied_use[source] = digest.used
+            self.allowances.charge_peer_use(
+                source, digest.run, digest.used, now_s, counter
+            )
         self._apply_customer_work(source, digest, now_s)
         self.releases.apply_evidence(source, digest.evidence)
         self.silences.apply_reports(source, digest.silence_reports, now_s)
@@ -701,9 +708,10 @@
         self.brittleness.apply_reports(
             digest.brittle_services, digest.find_channel(), now_s
         )
-        self.eligibility.apply_reports(
-            digest.limits, digest.leaving_servers, digest.find_channel(), now_s
-        )
+        if digest.limits or digest.leaving_servers:
+            self.eligibility.apply_reports(
+                digest.limits, digest.leaving_servers, digest.find_channel(), now_s
+            )
         self._apply_paces(source, digest.paces, now_s)
         return peer
 
@@ -757,10 +765,10 @@
         :param peer: ``members.Peer``.
         :return: ``True`` if facts should be fetched from the peer.
         """
-        return any(
-            position > self.get_topic(name).change_position
-            for name, position in peer.digest.positions.items()
-        )
+        for name, position in peer.digest.positions.items():
+            if position > self.get_topic(name).change_position:
+                return True
+        return False
 
     def record_fetch_failure(self, now_s):
         """Records that facts could not be fetched from a peer.
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -30,6 +30,9 @@
 MAX_SINGLE_GROUP = 12
 # Group name in the summary of all other groups that a leader sends to its group.
 REMOTE_GROUPS = "rest"
+# Formats of digests: JSON in full, and changes in MessagePack.
+JSON_FORMAT = 1
+CHANGES_FORMAT = 2
 # Interval at which an entry sends digests.
 DIGEST_INTERVAL_S = 0.1
 # A summary is sent with every nth digest. Summaries grow with the system, so n is the
@@ -50,6 +53,8 @@
     :param domain: failure domain in which the entry runs.
     :param capacity: capacity relative to other entries.
     :param relay_port: port for requests that peers hand over; 0 if it takes none.
+    :param digest_format: highest format of digests that it understands, see
+        ``digest_datagrams``; 1 is JSON.
     """
 
     name: str
@@ -59,6 +64,7 @@
     domain: str = ""
     capacity: decoding.Number = 1.0
     relay_port: typing.Annotated[int, msgspec.Meta(ge=0, le=decoding.MAX_PORT)] = 0
+    digest_format: int = JSON_FORMAT
 
     @property
     def order(self):
--- a/packages/kernel/wasabiknot_kernel/pacing.py
+++ b/packages/kernel/wasabiknot_kernel/pacing.py
@@ -18,10 +18,13 @@
     """A budget of bytes, which may be overdrawn by one digest.
 
     :param link_mbps: speed of the link, in megabits a second; 0 if it isn't known.
+    :param max_bytes_per_s: bound on the rate whatever the link; 0 for none.
     """
 
-    def __init__(self, link_mbps):
+    def __init__(self, link_mbps, max_bytes_per_s=0):
         self._rate = MAX_LINK_SHARE * link_mbps * 1_000_000 / BITS_PER_BYTE
+        if max_bytes_per_s:
+            self._rate = min(self._rate or max_bytes_per_s, max_bytes_per_s)
         self._balance = self._rate * BURST_S
         self._updated_s = None
         self._sent_s = None
--- a/packages/kernel/wasabiknot_kernel/peer_loads.py
+++ b/packages/kernel/wasabiknot_kernel/peer_loads.py
@@ -24,7 +24,8 @@
         for server_id in previous.keys() - loads.keys():
             self._set_load(server_id, source, None)
         for server_id, load in loads.items():
-            self._set_load(server_id, source, load)
+            if previous.get(server_id) != load:
+                self._set_load(server_id, source, load)
         self._loads[source] = loads
 
     def apply_known(self, server):
