Hold leaving servers in a module of their own, and test more of cold servers

Change: leavings holds what eligibility held of leaving servers, unchanged. Tests play restarts while the store is unavailable, repeated reports of broken connections, and that an entry reads drains and knows its members.

--- a/packages/entry/tests/test_edge.py
+++ b/packages/entry/tests/test_edge.py
@@ -9,6 +9,7 @@
 import unittest
 from unittest import mock
 
+import gatewaycases
 import loglines
 import msgspec
 import test_edge_settings
@@ -16,6 +17,7 @@
 
 from wasabiknot_entry import edge_entries
 from wasabiknot_kernel import facts
+from wasabiknot_platform import stores
 from wasabiknot_standins import entryprocesses, processes
 
 TIMEOUT_S = 20
@@ -78,6 +80,31 @@
         self.assertEqual(entry._apply_server.call_count, 2)
 
 
+class OperatorFactTests(unittest.TestCase):
+    def setUp(self):
+        self.deployment = gatewaycases.build_deployment()
+        self.entry = mock.Mock(_deployment=self.deployment)
+
+    def apply(self, key, value):
+        fact = facts.Fact(key, value, 3)
+        return edge_entries.Entry._apply_operator_fact(self.entry, fact, "store")
+
+    def test_record_of_a_drain_is_applied_and_counts_as_a_change(self):
+        # Guards against an order that peers don't copy, or that no one reads.
+        drains = self.deployment.eligibility.drains
+        self.assertTrue(self.apply("evacuate/zone-1", b"{}"))
+        self.assertEqual(drains.list_domains(), ["zone-1"])
+        self.assertTrue(self.apply("evacuate/zone-1", None))
+        self.assertEqual(drains.list_domains(), [])
+
+    def test_members_are_known_once_their_topic_is_read(self):
+        # Guards against cold servers that never get a request of this entry.
+        self.assertFalse(self.deployment.has_members)
+        apply = edge_entries.Entry._apply_facts
+        apply(self.entry, stores.MEMBER_TOPIC, [], "store")
+        self.assertTrue(self.deployment.has_members)
+
+
 class StopTests(unittest.TestCase):
     def test_second_sigterm_in_the_same_turn_of_the_event_loop_is_ignored(self):
         # Guards against an internal error as an entry is stopped twice (strangers 53).
--- a/packages/kernel/tests/test_warmup_load.py
+++ b/packages/kernel/tests/test_warmup_load.py
@@ -269,6 +269,24 @@
         self.assertGreater(before, ALLOWED)
         self.assertLessEqual(after, ALLOWED)
 
+    def test_restarted_servers_are_spared_while_the_store_is_unavailable(self):
+        # Guards against a limit that ends with the last registration that was read.
+        changes = [
+            (4.0, "drain", 1, 20.0),
+            (4.0, "drain", 2, 20.0),
+            (6.0, "restart", 0, 0.6),
+            (6.0, "restart", 3, 0.6),
+        ]
+        most = []
+        for has_limit in (False, True):
+            world = World(3, 12, changes, has_limit=has_limit)
+            world.renew = lambda _=None: None
+            most.append(world.play().find_most_in_a_second())
+        before, after = most
+        self.assertGreater(before, ALLOWED)
+        self.assertLessEqual(after, ALLOWED)
+        self.assertGreater(after, 0)
+
     def test_server_that_becomes_cold_while_it_runs_is_spared_unlike_before(self):
         (before, after), _ = self.play_both([(6.0, "again", 0, 0.6)])
         self.assertGreater(before, ALLOWED)
--- a/packages/kernel/tests/test_warmups.py
+++ b/packages/kernel/tests/test_warmups.py
@@ -237,6 +237,19 @@
         self.assertEqual(passed.age_ms, 500)
         self.assertEqual(peer.eligibility.warmups.list_breaks(11.1, {group}), ())
 
+    def test_repeated_and_late_reports_change_nothing(self):
+        # Guards against copies of a digest that keep a warm server limited.
+        peer = members.Member("e2", "r2", "10.0.0.2", 7000, "graz")
+        self.entry.roster.apply_member(peer, 10.0)
+        reports = ((1, 0, 10.0), (2, 900, 10.9), (3, 5_000, 12.0))
+        for sequence, age_ms, now_s in reports:
+            digest = msgspec.structs.replace(
+                self.build_digest(1, age_ms), sequence=sequence
+            )
+            self.entry.apply_digest(digest, now_s)
+        self.entry.tick(15.1)
+        self.assertFalse(self.warmups.is_cold("w1"))
+
     def test_waiting_requests_know_how_long_cold_servers_take(self):
         for server_id in ("w1", "w2"):
             self.register(server_id, 10.0, warmup_ms=9_000.0)
--- a/packages/kernel/wasabiknot_kernel/eligibility.py
+++ b/packages/kernel/wasabiknot_kernel/eligibility.py
@@ -6,7 +6,7 @@
 | statement | held in | until | known to |
 | --- | --- | --- | --- |
 | limit of requests a second | ``limits`` | it states none | all entries |
-| leaving | here | this start of the server is gone | all entries |
+| leaving | ``leavings`` | this start of the server is gone | all entries |
 | no request for a time | ``deferrals`` | a trial after it succeeds | this entry |
 | being cold | ``warmups`` | that time is over | this entry |
 
@@ -15,34 +15,19 @@
 
 import contextlib
 
-import msgspec
-
 from wasabiknot_kernel import (
     deferrals,
     domain_drains,
+    leavings,
     limit_waits,
     limits,
     statements,
     warmups,
 )
 
-# Time for which a leaving server that isn't registered is remembered: its registration
-# may come back after an outage of the store.
-LEAVING_MEMORY_S = 300.0
 NEVER_S = float("-inf")
 
 
-class Leaving(msgspec.Struct):
-    """The statement of one start of a backend server that it is leaving.
-
-    :param stated_s: time in seconds at which this entry learned it.
-    :param source: ``statements.Channel``.
-    """
-
-    stated_s: float
-    source: statements.Channel
-
-
 class Eligibility:
     """Holds what each backend server has stated, by its id.
 
@@ -58,8 +43,7 @@
         self.drains = domain_drains.DomainDrains()
         self.warmups = warmups.Warmups(name, self._changes)
         self._limit_tables = (self.limits, self.warmups.limits)
-        # By the server's id and its start: peers may still report an earlier start.
-        self._leaving = {}
+        self._leavings = leavings.LeavingTable(self._changes)
         # Starts of the servers in Unix milliseconds, and since when those that aren't
         # registered have been away, by id.
         self._starts = {}
@@ -95,7 +79,7 @@
             if not statement.is_limit_unreadable:
                 self.limits.record(server_id, statement.limit_per_s, sent_s, now_s)
             if statement.is_leaving:
-                self._record_leaving(server_id, started_ms, own, now_s)
+                self._leavings.record(server_id, started_ms, own, now_s)
         if statement.cold_s is not None:
             self.warmups.record_statement(server_id, statement.cold_s, now_s)
         retry_after_s = statement.retry_after_s
@@ -111,13 +95,6 @@
         if len(self._changes) > known_changes:
             self.changed_s[channel] = now_s
 
-    def _record_leaving(self, server_id, started_ms, source, now_s):
-        if self.is_leaving(server_id, started_ms):
-            return
-        self._leaving[server_id, started_ms] = Leaving(now_s, source)
-        kind = statements.ChangeKind.LEAVING
-        self._changes.append(statements.Change(server_id, kind, None, source))
-
     def record_break(self, server_id, started_ms, broken_s, channel, now_s):
         """Records that a server has refused or reset a connection.
 
@@ -158,7 +135,7 @@
             self.limits.apply_reports(limit_reports, channel, now_s)
             for report in leaving_reports:
                 started_ms = report.started_ms
-                self._record_leaving(report.server_id, started_ms, channel, now_s)
+                self._leavings.record(report.server_id, started_ms, channel, now_s)
 
     def list_leaving_reports(self, now_s, channels):
         """Lists the servers that have lately stated that they leave, for a digest.
@@ -168,11 +145,7 @@
             listed.
         :return: tuple of ``statements.LeavingReport``.
         """
-        return tuple(
-            statements.LeavingReport(server_id, started_ms)
-            for (server_id, started_ms), leaving in self._leaving.items()
-            if statements.is_reported(leaving.source, leaving.stated_s, channels, now_s)
-        )
+        return self._leavings.list_reports(now_s, channels)
 
     def is_leaving(self, server_id, started_ms):
         """Tells whether a backend server has stated that it is leaving.
@@ -181,7 +154,7 @@
         :param started_ms: start of the server, in Unix milliseconds; 0 if unknown.
         :return: ``True`` if this start of the server has said so.
         """
-        return (server_id, started_ms) in self._leaving
+        return self._leavings.is_leaving(server_id, started_ms)
 
     @property
     def has_waits(self):
@@ -258,10 +231,9 @@
         self.limits.tick(now_s, known_ids)
         self.warmups.tick(now_s, known_ids)
         self._forget_unregistered(now_s, known_ids)
-        for key, leaving in list(self._leaving.items()):
-            is_old = now_s - leaving.stated_s > LEAVING_MEMORY_S
-            if is_old and not self._is_registered(*key, known_ids):
-                del self._leaving[key]
+        self._leavings.drop_expired(
+            lambda *key: self._is_registered(*key, known_ids), now_s
+        )
 
     def _is_registered(self, server_id, started_ms, known_ids):
         is_current = self._starts.get(server_id, started_ms) == started_ms
@@ -292,11 +264,7 @@
         :param now_s: current time in seconds.
         :return: list of ``statements.ServerState``.
         """
-        leaving_ids = [
-            server_id
-            for server_id, started_ms in self._leaving
-            if self._starts.get(server_id) == started_ms
-        ]
+        leaving_ids = self._leavings.list_ids(self._starts)
         listed = {
             *self.limits.list_ids(),
             *self._deferrals.list_ids(),
