Tell peers more rarely of the work of customers, and only of those with the most

Each digest named the work of 8 customers, also of those within their share: 28 bytes each, at up to 20 digests a second to each peer of a group. They are now named each 0.4 s, and only those with at least half of the largest use. The totals of a customer count if the last ones are at most 1.5 s old, so that three reports may be lost.

--- a/packages/kernel/wasabiknot_kernel/customer_shares.py
+++ b/packages/kernel/wasabiknot_kernel/customer_shares.py
@@ -31,11 +31,16 @@
 # one of its rank: customers with about the same demand have unequal uses at times.
 ABOVE_SHARE_FRACTION = 0.8
 MAX_REPORTED_CUSTOMERS = 8
+# Peers are told of customers with at least this fraction of the largest use, so that
+# those at the border of their share are told of without gaps.
+REPORTED_FRACTION = 0.5
+# Time between two reports. Each costs some 30 bytes for each customer and peer.
+REPORT_INTERVAL_S = 0.4
 # Accounts above this number are dropped, those that were used least recently first.
 MAX_ACCOUNTS = 1_024
 # Totals that are older are only a baseline for the next one: what a customer has got
 # while it was within its share is not counted later.
-MAX_BASELINE_AGE_S = 1.0
+MAX_BASELINE_AGE_S = 1.5
 # Time constant of the number of sends a second of a customer.
 RATE_AVERAGING_S = 1.5
 
@@ -245,7 +250,7 @@
             account.totals_s[scope] += work_s
 
     def list_uses(self, now_s):
-        """Lists the customers that have used capacity while it was short.
+        """Lists the customers that have used the most capacity while it was short.
 
         :param now_s: current time in seconds.
         :return: list of pairs of uses in seconds and ``AccountKey``.
@@ -253,7 +258,8 @@
         uses = []
         for key, account in self._accounts.items():
             self._decay(key, account, now_s)
-            if account.use_s > MIN_USE_S:
+            least_s = REPORTED_FRACTION * self._find_largest_use_s(key[0], now_s)
+            if account.use_s > max(MIN_USE_S, least_s):
                 uses.append((account.use_s, key))
         return uses
 
--- a/packages/kernel/wasabiknot_kernel/digest_builders.py
+++ b/packages/kernel/wasabiknot_kernel/digest_builders.py
@@ -1,6 +1,7 @@
 """Builds what an entry tells its peers: its digest, and the summaries of groups."""
 
 import collections
+import math
 
 import msgspec
 
@@ -33,6 +34,8 @@
     def __init__(self, entry):
         self._entry = entry
         self._sequence = 0
+        # Times in seconds of the last reports of the work of customers, by scope.
+        self._work_reported_s = {}
 
     def build_digest(self, now_s):
         """Builds the digest of this entry.
@@ -81,6 +84,10 @@
         )
 
     def _list_work(self, scope, now_s):
+        reported_s = self._work_reported_s.get(scope, -math.inf)
+        if now_s - reported_s < customer_shares.REPORT_INTERVAL_S:
+            return ()
+        self._work_reported_s[scope] = now_s
         return customer_shares.list_reports(self._entry.list_shares(), scope, now_s)
 
     def _list_responses(self, now_s):
