Divide free slots in slot_claims instead of in the dispatcher

The dispatcher kept what belongs to a division of slots. It now only asks what this entry may still use.

--- a/packages/kernel/tests/test_slot_claims.py
+++ b/packages/kernel/tests/test_slot_claims.py
@@ -61,23 +61,31 @@
 
 
 class SlotClaimsTests(unittest.TestCase):
+    def setUp(self):
+        self.claims = slot_claims.SlotClaims("e1")
+        registration = builders.build_registration("w1", slots=1)
+        self.server = servers.Server(registration, True, None)
+
+    def count_claimable(self, now_s):
+        self.claims.divide(build_head(), [self.server], now_s)
+        return self.claims.count_claimable(self.server)
+
     def test_claim_of_a_silent_entry_expires(self):
         # Guards against a slot that is left to an entry that has died.
-        claims = slot_claims.SlotClaims("e1")
-        claims.record_head("e2", build_head(rank=0), 0.0)
-        own = build_head()
-        claims.select(own, {"w1": 1}, 0.1)
-        self.assertEqual(claims.count_won("w1"), 0)
-        claims.select(own, {"w1": 1}, slot_claims.HEAD_LIFETIME_S + 0.01)
-        self.assertEqual(claims.count_won("w1"), 1)
+        self.claims.record_head("e2", build_head(rank=0), 0.0)
+        self.assertEqual(self.count_claimable(0.1), 0)
+        self.assertEqual(self.count_claimable(slot_claims.HEAD_LIFETIME_S + 0.01), 1)
         self.assertLess(slot_claims.HEAD_LIFETIME_S, 0.4)
 
     def test_empty_queue_claims_nothing(self):
-        claims = slot_claims.SlotClaims("e1")
-        claims.record_head("e2", build_head(rank=0), 0.0)
-        claims.record_head("e2", None, 0.1)
-        claims.select(build_head(), {"w1": 1}, 0.1)
-        self.assertEqual(claims.count_won("w1"), 1)
+        self.claims.record_head("e2", build_head(rank=0), 0.0)
+        self.claims.record_head("e2", None, 0.1)
+        self.assertEqual(self.count_claimable(0.1), 1)
+
+    def test_slots_of_other_groups_are_not_divided(self):
+        self.assertFalse(self.claims.covers(self.server))
+        self.count_claimable(0.0)
+        self.assertTrue(self.claims.covers(self.server))
 
 
 class DispatcherClaimsTests(unittest.TestCase):
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -208,8 +208,6 @@
         )
         # ``slot_claims.SlotClaims``; None without fair queueing.
         self._claims = None
-        # Requests in flight when free slots were divided last, by backend server.
-        self._sends_at_claim = {}
         # ``slot_claims.QueueHead`` in the last digest.
         self._advertised_head = None
         self.order.is_by_rank = self._chooser.orders_by_rank
@@ -441,14 +439,8 @@
             for item in self.servers.values()
             if not item.is_retired and self._is_of_group(item)
         ]
-        free_slots = {
-            item.server_id: max(0, item.slots - item.count_running())
-            for item in members
-        }
-        if not any(free_slots.values()):
-            return
-        self._sends_at_claim = {item.server_id: len(item.sends) for item in members}
-        self._claims.select(self.build_queue_head(now_s), free_slots, now_s)
+        if any(item.count_running() < item.slots for item in members):
+            self._claims.divide(self.build_queue_head(now_s), members, now_s)
 
     def _is_of_group(self, server):
         return not self._is_grouped or server.server_id in self.group_servers
@@ -829,8 +821,8 @@
         if self.is_brittle and not self.is_waiting_advertised:
             # The others may take one each before they hear of it.
             claimed = max(0, free_slots - self.group_size)
-        elif self._claims is not None and server.server_id in self._sends_at_claim:
-            return self._count_won_slots(server)
+        elif self._claims is not None and self._claims.covers(server):
+            return self._claims.count_claimable(server)
         elif len(self.waiting_entries) <= 1:
             claimed = free_slots
         else:
@@ -841,12 +833,6 @@
             )
         return server.advertised_sends + claimed - own_sends
 
-    def _count_won_slots(self, server):
-        # Slots that this entry has released since its last digest go to others as well
-        # if those hold more urgent requests.
-        sends = self._sends_at_claim[server.server_id]
-        return self._claims.count_won(server.server_id) + sends - len(server.sends)
-
     def choose(self, ticket, now_s):
         """Chooses a backend server by the policy of the chooser.
 
--- a/packages/kernel/wasabiknot_kernel/slot_claims.py
+++ b/packages/kernel/wasabiknot_kernel/slot_claims.py
@@ -82,8 +82,10 @@
     def __init__(self, name):
         self._name = name
         self._claims = {}
-        # Free slots that go to this entry, by backend server.
+        # Free slots that go to this entry, and its requests in flight when they were
+        # divided, by backend server.
         self._won = collections.Counter()
+        self._sends = {}
 
     def record_head(self, source, head, now_s):
         """Records the head of the queue of a peer.
@@ -125,27 +127,43 @@
             if now_s - claim.received_s > HEAD_LIFETIME_S:
                 del self._claims[source]
 
-    def select(self, own_head, free_slots, now_s):
-        """Selects the entries that the free slots go to now.
+    def divide(self, own_head, servers, now_s):
+        """Divides the free slots of the group among its entries.
 
         :param own_head: ``QueueHead`` of this entry; ``None`` if its queue is empty.
-        :param free_slots: mapping of the ids of the backend servers of the group to
-            their numbers of free slots.
+        :param servers: list of the ``servers.Server`` of the group.
         :param now_s: current time in seconds.
         """
+        free_slots = {
+            server.server_id: max(0, server.slots - server.count_running())
+            for server in servers
+        }
+        self._sends = {server.server_id: len(server.sends) for server in servers}
         self._drop_expired(now_s)
         heads = {name: claim.head for name, claim in self._claims.items()}
         if own_head is not None:
             heads[self._name] = own_head
         self._won = count_slots(heads, free_slots, self._name)
 
-    def count_won(self, server_id):
-        """Counts the free slots of a backend server that go to this entry.
+    def covers(self, server):
+        """Tells whether the free slots of a backend server were divided.
 
-        :param server_id: id of the backend server.
+        :param server: ``servers.Server``.
+        :return: ``False`` for those of other groups.
+        """
+        return server.server_id in self._sends
+
+    def count_claimable(self, server):
+        """Counts the free slots of a backend server that this entry may still use.
+
+        Slots that it has released since its last digest go to others as well if those
+        hold more urgent requests.
+
+        :param server: ``servers.Server`` whose slots were divided.
         :return: number of slots.
         """
-        return self._won[server_id]
+        sent = len(server.sends) - self._sends[server.server_id]
+        return self._won[server.server_id] - sent
 
 
 def count_slots(heads, free_slots, name):
