Let a request wait between tries while all servers refuse connections

Cause: if every server is in a backoff, a request is sent to one all the same, and a refused connection fails within a millisecond, so it was resent about once a millisecond.

A server that isn't in a backoff takes it at once. Waiting requests count as ahead of no other one, and don't expire before their deadline, as before.

Weighed: a rate of tries for each server: a new request would wait although its server accepts again. Leaving such requests out of the advertised head of the queue: the entry itself would claim no slot for them once a server has room; an entry that reaches no server advertises no queue anyway.

--- a/packages/kernel/tests/test_dispatch.py
+++ b/packages/kernel/tests/test_dispatch.py
@@ -180,6 +180,21 @@
         (assignment,) = dispatcher.submit(builders.build_ticket(), 0.0)
         self.assertEqual(assignment.server.server_id, "w0")
 
+    def test_request_between_its_tries_takes_a_sound_server_at_once(self):
+        # Guards against a backoff that costs time although a server has room, and
+        # against a claim on slots by a queue with no other request.
+        dispatcher = builders.build_dispatcher(1)
+        dispatcher.set_fair_queueing(True)
+        dispatcher.servers["w0"].avoid_until_s = 10.0
+        ticket = builders.build_ticket()
+        ticket.resend_s = 0.3
+        self.assertEqual(dispatcher.submit(ticket, 0.2), [])
+        self.assertEqual(dispatcher.dispatch_waiting(0.2), [])
+        self.assertEqual(dispatcher.refuse_expired(0.2), [])
+        dispatcher.register(builders.build_registration("w1"))
+        (assignment,) = dispatcher.dispatch_waiting(0.2)
+        self.assertEqual(assignment.server.server_id, "w1")
+
     def test_server_that_answers_without_end_is_left_alone_for_longer_each_time(self):
         # Guards against one such answer after the other, each of which costs time.
         dispatcher = builders.build_dispatcher(2)
--- a/packages/kernel/tests/test_durations.py
+++ b/packages/kernel/tests/test_durations.py
@@ -4,7 +4,7 @@
 import builders
 import msgspec
 
-from wasabiknot_kernel import dispatch, durations, outcomes, routes
+from wasabiknot_kernel import dispatch, durations, outcomes, routes, server_scores
 
 
 class DurationTests(unittest.TestCase):
@@ -63,7 +63,7 @@
         self.assertGreater(short_s, 0.27)
         self.assertLess(short_s, 0.6)
         longer_s = dispatcher.estimate_longest_s(long) - short_s
-        self.assertAlmostEqual(longer_s, 90 * 0.02 * dispatch.OUTPUT_LENGTH_MARGIN)
+        self.assertAlmostEqual(longer_s, 90 * 0.02 * server_scores.OUTPUT_LENGTH_MARGIN)
 
     def test_stream_may_take_as_long_as_its_maximum_length_whatever_its_caller_guesses(
         self,
--- a/packages/kernel/wasabiknot_kernel/arrivals.py
+++ b/packages/kernel/wasabiknot_kernel/arrivals.py
@@ -1,5 +1,6 @@
 """Incoming requests and their scheduling state."""
 
+import math
 import typing
 
 import msgspec
@@ -98,6 +99,8 @@
     :param is_path_trial: whether it was sent to find out whether servers that didn't
         answer this entry answer again.
     :param allowed_regions: regions to which it may be sent; ``None`` for all.
+    :param resend_s: time in seconds from which it may try servers again that are in a
+        backoff, after a connection that failed for it.
     """
 
     arrival: Arrival
@@ -123,6 +126,7 @@
     handovers: int = 0
     is_path_trial: bool = False
     allowed_regions: frozenset[regions.Region] | None = None
+    resend_s: float = -math.inf
 
     @property
     def request_id(self):
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -24,6 +24,7 @@
     queue_orders,
     regions,
     request_admission,
+    resends,
     server_scores,
     servers,
     service_times,
@@ -363,7 +364,11 @@
         return self._eligibility.estimate_wait_s(server_ids, count, now_s)
 
     def _list_ahead(self, ticket, now_s):
-        waiting = [item for item in self._waiting.values() if not _is_returning(item)]
+        waiting = [
+            item
+            for item in self._waiting.values()
+            if not _is_returning(item) and not resends.is_waiting(item, now_s)
+        ]
         return self.order.list_ahead(ticket, waiting, now_s)
 
     def _estimate_delay(self, ticket, ahead, now_s):
@@ -555,10 +560,9 @@
                 kind = exceptions.ErrorKind.NO_WORKER
                 reason = DRAINED if is_drained else NO_REGION
                 decisions.append(self._create_refusal(ticket, kind, reason))
-            elif (
-                not ticket.is_begun
-                and waited_s > request_admission.compute_max_wait_s(ticket)
-            ):
+            elif ticket.is_begun or resends.is_retried(ticket, now_s):
+                continue
+            elif waited_s > request_admission.compute_max_wait_s(ticket):
                 self.withdraw(ticket)
                 kind = exceptions.ErrorKind.QUEUE_FULL
                 reason = f"waited {waited_s:.2f} s"
@@ -850,6 +854,8 @@
         candidates = self._list_available(usable, now_s)
         if not candidates:
             # If every server is avoided, an attempt is better than a refusal.
+            if resends.is_waiting(ticket, now_s):
+                return None
             open_servers = [item for item in usable if not self._is_held(item, now_s)]
             avoided_servers = [
                 item for item in open_servers if self._can_take(item, now_s)
@@ -1033,6 +1039,8 @@
             ticket.rejected_by.add(server.server_id)
             server.record_rejection(now_s)
         elif outcome not in outcomes.UNJUDGED:
+            if outcome is outcomes.Outcome.UNREACHABLE:
+                ticket.resend_s = now_s + resends.compute_wait_s(ticket.unreached)
             is_backed_off = outcome in outcomes.BACKED_OFF
             server.record_failure(now_s, is_backed_off)
 
