Tell paces and the work of customers now and then, with ids as indexes

Cause: a digest has up to 16 paces with ages and 8 customers with their work, which change each time, so each digest would hold all of them and none would be skipped as unchanged.

Paces are told every 0.25 s and are left out as no news otherwise; the work of customers every 0.15 s, and stays as told before otherwise. Texts in lists of reports are sent as indexes. Paces alone are no reason to send.

Weighed: repeating the paces told before; an old one would count as new.

test_digest_streams and test_peer_bytes pass.

--- a/benchmarks/gossip.py
+++ b/benchmarks/gossip.py
@@ -32,7 +32,9 @@
 # Sites under load. The first two are those of docs/design/hard-load.md in a burst.
 SITES = (
     peerloads.Site(entries=59, domains=3, engines=45, slots=7, requests_per_s=28.0),
-    peerloads.Site(entries=137, domains=4, engines=56, slots=6, requests_per_s=1.8),
+    peerloads.Site(
+        entries=137, domains=4, engines=56, slots=6, requests_per_s=1.8, has_paces=True
+    ),
     peerloads.Site(entries=330, domains=5, engines=780, slots=10, requests_per_s=7.3),
 )
 WARM_UP_S = 2.0
--- a/packages/entry/wasabiknot_entry/gossip.py
+++ b/packages/entry/wasabiknot_entry/gossip.py
@@ -50,10 +50,6 @@
     return pages.create_factory(handlers.get)
 
 
-def _leave_out_use(digest):
-    return msgspec.structs.replace(digest, sequence=0, read_age_ms=0, used={})
-
-
 class Gossip(protocol.DatagramProtocol):
     """Sends digests to the peers and applies those received.
 
@@ -131,7 +127,7 @@
         self._announcement = None
         now_s = self._reactor.seconds()
         digest = self._deployment.build_digest(now_s)
-        rest = _leave_out_use(digest)
+        rest = peer_streams.leave_out_use(digest)
         if rest == self._last_rest:
             return
         self._last_rest = rest
@@ -142,10 +138,11 @@
         self._send([digest], peers, omits_use=True)
 
     def _is_changed(self, digest):
-        content = msgspec.structs.replace(digest, sequence=0, read_age_ms=0)
+        # Paces always change, and are no reason to send a digest.
+        content = msgspec.structs.replace(digest, sequence=0, read_age_ms=0, paces=())
         is_changed = content != self._last_digest
         self._last_digest = content
-        self._last_rest = _leave_out_use(digest)
+        self._last_rest = peer_streams.leave_out_use(digest)
         return is_changed
 
     def _can_skip(self, digest, now_s):
--- a/packages/entry/wasabiknot_entry/peer_streams.py
+++ b/packages/entry/wasabiknot_entry/peer_streams.py
@@ -1,5 +1,7 @@
 """Encodes the digests of this entry, and decodes those of its peers."""
 
+import msgspec
+
 from wasabiknot_kernel import (
     decoding,
     digest_datagrams,
@@ -71,3 +73,14 @@
             if full is not None:
                 return full
         return None
+
+
+def leave_out_use(digest):
+    """Leaves out what a digest between two regular ones doesn't tell.
+
+    :param digest: ``members.Digest``.
+    :return: ``members.Digest``, to compare with the one that was sent before.
+    """
+    return msgspec.structs.replace(
+        digest, sequence=0, read_age_ms=0, used={}, paces=(), customer_work=()
+    )
--- a/packages/kernel/tests/test_digest_streams.py
+++ b/packages/kernel/tests/test_digest_streams.py
@@ -5,12 +5,17 @@
 from hypothesis import given, strategies
 
 from wasabiknot_kernel import (
+    brittleness,
+    crash_records,
+    customer_shares,
     digest_datagrams,
     digest_receivers,
     digest_streams,
     members,
     response_stats,
+    server_paces,
     servers,
+    statements,
 )
 
 INTERVAL_S = 0.1
@@ -229,6 +234,52 @@
         self.assertLessEqual(len(told), 5)
         self.assertGreaterEqual(max(told), 20)
 
+    def test_paces_are_told_now_and_then_and_never_repeated(self):
+        # Guards against an old pace that counts as a new one, and against paces of
+        # many servers in each digest.
+        link = Link()
+        sizes = []
+        for sequence in range(21):
+            paces = tuple(
+                server_paces.PaceReport(server, 150 + sequence, 5) for server in SERVERS
+            )
+            data = link.send(build_digest(sequence, paces=paces))
+            sizes.append(len(data))
+            link.deliver(data)
+        told = [digest.paces[0].pace for digest in link.applied if digest.paces]
+        self.assertEqual(len(told), len(set(told)))
+        self.assertLessEqual(len(told), 11)
+        self.assertGreaterEqual(len(told), 6)
+        self.assertEqual(told[-1] - 150, max(told) - 150)
+        self.assertLess(min(sizes), 30)
+        self.assertLess(sorted(sizes)[-4], 80)
+
+    def test_work_of_customers_stays_as_told_before(self):
+        link = Link()
+        for sequence in range(8):
+            work = customer_shares.CustomerWork("pool", 1, CUSTOMERS[0], 10 * sequence)
+            digest = build_digest(sequence, customer_work=(work,))
+            link.deliver(link.send(digest))
+        told = [digest.customer_work[0].work_ms for digest in link.applied]
+        self.assertEqual(told, sorted(told))
+        self.assertLess(len(set(told)), 8)
+        self.assertGreaterEqual(told[-1], 50)
+
+    def test_reports_with_ids_arrive_as_they_were_sent(self):
+        link = Link()
+        reports = {
+            "limits": (statements.LimitReport(SERVERS[1], 4.5, 20),),
+            "leaving_servers": (statements.LeavingReport(SERVERS[2], 7),),
+            "broken_servers": (statements.BreakReport(SERVERS[3], 7, 3),),
+            "brittle_services": (brittleness.BrittleReport("pool", 2, 10),),
+            "recent_crashes": (crash_records.Crash("f1", SERVERS[1]),),
+        }
+        link.deliver(link.send(build_digest(1)))
+        for sequence in (2, 3):
+            link.deliver(link.send(build_digest(sequence, **reports)))
+        for name, value in reports.items():
+            self.assertEqual(getattr(link.applied[-1], name), value)
+
     def test_changes_are_small(self):
         # Guards against datagrams that repeat the ids of servers and customers.
         link = Link()
--- a/packages/kernel/wasabiknot_kernel/digest_datagrams.py
+++ b/packages/kernel/wasabiknot_kernel/digest_datagrams.py
@@ -28,9 +28,35 @@
 # Counter of tokens, of which the increase is sent.
 USED = "used"
 EVIDENCE = "evidence"
+CUSTOMER_WORK = "customer_work"
+# Counters that only grow: where they are left out, they stay as they were told before.
+COUNTERS = frozenset({USED, EVIDENCE, CUSTOMER_WORK})
+# Reports that a receiver keeps: where they are left out, there is no news.
+PACES = "paces"
 # What identifies a stream or is in every change.
 HEADER = frozenset({"name", "run", "sequence", "group"})
 
+
+def _list_rows():
+    rows = {}
+    for name in FIELDS:
+        item_type = (*typing.get_args(TYPES[name]), None)[0]
+        if typing.get_origin(TYPES[name]) is not tuple or item_type is str:
+            continue
+        fields = msgspec.structs.fields(item_type)
+        rows[name] = [
+            index for index, field in enumerate(fields) if _is_text(field.type)
+        ]
+    return rows
+
+
+def _is_text(field_type):
+    return getattr(field_type, "__supertype__", field_type) is str
+
+
+# Fields that list structures, and the positions of the texts in these.
+ROWS = _list_rows()
+
 # Identifies the digests, or the summaries of one kind, of one run of an entry.
 StreamId = typing.NewType("StreamId", int)
 
--- a/packages/kernel/wasabiknot_kernel/digest_receivers.py
+++ b/packages/kernel/wasabiknot_kernel/digest_receivers.py
@@ -114,10 +114,7 @@
         name = digest_datagrams.FIELDS[index]
         if name in digest_datagrams.HEADER:
             raise msgspec.ValidationError(f"change of {name}")
-        if change is None and name in (
-            digest_datagrams.USED,
-            digest_datagrams.EVIDENCE,
-        ):
+        if change is None and name in digest_datagrams.COUNTERS:
             values[name] = getattr(stream.newest, name)
         elif name == digest_datagrams.USED:
             values[name] = _add_use(stream, change)
@@ -126,6 +123,9 @@
             values[name] = _apply_changes(
                 known, change, stream.keys, digest_datagrams.TYPES[name]
             )
+        elif name in digest_datagrams.ROWS:
+            rows = _name_rows(change, digest_datagrams.ROWS[name], stream.keys)
+            values[name] = msgspec.convert(rows, digest_datagrams.TYPES[name])
         elif type(change) is digest_datagrams.TYPES[name]:
             values[name] = change
         else:
@@ -135,6 +135,16 @@
     return digest
 
 
+def _name_rows(rows, positions, keys):
+    if not isinstance(rows, list) or not all(isinstance(row, list) for row in rows):
+        raise msgspec.ValidationError("expected lists")
+    for row in rows:
+        for position in positions:
+            if position < len(row) and type(row[position]) is int:
+                row[position] = keys.get(row[position], row[position])
+    return rows
+
+
 def _add_use(stream, change):
     if not isinstance(change, dict):
         raise msgspec.ValidationError("expected a mapping")
--- a/packages/kernel/wasabiknot_kernel/digest_streams.py
+++ b/packages/kernel/wasabiknot_kernel/digest_streams.py
@@ -4,8 +4,9 @@
 full one. So a lost, repeated or late datagram leaves no trace in the next digest. A
 receiver that lacks the full digest to which a change refers asks for it.
 
-The tokens used and the evidence of releases change with each response and only grow.
-They are left out of some digests, and then stay as they were told before.
+The tokens used, the work of customers and the evidence of releases change with each
+response and only grow. They are left out of some digests, and then stay as they were
+told before. The paces of backend servers, which always change, are told now and then.
 
 Keys of mappings, like the ids of backend servers, are sent as indexes into a list that
 comes with the full digest.
@@ -20,6 +21,9 @@
 FULL_INTERVAL_S = 5.0
 # Shortest time between the full digests of two streams of an entry.
 FULL_SPACING_S = 1.0
+# Shortest time between two digests with the work of customers, and with paces.
+WORK_INTERVAL_S = 0.15
+PACE_INTERVAL_S = 0.25
 # Shortest time between two digests with evidence: if there are new failures, otherwise,
 # and the longest one if it is large.
 FAILURE_INTERVAL_S = 0.2
@@ -60,6 +64,8 @@
         # Texts in the order of their latest use.
         self._recent_keys = {}
         self._is_full_due = False
+        self._work_s = 0.0
+        self._paces_s = 0.0
         # What was told of the evidence, and when.
         self._failures = 0
         self._evidence_s = 0.0
@@ -74,9 +80,7 @@
             two regular ones tells of loads only.
         :return: ``digest_datagrams.FullDigest`` or ``digest_datagrams.ChangedDigest``.
         """
-        omitted = {digest_datagrams.USED} if omits_use else set()
-        if self._may_omit_evidence(digest, now_s):
-            omitted.add(digest_datagrams.EVIDENCE)
+        omitted = self._choose_omitted(digest, now_s, omits_use)
         if self._base is None or self._must_be_full(now_s):
             return self._build_full(digest, now_s)
         changed = digest_datagrams.ChangedDigest(
@@ -92,6 +96,22 @@
         self._is_full_due = is_large and is_old
         return changed
 
+    def _choose_omitted(self, digest, now_s, omits_use):
+        omitted = set()
+        if self._may_omit_evidence(digest, now_s):
+            omitted.add(digest_datagrams.EVIDENCE)
+        if omits_use:
+            omitted.add(digest_datagrams.USED)
+        if omits_use or now_s - self._work_s < WORK_INTERVAL_S:
+            omitted.add(digest_datagrams.CUSTOMER_WORK)
+        else:
+            self._work_s = now_s
+        if omits_use or now_s - self._paces_s < PACE_INTERVAL_S:
+            omitted.add(digest_datagrams.PACES)
+        else:
+            self._paces_s = now_s
+        return omitted
+
     def _may_omit_evidence(self, digest, now_s):
         failures = sum(stats.failures for stats in digest.evidence.values())
         interval_s = FAILURE_INTERVAL_S
@@ -131,12 +151,7 @@
         self._spacing.latest_s = now_s
         self._evidence_s = now_s
         self._evidence_bytes = digest_datagrams.measure(digest.evidence)
-        self._use_keys(
-            key
-            for name in digest_datagrams.FIELDS
-            if name in digest_datagrams.MAPPINGS
-            for key in getattr(digest, name)
-        )
+        self._use_keys(_list_keys(digest))
         excess = len(self._recent_keys) - MAX_KEYS
         for key in list(self._recent_keys)[: max(0, excess)]:
             del self._recent_keys[key]
@@ -159,16 +174,29 @@
             if value == known:
                 continue
             if name in omitted:
-                value = None
+                value = None if name in digest_datagrams.COUNTERS else ()
             elif name == digest_datagrams.USED:
                 value = self._describe_mapping(_subtract(value, known), {})
             elif name in digest_datagrams.MAPPINGS:
                 value = self._describe_mapping(value, known)
+            elif name in digest_datagrams.ROWS:
+                value = self._describe_rows(value, digest_datagrams.ROWS[name])
             if name == digest_datagrams.EVIDENCE and value is not None:
                 self._evidence_bytes = digest_datagrams.measure(value)
             changes.append((index, value))
         return changes
 
+    def _describe_rows(self, value, positions):
+        rows = []
+        for item in value:
+            row = list(msgspec.structs.astuple(item))
+            for position in positions:
+                text = row[position]
+                self._use_keys([text])
+                row[position] = self._indexes.get(text, text)
+            rows.append(row)
+        return rows
+
     def _describe_mapping(self, value, known):
         changed = [key for key in value if key not in known or value[key] != known[key]]
         removed = [key for key in known if key not in value]
@@ -180,6 +208,16 @@
         return [items, [indexes.get(key, key) for key in removed]]
 
 
+def _list_keys(digest):
+    for name in digest_datagrams.FIELDS:
+        if name in digest_datagrams.MAPPINGS:
+            yield from getattr(digest, name)
+    for report in digest.paces:
+        yield report.server_id
+    for report in digest.customer_work:
+        yield report.customer
+
+
 def _subtract(used, known):
     return {
         key: value - known.get(key, 0)
