Take back the rule that sends no hedge while many sends are slow

Cause: it was added for times in which all servers are slow at once, on the thought that hedges are of no use then. The limits and the share of busy slots bound the hedges already.

--- a/packages/entry/wasabiknot_entry/hedges.py
+++ b/packages/entry/wasabiknot_entry/hedges.py
@@ -211,8 +211,6 @@
 
         :param status: status of the response.
         """
-        if self._timer is not None:
-            self._shared.hedging.record_in_time(self._flow.ticket.service)
         if status < http.MULTIPLE_CHOICE:
             self._add_sample()
         self.cancel(OTHER_ANSWERED)
--- a/packages/kernel/wasabiknot_kernel/hedging.py
+++ b/packages/kernel/wasabiknot_kernel/hedging.py
@@ -5,7 +5,7 @@
 sends, and a part of the retry budget of the service.
 """
 
-from wasabiknot_kernel import dispatch, estimates, outcomes, send_durations
+from wasabiknot_kernel import dispatch, outcomes, send_durations
 
 # Share of busy slots of a service above which no hedge is sent. The rest is for
 # requests of peers that no digest has told of yet.
@@ -13,11 +13,6 @@
 # Hedges that the operators' share may save up while there are none: slow sends come
 # together.
 MAX_SAVED_HEDGES = 5.0
-# Share of the newest sends to a service that are slow above which no hedge is sent, and
-# the weight of a send in it. By the percentile one send in twenty is slow; with many
-# more all servers are, and another one is no faster.
-MAX_SLOW_SHARE = 0.2
-SLOW_WEIGHT = 0.05
 # Time for which two backend servers may work on one stream, in seconds.
 MAX_STREAM_OVERLAP_S = 0.35
 # Reasons to send no hedge, for the log and the counters.
@@ -27,7 +22,6 @@
 CANARY = "unproven version"
 WAITING = "requests wait"
 BUSY = "servers are busy"
-ALL_SLOW = "all servers are slow"
 
 
 class HedgeShare:
@@ -68,8 +62,6 @@
         self._is_suspected = is_suspected
         self._find_rate = find_rate
         self._share = HedgeShare()
-        # Averages by service of whether its sends were slow, 1 or 0.
-        self._slow_shares = {}
         self.durations = send_durations.SendDurations()
 
     @property
@@ -89,18 +81,6 @@
         if self.is_on:
             self._share.record_send()
 
-    def record_in_time(self, service):
-        """Records that a send has got its response before a hedge was due.
-
-        :param service: name of the service.
-        """
-        self._get_slow_share(service).add(0.0)
-
-    def _get_slow_share(self, service):
-        if service not in self._slow_shares:
-            self._slow_shares[service] = estimates.MovingAverage(0.0, SLOW_WEIGHT)
-        return self._slow_shares[service]
-
     def find_delay_s(self, ticket, expectation):
         """Finds the time after which a hedge is due, if the request may get one.
 
@@ -115,8 +95,6 @@
     def decide(self, ticket, dispatcher, budget, has_time, now_s):
         """Decides whether a request is sent to another backend server as well.
 
-        To be called once for each send that is slow.
-
         :param ticket: ``arrivals.Ticket``; its sends include the slow one.
         :param dispatcher: ``dispatch.Dispatcher`` of its service.
         :param budget: ``budgets.RetryBudget`` of its service.
@@ -124,7 +102,6 @@
         :param now_s: current time in seconds.
         :return: ``dispatch.Assignment`` of the hedge, or ``dispatch.Stay``.
         """
-        self._get_slow_share(ticket.service).add(1.0)
         obstacle = self._find_obstacle(ticket, dispatcher, has_time)
         if obstacle:
             return dispatch.Stay(obstacle)
@@ -154,8 +131,6 @@
             return WAITING
         if compute_busy_share(dispatcher) > MAX_BUSY_SHARE:
             return BUSY
-        if self._get_slow_share(ticket.service).value > MAX_SLOW_SHARE:
-            return ALL_SLOW
         return ""
 
 
