Test that hedges obey drains and allowed regions

Cause: both came after the hedges, and a hedge chooses its server as a substitute does.

Change: two tests of the decision; no code.

Result: test_hedging 29 pass.

--- a/packages/kernel/tests/test_hedging.py
+++ b/packages/kernel/tests/test_hedging.py
@@ -154,6 +154,22 @@
             server.avoid_until_s = NOW_S + 1.0
         self.check_stays(dispatch.NO_SERVER)
 
+    def test_no_hedge_to_a_drained_failure_domain(self):
+        for server in self.dispatcher.servers.values():
+            if server is not self.first.server:
+                server.registration = builders.build_registration(
+                    server.server_id, domain="linz"
+                )
+        self.dispatcher._eligibility.drains.order("linz")
+        self.check_stays(dispatch.NO_SERVER)
+        self.dispatcher._eligibility.drains.lift("linz")
+        self.assertIsInstance(self.decide(), dispatch.Assignment)
+
+    def test_no_hedge_to_a_region_that_is_not_allowed(self):
+        # Guards against a body that leaves the regions of its customer.
+        self.ticket.allowed_regions = frozenset(["south"])
+        self.check_stays(dispatch.NO_SERVER)
+
     def test_plain_server_that_has_stated_that_it_is_full_gets_no_hedge(self):
         # Its load by peers is in no digest.
         self.dispatcher.set_engine(None)
