--- a/packages/entry/tests/test_hedges.py
+++ b/packages/entry/tests/test_hedges.py
@@ -8,7 +8,7 @@
 from twisted.internet import defer, error
 from twisted.python import failure
 
-from wasabiknot_entry import hedges, request_metrics
+from wasabiknot_entry import hedge_sends, hedges, request_metrics
 from wasabiknot_kernel import (
     budgets,
     crash_records,
@@ -32,7 +32,7 @@
         self.respond(second, b"second")
         self.assertTrue(first.is_aborted)
         self.check_body(transport, b"second")
-        self.check_events((WON, hedges.WHOLE_RESPONSE))
+        self.check_events((WON, hedge_sends.WHOLE_RESPONSE))
         self.check_idle()
 
     def test_send_that_answers_after_all_wins_over_its_hedge(self):
@@ -40,7 +40,7 @@
         self.respond(first, b"first")
         self.assertTrue(second.is_aborted)
         self.check_body(transport, b"first")
-        self.check_events((LOST, hedges.OTHER_ANSWERED))
+        self.check_events((LOST, hedge_sends.OTHER_ANSWERED))
         self.check_idle()
 
     def test_bytes_of_the_cancelled_send_never_reach_the_caller(self):
@@ -80,7 +80,7 @@
         self.assertEqual(len(self.pool.opened), 2)
         self.respond(second, b"second")
         self.check_body(transport, b"second")
-        self.check_events((WON, hedges.FIRST_FAILED))
+        self.check_events((WON, hedge_sends.FIRST_FAILED))
         budget = self.deployment.get_budget("desk")
         self.assertEqual(len(budget._retries), 1)
         self.check_idle()
@@ -155,7 +155,7 @@
         self.stream(second, 3, 5)
         second.end()
         self.check_whole(transport)
-        self.check_events((WON, hedges.FIRST_EVENT))
+        self.check_events((WON, hedge_sends.FIRST_EVENT))
         self.check_idle()
 
     def test_first_event_of_the_first_send_ends_the_hedge(self):
@@ -168,7 +168,7 @@
         self.stream(first, 2, 5)
         first.end()
         self.check_whole(transport)
-        self.check_events((LOST, hedges.OTHER_ANSWERED))
+        self.check_events((LOST, hedge_sends.OTHER_ANSWERED))
         self.check_idle()
 
     def test_two_servers_work_on_one_stream_for_a_bounded_time(self):
@@ -181,7 +181,7 @@
         self.stream(second, 1, 5)
         second.end()
         self.check_whole(transport)
-        self.check_events((WON, hedges.OVERLAP_ENDED))
+        self.check_events((WON, hedge_sends.OVERLAP_ENDED))
         self.check_idle()
 
     def test_first_event_that_is_not_handled_yet_wins_over_the_bound(self):
@@ -238,7 +238,7 @@
     def check_ended(self, first, second):
         self.assertTrue(first.is_aborted)
         self.assertTrue(second.is_aborted)
-        self.check_events((LOST, hedges.REQUEST_ENDED))
+        self.check_events((LOST, hedge_sends.REQUEST_ENDED))
         self.check_idle()
         # No timer of the request acts later.
         self.wait(1.0)
@@ -406,7 +406,7 @@
 class MetricTests(unittest.TestCase):
     def test_hedges_are_counted_by_step_and_reason(self):
         metrics = request_metrics.RequestMetrics()
-        metrics.count_hedge(hedges.Step.WON.value, hedges.FIRST_EVENT)
+        metrics.count_hedge(hedge_sends.Step.WON.value, hedge_sends.FIRST_EVENT)
         expected = b'wasabiknot_hedges_total{reason="first event",step="won"} 1.0\n'
         self.assertIn(expected, metrics.render(mock.Mock()))
 
--- a/packages/entry/wasabiknot_entry/hedges.py
+++ b/packages/entry/wasabiknot_entry/hedges.py
@@ -4,39 +4,17 @@
 reaches the caller, and after that nothing of the other send.
 """
 
-import enum
-
 from twisted.web import http
 
-from wasabiknot_entry import journal, send_attempts, send_records
-from wasabiknot_kernel import dispatch, events, hedging, outcomes, send_durations
+from wasabiknot_entry import hedge_sends, journal
+from wasabiknot_kernel import dispatch, events, hedging, send_durations
 
-Outcome = outcomes.Outcome
 # Delay beyond which a timer of this module has fired late. The response may then be
 # among the bytes that the event loop has not read yet.
 MAX_LATENESS_S = 0.05
-# Time until such a timer looks again.
-RECHECK_S = 0.02
 # Reasons to send no hedge that the kernel doesn't know.
 STOPPING = "entry stops"
 UNREACHED = "no server answers"
-# Reasons of the end of a hedge, for the log.
-FIRST_EVENT = "first event"
-WHOLE_RESPONSE = "whole response"
-FIRST_FAILED = "first send failed"
-OVERLAP_ENDED = "two servers for too long"
-OTHER_ANSWERED = "first send answered"
-REQUEST_ENDED = "request ended"
-
-
-class Step(enum.Enum):
-    """What becomes of hedges. The values appear in metrics."""
-
-    SENT = "sent"
-    WON = "won"
-    LOST = "lost"
-    FAILED = "failed"
-    WITHHELD = "withheld"
 
 
 class Hedges:
@@ -89,7 +67,7 @@
     def record(self, step, event, ticket, **fields):
         """Logs and counts what becomes of a hedge.
 
-        :param step: ``Step``.
+        :param step: ``hedge_sends.Step``.
         :param event: ``events.Event``.
         :param ticket: ``arrivals.Ticket``.
         :param fields: further fields of the log event.
@@ -162,7 +140,7 @@
         lateness_s = self._reactor.seconds() - self._due_s
         is_late = lateness_s > MAX_LATENESS_S or self._flow.has_input
         if is_late or self._shared.is_held:
-            self._call_later(RECHECK_S)
+            self._call_later(hedge_sends.RECHECK_S)
             return
         if self._flow.request.channel.has_caller_left():
             self._flow.handle_disconnect()
@@ -173,13 +151,15 @@
             return
         event = events.Event.HEDGE_WITHHELD
         ticket = self._flow.ticket
-        self._shared.record(Step.WITHHELD, event, ticket, reason=decision.reason)
+        self._shared.record(
+            hedge_sends.Step.WITHHELD, event, ticket, reason=decision.reason
+        )
 
     def _send(self, assignment):
         ticket = assignment.ticket
         ticket.sends += 1
         self._shared.record(
-            Step.SENT,
+            hedge_sends.Step.SENT,
             events.Event.HEDGE_SENT,
             ticket,
             server=assignment.server.server_id,
@@ -187,7 +167,7 @@
             after_ms=round((self._reactor.seconds() - self._sent_s) * 1_000),
             score_ms=round(assignment.score_ms),
         )
-        self._hedge = Hedge(self._shared, self, self._flow, assignment)
+        self._hedge = hedge_sends.Hedge(self._shared, self, self._flow, assignment)
         self._hedge.start()
 
     def drop_hedge(self):
@@ -213,7 +193,7 @@
         """
         if status < http.MULTIPLE_CHOICE:
             self._add_sample()
-        self.cancel(OTHER_ANSWERED)
+        self.cancel(hedge_sends.OTHER_ANSWERED)
 
     def take_over(self):
         """Lets the hedge replace a send that has failed.
@@ -223,10 +203,10 @@
         self._stop()
         if self._hedge is None:
             return False
-        self._hedge.win(FIRST_FAILED)
+        self._hedge.win(hedge_sends.FIRST_FAILED)
         return True
 
-    def cancel(self, reason=REQUEST_ENDED):
+    def cancel(self, reason=hedge_sends.REQUEST_ENDED):
         """Cancels the hedge, and stops to watch.
 
         :param reason: short text for the log.
@@ -235,167 +215,3 @@
         hedge, self._hedge = self._hedge, None
         if hedge is not None:
             hedge.lose(reason)
-
-
-class Hedge:
-    """The second send of a request; becomes its only one if it wins.
-
-    :param shared: ``Hedges``.
-    :param watch: ``SendWatch`` on the first send.
-    :param flow: ``flows.Flow``.
-    :param assignment: ``dispatch.Assignment``.
-    """
-
-    def __init__(self, shared, watch, flow, assignment):
-        self._shared = shared
-        self._gateway = shared.gateway
-        self._reactor = shared.gateway.reactor
-        self._watch = watch
-        self._flow = flow
-        self._assignment = assignment
-        self._attempt = None
-        self._sent_s = self._reactor.seconds()
-        self._overlap_timer = None
-        self._is_winner = False
-        self.is_silent = False
-
-    def start(self):
-        """Sends the request."""
-        self._attempt = send_attempts.SendAttempt(
-            self._reactor,
-            self._gateway.pool,
-            self._assignment,
-            self._build_request,
-            self,
-        )
-
-    def _build_request(self):
-        if not self._is_winner and self._flow.ticket.route.is_stream:
-            self._wait_for_overlap(hedging.MAX_STREAM_OVERLAP_S)
-        return self._flow.build_server_request(self._assignment.server)
-
-    def _wait_for_overlap(self, delay_s):
-        self._overlap_timer = self._reactor.callLater(delay_s, self._end_overlap)
-
-    def _end_overlap(self):
-        self._overlap_timer = None
-        if self._flow.has_input:
-            self._wait_for_overlap(RECHECK_S)
-            return
-        self._gateway.run_step(self._flow.request, self.win, OVERLAP_ENDED)
-
-    def _stop(self):
-        if self._overlap_timer is not None and self._overlap_timer.active():
-            self._overlap_timer.cancel()
-        self._overlap_timer = None
-
-    def win(self, reason):
-        """Replaces the first send, which is cancelled if it has not ended.
-
-        :param reason: short text for the log.
-        """
-        self._stop()
-        self._is_winner = True
-        self._watch.record_win()
-        flow = self._flow
-        replaced = flow.adopt(self._assignment, self._attempt, self._sent_s)
-        if replaced is not None:
-            assignment, attempt = replaced
-            send_records.cancel(self._gateway, flow.ticket, assignment.server, attempt)
-        self._record_end(Step.WON, events.Event.HEDGE_WON, reason)
-
-    def lose(self, reason):
-        """Cancels the hedge.
-
-        :param reason: short text for the log.
-        """
-        self._stop()
-        send_records.cancel(
-            self._gateway, self._flow.ticket, self._assignment.server, self._attempt
-        )
-        self._record_end(Step.LOST, events.Event.HEDGE_LOST, reason)
-
-    def _record_end(self, step, event, reason):
-        self._shared.record(
-            step,
-            event,
-            self._flow.ticket,
-            server=self._assignment.server.server_id,
-            took_ms=round((self._reactor.seconds() - self._sent_s) * 1_000),
-            reason=reason,
-        )
-        # The slot that is free now may be what another request waits for.
-        service = self._flow.ticket.service
-        self._reactor.callLater(0, self._gateway.dispatch_waiting, service)
-
-    def _handle(self, step, *arguments):
-        return self._gateway.run_step(self._flow.request, step, *arguments)
-
-    def handle_head(self, head):
-        """Records what the backend server states about itself.
-
-        :param head: ``platform_headers.ResponseHead``.
-        """
-        if self._is_winner:
-            self._flow.handle_head(head)
-        else:
-            self._handle(self._record_head, head)
-
-    def _record_head(self, head):
-        server = self._assignment.server
-        is_new = self._attempt.is_new_connection
-        self.is_silent = False
-        self._gateway.record_answer(server, is_new, self._reactor.seconds())
-        self._gateway.record_statement(server, head, self._sent_s)
-
-    def handle_event(self, event, head):
-        """Relays one event of a streamed response; the first one wins.
-
-        :param event: ``eventstreams.Event``.
-        :param head: ``platform_headers.ResponseHead`` of the response.
-        :return: ``False`` if an event is missing before this one.
-        """
-        if not self._is_winner:
-            self._handle(self.win, FIRST_EVENT)
-        return self._flow.handle_event(event, head)
-
-    def handle_silence(self, silent_s):
-        """Records that the backend server is silent.
-
-        :param silent_s: time since the send or the last event, in seconds.
-        :return: whether the request goes on at another server.
-        """
-        if self._is_winner:
-            return self._flow.handle_silence(silent_s)
-        self.is_silent = True
-        self._assignment.server.record_silence(self._reactor.seconds() - silent_s)
-        return False
-
-    def handle_failure(self, failure):
-        """Handles a failure to send the request.
-
-        :param failure: Twisted failure.
-        """
-        self._flow.handle_failure(failure)
-
-    def handle_result(self, result):
-        """Handles the result; only a whole response counts for the request.
-
-        :param result: ``send_attempts.Result``.
-        """
-        if not self._is_winner and result.outcome is Outcome.COMPLETE:
-            self._handle(self.win, WHOLE_RESPONSE)
-        if self._is_winner:
-            self._flow.handle_result(result)
-        else:
-            self._handle(self._fail, result)
-
-    def _fail(self, result):
-        self._stop()
-        self._watch.drop_hedge()
-        ticket = self._flow.ticket
-        server = self._assignment.server
-        send = send_records.Send(ticket, server, self._sent_s)
-        send_records.record_result(self._gateway, send, result)
-        reason = result.outcome.value
-        self._record_end(Step.FAILED, events.Event.HEDGE_FAILED, reason)
