Move the decisions of a dispatcher into a module of their own

Cause: dispatch had grown past a thousand lines, and every user of Assignment, Refusal or Stay imported all of it. They are in assignments now; behaviour is unchanged.

--- a/packages/entry/tests/test_gateways.py
+++ b/packages/entry/tests/test_gateways.py
@@ -9,8 +9,8 @@
 from wasabiknot_entry import gateways, send_attempts
 from wasabiknot_kernel import (
     arrivals,
+    assignments,
     crash_records,
-    dispatch,
     exceptions,
     outcomes,
     registrations,
@@ -220,11 +220,11 @@
         self.gateway.record_result(assignment.ticket, server, misdirected, 0.0)
         for at_s in (5.0, 10.0):
             (decision,) = dispatcher.submit(self.admit(request_id=f"q{at_s}"), at_s)
-            self.assertIsInstance(decision, dispatch.Refusal)
+            self.assertIsInstance(decision, assignments.Refusal)
         moved = msgspec.structs.replace(server.registration, address="10.0.0.10:80")
         self.deployment.apply_registration(moved, 10.0)
         (decision,) = dispatcher.submit(self.admit(request_id="q9"), 15.0)
-        self.assertIsInstance(decision, dispatch.Assignment)
+        self.assertIsInstance(decision, assignments.Assignment)
 
     def test_limit_in_a_misdirected_response_is_of_another_server(self):
         self.configure()
--- a/packages/entry/wasabiknot_entry/flows.py
+++ b/packages/entry/wasabiknot_entry/flows.py
@@ -11,7 +11,7 @@
     send_records,
 )
 from wasabiknot_kernel import (
-    dispatch,
+    assignments,
     events,
     exceptions,
     members,
@@ -44,7 +44,7 @@
 
 
 def _describe_decision(decision):
-    if isinstance(decision, dispatch.Assignment):
+    if isinstance(decision, assignments.Assignment):
         return decision.server.server_id
     if isinstance(decision, members.Member):
         return decision.name
@@ -123,7 +123,7 @@
     def send(self, assignment):
         """Sends the request to a backend server.
 
-        :param assignment: ``dispatch.Assignment``.
+        :param assignment: ``assignments.Assignment``.
         """
         self._assignment = assignment
         if not self._start_send():
@@ -157,7 +157,7 @@
     def adopt(self, assignment, attempt, sent_s):
         """Goes on with another send, the hedge.
 
-        :param assignment: ``dispatch.Assignment`` of the hedge.
+        :param assignment: ``assignments.Assignment`` of the hedge.
         :param attempt: its ``send_attempts.SendAttempt``.
         :param sent_s: time at which it was sent, in seconds.
         :return: assignment and attempt so far; ``None`` if that has ended.
@@ -340,7 +340,7 @@
             ticket, self.has_time(now_s), now_s
         )
         self._silence_decision = decision
-        is_replaced = not isinstance(decision, dispatch.Stay)
+        is_replaced = not isinstance(decision, assignments.Stay)
         if not is_replaced:
             gateway.silent_flows.add(self)
         if decision != previous:
@@ -422,7 +422,7 @@
         if result.outcome in (Outcome.COMPLETE, Outcome.CANCELLED):
             self._send_watch.record_response(result.head.status)
             self._forward_response(result)
-        elif isinstance(self._silence_decision, dispatch.Assignment):
+        elif isinstance(self._silence_decision, assignments.Assignment):
             self._log_failed_attempt(result, Step.RESEND, result.outcome.value)
             self.send(self._silence_decision)
         elif isinstance(self._silence_decision, members.Member):
@@ -537,7 +537,7 @@
 
     def _release_substitute(self):
         decision, self._silence_decision = self._silence_decision, None
-        if isinstance(decision, dispatch.Assignment):
+        if isinstance(decision, assignments.Assignment):
             now_s = self._gateway.reactor.seconds()
             cancelled = Outcome.CANCELLED
             self.dispatcher.record_end(self.ticket, decision.server, cancelled, now_s)
--- a/packages/entry/wasabiknot_entry/gateways.py
+++ b/packages/entry/wasabiknot_entry/gateways.py
@@ -27,7 +27,7 @@
 )
 from wasabiknot_kernel import (
     arrivals,
-    dispatch,
+    assignments,
     events,
     exceptions,
     outcomes,
@@ -402,7 +402,7 @@
             return _create_stop_refusal()
         refused_key = deployment.crashes.find_refused(ticket, now_s)
         if refused_key and not deployment.try_start_trial(ticket, now_s):
-            refusal = dispatch.create_harmful_refusal(ticket, refused_key)
+            refusal = assignments.create_harmful_refusal(ticket, refused_key)
             return error_responses.ErrorResponse(
                 refusal.kind,
                 503,
@@ -571,7 +571,7 @@
                 self.run_step(flow.request, self._apply_decision, flow, decision)
 
     def _apply_decision(self, flow, decision):
-        if isinstance(decision, dispatch.Assignment):
+        if isinstance(decision, assignments.Assignment):
             now_s = self.reactor.seconds()
             if not self.handovers.try_divert(flow, decision, now_s):
                 flow.send(decision)
--- a/packages/entry/wasabiknot_entry/hedge_sends.py
+++ b/packages/entry/wasabiknot_entry/hedge_sends.py
@@ -33,7 +33,7 @@
     :param shared: ``hedges.Hedges``.
     :param watch: ``hedges.SendWatch`` on the first send.
     :param flow: ``flows.Flow``.
-    :param assignment: ``dispatch.Assignment``.
+    :param assignment: ``assignments.Assignment``.
     """
 
     def __init__(self, shared, watch, flow, assignment):
--- a/packages/entry/wasabiknot_entry/hedges.py
+++ b/packages/entry/wasabiknot_entry/hedges.py
@@ -7,7 +7,7 @@
 from twisted.web import http
 
 from wasabiknot_entry import hedge_sends, journal
-from wasabiknot_kernel import dispatch, events, hedging, send_durations
+from wasabiknot_kernel import assignments, events, hedging, send_durations
 
 # Delay beyond which a timer of this module has fired late. The response may then be
 # among the bytes that the event loop has not read yet.
@@ -48,13 +48,13 @@
         """Decides whether a request is sent to another backend server as well.
 
         :param flow: ``flows.Flow``.
-        :return: ``dispatch.Assignment`` or ``dispatch.Stay``.
+        :return: ``assignments.Assignment`` or ``assignments.Stay``.
         """
         service = flow.ticket.service
         if self.gateway.is_stopping:
-            return dispatch.Stay(STOPPING)
+            return assignments.Stay(STOPPING)
         if self._deployment.paths.is_unreached(service):
-            return dispatch.Stay(UNREACHED)
+            return assignments.Stay(UNREACHED)
         now_s = self.gateway.reactor.seconds()
         return self.hedging.decide(
             flow.ticket,
@@ -96,7 +96,7 @@
     def start(self, assignment):
         """Starts to watch a send.
 
-        :param assignment: ``dispatch.Assignment``.
+        :param assignment: ``assignments.Assignment``.
         """
         # A send that is left as its server is silent has taken at least this long.
         self._add_sample()
@@ -146,7 +146,7 @@
             self._flow.handle_disconnect()
             return
         decision = self._shared.decide(self._flow)
-        if isinstance(decision, dispatch.Assignment):
+        if isinstance(decision, assignments.Assignment):
             self._send(decision)
             return
         event = events.Event.HEDGE_WITHHELD
--- a/packages/entry/wasabiknot_entry/peer_handovers.py
+++ b/packages/entry/wasabiknot_entry/peer_handovers.py
@@ -4,6 +4,7 @@
 
 from wasabiknot_entry import error_responses, journal, relays
 from wasabiknot_kernel import (
+    assignments,
     dispatch,
     events,
     exceptions,
@@ -76,7 +77,7 @@
         """Hands a request over if it would go over a new connection that may fail.
 
         :param flow: ``flows.Flow``.
-        :param assignment: ``dispatch.Assignment``, which is given back then.
+        :param assignment: ``assignments.Assignment``, which is given back then.
         :param now_s: current time, in seconds.
         :return: whether a peer sends it.
         """
@@ -101,8 +102,8 @@
         :param ticket: ``arrivals.Ticket``; its sends include the silent one.
         :param has_time: whether there is time for another send before the deadline.
         :param now_s: current time, in seconds.
-        :return: ``dispatch.Assignment``, ``dispatch.Stay``, or the ``members.Member``
-            of a peer.
+        :return: ``assignments.Assignment``, ``assignments.Stay``, or the
+            ``members.Member`` of a peer.
         """
         deployment = self._deployment
         budget = deployment.get_budget(ticket.service)
@@ -111,20 +112,20 @@
                 ticket, budget, has_time, now_s
             )
         if not ticket.route.is_repeatable:
-            return dispatch.Stay("may run once")
+            return assignments.Stay("may run once")
         obstacle = outcomes.find_resend_obstacle(ticket, has_time)
         if obstacle:
-            return dispatch.Stay(obstacle)
+            return assignments.Stay(obstacle)
         dispatcher = deployment.get_dispatcher(ticket.service)
         if not ticket.is_path_trial and dispatcher.may_still_run(ticket, now_s):
-            return dispatch.Stay(dispatch.MAY_STILL_RUN)
+            return assignments.Stay(dispatch.MAY_STILL_RUN)
         if not deployment.is_path_lost(ticket.service, now_s):
-            return dispatch.Stay("no server answers")
+            return assignments.Stay("no server answers")
         helper = deployment.choose_helper(ticket, now_s)
         if helper is None:
-            return dispatch.Stay("no peer helps")
+            return assignments.Stay("no peer helps")
         if not budget.try_acquire(now_s):
-            return dispatch.Stay(outcomes.NO_BUDGET)
+            return assignments.Stay(outcomes.NO_BUDGET)
         return helper
 
     def record_end(self, handover, result, decision):
--- a/packages/entry/wasabiknot_entry/send_attempts.py
+++ b/packages/entry/wasabiknot_entry/send_attempts.py
@@ -75,7 +75,7 @@
 
     :param reactor: Twisted reactor.
     :param pool: ``pools.Pool``.
-    :param assignment: ``dispatch.Assignment``.
+    :param assignment: ``assignments.Assignment``.
     :param build_request: function that returns the ``connections.Request``; it is
         called once there is a connection.
     :param receiver: object with ``handle_head``, ``handle_event``, ``handle_silence``
--- a/packages/kernel/tests/hedgeplays.py
+++ b/packages/kernel/tests/hedgeplays.py
@@ -12,7 +12,7 @@
 import builders
 import msgspec
 
-from wasabiknot_kernel import dispatch, outcomes, routes, send_durations
+from wasabiknot_kernel import assignments, outcomes, routes, send_durations
 
 ENTRIES = 6
 SERVERS = 8
@@ -169,7 +169,7 @@
 
     def _apply(self, entry, decisions):
         for decision in decisions:
-            if isinstance(decision, dispatch.Refusal):
+            if isinstance(decision, assignments.Refusal):
                 self.refused += 1
             else:
                 self._send(entry, decision, is_hedge=False)
@@ -226,7 +226,7 @@
             True,
             self.now_s,
         )
-        if isinstance(decision, dispatch.Stay):
+        if isinstance(decision, assignments.Stay):
             self.withheld[decision.reason] += 1
             return
         self.hedges += 1
--- a/packages/kernel/tests/paceplays.py
+++ b/packages/kernel/tests/paceplays.py
@@ -9,6 +9,7 @@
 
 from wasabiknot_kernel import (
     arrivals,
+    assignments,
     dispatch,
     outcomes,
     routes,
@@ -327,7 +328,7 @@
 
     def _apply(self, number, decisions):
         for decision in decisions:
-            if isinstance(decision, dispatch.Refusal):
+            if isinstance(decision, assignments.Refusal):
                 self.refused += 1
                 continue
             at_s = self.now_s + LATENCY_S
--- a/packages/kernel/tests/plays.py
+++ b/packages/kernel/tests/plays.py
@@ -7,7 +7,7 @@
 import msgspec
 from hypothesis import settings, strategies
 
-from wasabiknot_kernel import dispatch, outcomes, routes, statements
+from wasabiknot_kernel import assignments, outcomes, routes, statements
 
 STEP_S = 0.05
 DIGEST_STEPS = 2
@@ -55,7 +55,7 @@
 
     :param number: number of the entry.
     :param entry: this start of the entry.
-    :param decision: ``dispatch.Assignment``.
+    :param decision: ``assignments.Assignment``.
     :param response: ``Response``.
     :param sent_s: time in seconds at which the request was sent.
     :param is_head_read: whether the entry has read the head.
@@ -63,7 +63,7 @@
 
     number: int
     entry: object
-    decision: dispatch.Assignment
+    decision: assignments.Assignment
     response: Response
     sent_s: float
     is_head_read: bool = False
@@ -192,7 +192,7 @@
 
     def apply(self, number, decisions):
         for decision in decisions:
-            if isinstance(decision, dispatch.Refusal):
+            if isinstance(decision, assignments.Refusal):
                 self.refused += 1
                 continue
             response = self.respond(number, decision)
--- a/packages/kernel/tests/silent_rollouts.py
+++ b/packages/kernel/tests/silent_rollouts.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from wasabiknot_kernel import (
-    dispatch,
+    assignments,
     outcomes,
     registrations,
     release_records,
@@ -241,7 +241,7 @@
 
     def apply(self, number, decisions):
         for decision in decisions:
-            if isinstance(decision, dispatch.Refusal):
+            if isinstance(decision, assignments.Refusal):
                 continue
             decision.ticket.sends += 1
             if self.is_new(decision.server):
--- a/packages/kernel/tests/test_dispatch.py
+++ b/packages/kernel/tests/test_dispatch.py
@@ -9,6 +9,7 @@
 
 from wasabiknot_kernel import (
     arrivals,
+    assignments,
     budgets,
     dispatch,
     exceptions,
@@ -21,7 +22,7 @@
 
 
 def list_assignments(decisions):
-    return [item for item in decisions if isinstance(item, dispatch.Assignment)]
+    return [item for item in decisions if isinstance(item, assignments.Assignment)]
 
 
 # Seconds from a send to its first event.
@@ -66,7 +67,7 @@
 
     def _apply_decisions(self, decisions):
         for item in decisions:
-            if isinstance(item, dispatch.Refusal):
+            if isinstance(item, assignments.Refusal):
                 self.refused[item.ticket.request_id] = (self.now_s, item)
                 continue
             self.send_times[item.ticket.request_id] = self.now_s
@@ -80,15 +81,15 @@
     @given(strategies.integers(1, 4), strategies.integers(1, 6), strategies.data())
     def test_engines_never_run_more_than_their_slots(self, count, slots, data):
         dispatcher = builders.build_dispatcher(count, slots)
-        assignments = []
+        assigned = []
         for number in range(40):
             ticket = builders.build_ticket(f"q{number}")
-            assignments += list_assignments(dispatcher.submit(ticket, 0.0))
-            if assignments and data.draw(strategies.booleans()):
-                done = assignments.pop(0)
+            assigned += list_assignments(dispatcher.submit(ticket, 0.0))
+            if assigned and data.draw(strategies.booleans()):
+                done = assigned.pop(0)
                 complete = outcomes.Outcome.COMPLETE
                 dispatcher.record_end(done.ticket, done.server, complete, 0.1)
-                assignments += list_assignments(dispatcher.dispatch_waiting(0.1))
+                assigned += list_assignments(dispatcher.dispatch_waiting(0.1))
             for server in dispatcher.servers.values():
                 self.assertLessEqual(len(server.sends), slots)
 
@@ -221,11 +222,11 @@
     def test_own_group_is_used_before_other_groups_with_free_slots(self):
         dispatcher = builders.build_dispatcher(2, 4)
         dispatcher.group_servers = {"w0"}
-        assignments = []
+        assigned = []
         for number in range(8):
             ticket = builders.build_ticket(f"q{number}")
-            assignments += list_assignments(dispatcher.submit(ticket, 0.0))
-        servers_used = [item.server.server_id for item in assignments]
+            assigned += list_assignments(dispatcher.submit(ticket, 0.0))
+        servers_used = [item.server.server_id for item in assigned]
         self.assertEqual(servers_used[:4], ["w0"] * 4)
         # The server of the other group is used until fewer than two of its four
         # slots are free.
@@ -388,7 +389,7 @@
         dispatcher = builders.build_dispatcher(2, 2)
         for number in range(4):
             (item,) = dispatcher.submit(builders.build_ticket(f"q{number}"), 0.0)
-            self.assertIsInstance(item, dispatch.Assignment)
+            self.assertIsInstance(item, assignments.Assignment)
 
     def test_request_is_refused_at_once_without_servers(self):
         dispatcher = builders.build_dispatcher(0)
@@ -507,7 +508,7 @@
         )
 
     def check_stays(self, decision):
-        self.assertIsInstance(decision, dispatch.Stay)
+        self.assertIsInstance(decision, assignments.Stay)
         self.assertIn("q1", self.server.sends)
         others = [item for item in self.dispatcher.servers.values()]
         others.remove(self.server)
@@ -515,7 +516,7 @@
 
     def test_request_moves_to_a_server_that_can_take_it(self):
         decision = self.decide()
-        self.assertIsInstance(decision, dispatch.Assignment)
+        self.assertIsInstance(decision, assignments.Assignment)
         self.assertIsNot(decision.server, self.server)
         self.assertIn("q1", decision.server.sends)
 
@@ -539,7 +540,7 @@
         other.record_silence(0.0)
         self.check_stays(self.decide(now_s=0.9))
         other.record_life(0.5)
-        self.assertIsInstance(self.decide(now_s=0.9), dispatch.Assignment)
+        self.assertIsInstance(self.decide(now_s=0.9), assignments.Assignment)
 
     def test_room_is_left_to_more_urgent_requests_that_wait(self):
         self.fill()
@@ -549,7 +550,7 @@
         # Before the other server counts as stalled.
         self.check_stays(self.decide(now_s=0.9))
         self.dispatcher.withdraw(urgent)
-        self.assertIsInstance(self.decide(now_s=0.9), dispatch.Assignment)
+        self.assertIsInstance(self.decide(now_s=0.9), assignments.Assignment)
 
     def wait_for_a_server_that_is_gone(self):
         route = builders.build_route(is_resumable=True)
@@ -561,7 +562,7 @@
 
     def test_stream_that_has_no_server_keeps_silent_ones_from_moving(self):
         self.wait_for_a_server_that_is_gone()
-        self.assertIsInstance(self.decide(now_s=0.9), dispatch.Assignment)
+        self.assertIsInstance(self.decide(now_s=0.9), assignments.Assignment)
 
     def test_request_is_refused_while_a_stream_waits_for_its_own_server(self):
         self.wait_for_a_server_that_is_gone()
--- a/packages/kernel/tests/test_domain_drains.py
+++ b/packages/kernel/tests/test_domain_drains.py
@@ -3,7 +3,7 @@
 import builders
 
 from wasabiknot_kernel import (
-    dispatch,
+    assignments,
     domain_drains,
     exceptions,
     outcomes,
@@ -121,7 +121,7 @@
         budget = self.entry.get_budget("pool")
         self.entry.order_drain(other)
         stay = self.dispatcher.replace_silent_server(ticket, budget, True, 1.0)
-        self.assertIsInstance(stay, dispatch.Stay)
+        self.assertIsInstance(stay, assignments.Stay)
 
     def test_crash_of_a_drained_server_still_counts(self):
         # Guards against a request that crashes servers and goes unnoticed in a drain.
--- a/packages/kernel/tests/test_eligibility.py
+++ b/packages/kernel/tests/test_eligibility.py
@@ -4,8 +4,8 @@
 import builders
 
 from wasabiknot_kernel import (
+    assignments,
     deferrals,
-    dispatch,
     eligibility,
     leavings,
     outcomes,
@@ -206,7 +206,7 @@
         self.defer("w1", 3.5, 0.0)
         self.defer("w2", 3.9, 0.0)
         (refusal,) = self.submit(0.5)
-        self.assertIsInstance(refusal, dispatch.Refusal)
+        self.assertIsInstance(refusal, assignments.Refusal)
         self.assertGreaterEqual(refusal.retry_after_s, 3.0)
 
     def test_restart_that_was_learned_late_opened_a_server_that_rejects_again(self):
--- a/packages/kernel/tests/test_fleet_load.py
+++ b/packages/kernel/tests/test_fleet_load.py
@@ -6,7 +6,7 @@
 import builders
 import plays
 
-from wasabiknot_kernel import dispatch, routes, statements, summaries
+from wasabiknot_kernel import assignments, routes, statements, summaries
 
 DOMAINS = 5
 SLOTS = 6
@@ -103,7 +103,7 @@
 
     def apply(self, number, decisions):
         for decision in decisions:
-            if isinstance(decision, dispatch.Refusal):
+            if isinstance(decision, assignments.Refusal):
                 self.counted_refusals += decision.ticket.request_id in self.asked
         super().apply(number, decisions)
         if decisions:
--- a/packages/kernel/tests/test_hedging.py
+++ b/packages/kernel/tests/test_hedging.py
@@ -5,6 +5,7 @@
 from hypothesis import given, stateful, strategies
 
 from wasabiknot_kernel import (
+    assignments,
     budgets,
     dispatch,
     hedging,
@@ -93,7 +94,7 @@
     def check_stays(self, reason, **options):
         sends = [len(item.sends) for item in self.dispatcher.servers.values()]
         retries = len(self.budget._retries)
-        self.assertEqual(self.decide(**options), dispatch.Stay(reason))
+        self.assertEqual(self.decide(**options), assignments.Stay(reason))
         self.assertEqual(
             [len(item.sends) for item in self.dispatcher.servers.values()], sends
         )
@@ -163,7 +164,7 @@
         self.dispatcher._eligibility.drains.order("linz")
         self.check_stays(dispatch.NO_SERVER)
         self.dispatcher._eligibility.drains.lift("linz")
-        self.assertIsInstance(self.decide(), dispatch.Assignment)
+        self.assertIsInstance(self.decide(), assignments.Assignment)
 
     def test_no_hedge_to_a_region_that_is_not_allowed(self):
         # Guards against a body that leaves the regions of its customer.
@@ -199,7 +200,7 @@
         self.knowledge.set_share(0.4)
         for _ in range(3):
             self.knowledge.record_send()
-        self.assertIsInstance(self.decide(), dispatch.Assignment)
+        self.assertIsInstance(self.decide(), assignments.Assignment)
         self.knowledge.record_send()
         self.check_stays(hedging.SHARE_USED_UP)
 
@@ -269,7 +270,7 @@
 
     def start(self, decisions):
         for decision in decisions:
-            if isinstance(decision, dispatch.Assignment):
+            if isinstance(decision, assignments.Assignment):
                 decision.ticket.sends += 1
                 self.sent += 1
                 self.knowledge.record_send()
@@ -310,7 +311,7 @@
         decision = self.knowledge.decide(
             ticket, self.dispatcher, self.budget, True, self.now_s
         )
-        if isinstance(decision, dispatch.Stay):
+        if isinstance(decision, assignments.Stay):
             return
         self.hedges += 1
         assert not len(self.dispatcher)
--- a/packages/kernel/tests/test_request_admission.py
+++ b/packages/kernel/tests/test_request_admission.py
@@ -2,7 +2,7 @@
 
 import builders
 
-from wasabiknot_kernel import dispatch, request_admission
+from wasabiknot_kernel import assignments, request_admission
 
 
 class ReturnScheduleTests(unittest.TestCase):
@@ -61,7 +61,9 @@
         return decisions
 
     def list_refusals(self):
-        return [item for item in self.decisions if isinstance(item, dispatch.Refusal)]
+        return [
+            item for item in self.decisions if isinstance(item, assignments.Refusal)
+        ]
 
     def test_request_that_would_be_too_late_is_refused_at_once(self):
         self.assertGreater(len(self.list_refusals()), 10)
@@ -77,7 +79,7 @@
         refused = self.list_refusals()[0]
         name = refused.ticket.request_id
         (again,) = self.submit(name, "busy", 0.42)
-        self.assertIsInstance(again, dispatch.Refusal)
+        self.assertIsInstance(again, assignments.Refusal)
         self.assertIn("too early", again.reason)
         self.assertLess(again.retry_after_s, refused.retry_after_s)
 
--- a/packages/kernel/tests/test_running_work.py
+++ b/packages/kernel/tests/test_running_work.py
@@ -6,7 +6,7 @@
 import builders
 import msgspec
 
-from wasabiknot_kernel import budgets, dispatch, outcomes, routes
+from wasabiknot_kernel import assignments, budgets, dispatch, outcomes, routes
 
 STEP_S = 0.02
 SERVERS = 4
@@ -133,7 +133,7 @@
         decision = self.dispatcher.replace_silent_server(
             run.ticket, self.budget, True, self.now_s
         )
-        if isinstance(decision, dispatch.Stay):
+        if isinstance(decision, assignments.Stay):
             run.ask_s = self.now_s + ASK_INTERVAL_S
             self.runs.append(run)
             return
--- a/packages/kernel/tests/test_share_load.py
+++ b/packages/kernel/tests/test_share_load.py
@@ -13,7 +13,7 @@
 import plays
 import test_fleet_load as fleet_load
 
-from wasabiknot_kernel import dispatch
+from wasabiknot_kernel import assignments
 
 CUSTOMERS = tuple(f"c{number:02}" for number in range(16))
 GREEDY = CUSTOMERS[0]
@@ -101,7 +101,7 @@
     def apply(self, number, decisions):
         super().apply(number, decisions)
         for decision in decisions:
-            if isinstance(decision, dispatch.Refusal):
+            if isinstance(decision, assignments.Refusal):
                 self.note_refusal(decision)
 
     def note_refusal(self, refusal):
@@ -243,7 +243,7 @@
 
     def apply(self, number, decisions):
         for decision in decisions:
-            if isinstance(decision, dispatch.Refusal):
+            if isinstance(decision, assignments.Refusal):
                 continue
             if decision.ticket.rank == 0:
                 self.urgent_waits_s.append(decision.waited_s)
--- a/packages/kernel/tests/test_silent_queues.py
+++ b/packages/kernel/tests/test_silent_queues.py
@@ -7,7 +7,7 @@
 import test_harmful_load
 from hypothesis import given, settings, strategies
 
-from wasabiknot_kernel import dispatch, outcomes, routes
+from wasabiknot_kernel import assignments, dispatch, outcomes, routes
 
 STEP_S = 0.025
 SERVERS = 3
@@ -94,7 +94,7 @@
 
     def apply(self, decisions):
         for decision in decisions:
-            if isinstance(decision, dispatch.Refusal):
+            if isinstance(decision, assignments.Refusal):
                 self.refused_s.append(decision.ticket.arrived_s)
             else:
                 run_s = self.run_s * self.rng.uniform(0.8, 1.2)
--- a/packages/kernel/tests/test_slot_claims.py
+++ b/packages/kernel/tests/test_slot_claims.py
@@ -3,7 +3,7 @@
 import builders
 from hypothesis import given, strategies
 
-from wasabiknot_kernel import dispatch, outcomes, servers, slot_claims
+from wasabiknot_kernel import assignments, outcomes, servers, slot_claims
 
 
 def build_head(rank=1, is_above_share=False, is_late=False, waited_ms=0, count=1):
@@ -109,7 +109,7 @@
         self.end(dispatcher, 0.2)
         self.assertEqual(dispatcher.dispatch_waiting(0.2), [])
         (sent,) = dispatcher.dispatch_waiting(0.6)
-        self.assertIsInstance(sent, dispatch.Assignment)
+        self.assertIsInstance(sent, assignments.Assignment)
 
     def test_urgent_request_takes_the_slot_of_a_peer(self):
         dispatcher = self.build()
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -8,10 +8,8 @@
 import collections
 import math
 
-import msgspec
-
 from wasabiknot_kernel import (
-    arrivals,
+    assignments,
     choosers,
     customer_shares,
     durations,
@@ -20,7 +18,6 @@
     exceptions,
     group_servers,
     outcomes,
-    prompt_parts,
     queue_orders,
     regions,
     request_admission,
@@ -70,70 +67,6 @@
 # Bounds on the retry time of a refusal, before jitter.
 MIN_RETRY_AFTER_S = 0.25
 MAX_RETRY_AFTER_S = 4.0
-# Retry time of a request that crashes backend servers; it counts far longer.
-HARMFUL_RETRY_AFTER_S = 10.0
-
-
-class Assignment(msgspec.Struct, frozen=True):
-    """A decision to send a request to a backend server now.
-
-    :param ticket: the request.
-    :param server: ``servers.Server``.
-    :param waited_s: seconds that the request waited in the queue.
-    :param score_ms: score of the server: the expected milliseconds to the first
-        event, plus penalties.
-    :param is_measured: whether the score follows from responses of the server.
-    """
-
-    ticket: arrivals.Ticket
-    server: servers.Server
-    waited_s: float
-    score_ms: float
-    is_measured: bool = True
-
-    @property
-    def address(self):
-        """Host and port of the server, separated by a colon."""
-        return self.server.registration.address
-
-
-class Refusal(msgspec.Struct, frozen=True):
-    """A decision to refuse a request without sending it.
-
-    :param ticket: the request.
-    :param kind: error kind of the response.
-    :param retry_after_s: seconds after which a retry is likely to succeed.
-    :param reason: short text for the log.
-    """
-
-    ticket: arrivals.Ticket
-    kind: exceptions.ErrorKind
-    retry_after_s: float
-    reason: str
-
-
-class Stay(msgspec.Struct, frozen=True):
-    """A decision to leave a request at its backend server, silent or slow, alone.
-
-    :param reason: what is missing for another send, for the log.
-    """
-
-    reason: str
-
-
-def create_harmful_refusal(ticket, key):
-    """Creates the refusal of a request that crashes backend servers.
-
-    :param ticket: ``arrivals.Ticket``.
-    :param key: its fingerprint, or the key of the harmful part of its prompt.
-    :return: ``Refusal``.
-    """
-    kind = exceptions.ErrorKind.QUARANTINED
-    reason = "crashes backend servers"
-    if prompt_parts.is_key(key):
-        name, _ = prompt_parts.split_key(key)
-        reason = f"prompt part {name} crashes backend servers"
-    return Refusal(ticket, kind, HARMFUL_RETRY_AFTER_S, reason)
 
 
 def _is_returning(ticket):
@@ -287,7 +220,7 @@
 
         :param ticket: ``arrivals.Ticket``.
         :param now_s: current time, in seconds.
-        :return: list of ``Assignment`` and ``Refusal``.
+        :return: list of ``assignments.Assignment`` and ``assignments.Refusal``.
         """
         refused = self._find_refusal(ticket, now_s)
         if refused is not None:
@@ -326,7 +259,7 @@
         if ticket.is_trial and not ticket.sends or self.find_refused is None:
             return None
         key = self.find_refused(ticket, now_s)
-        return None if key is None else create_harmful_refusal(ticket, key)
+        return None if key is None else assignments.create_harmful_refusal(ticket, key)
 
     def _find_refusal(self, ticket, now_s):
         harmful = self._find_harmful_refusal(ticket, now_s)
@@ -401,7 +334,7 @@
             return None
         reason = f"{delay.ahead} wait, returned {remaining_s:.2f} s too early"
         kind = exceptions.ErrorKind.QUEUE_FULL
-        return Refusal(ticket, kind, remaining_s, reason)
+        return assignments.Refusal(ticket, kind, remaining_s, reason)
 
     def set_fair_queueing(self, is_fair):
         """Sets whether customers have shares in the engine time of the service.
@@ -503,7 +436,7 @@
         # Servers that have named a time get nothing before its end.
         least_factor = 1.0 if stated_wait_s else 0.75
         retry_after_s = wait_s * self._rng.uniform(least_factor, 1.5)
-        return Refusal(ticket, kind, retry_after_s, reason)
+        return assignments.Refusal(ticket, kind, retry_after_s, reason)
 
     def _create_scheduled_refusal(self, ticket, kind, reason, delay, now_s):
         if delay is None:
@@ -513,13 +446,13 @@
             ticket, delay.wait_s, delay.interval_s, now_s
         )
         retry_after_s = wait_s * self._rng.uniform(*request_admission.RETURN_JITTER)
-        return Refusal(ticket, kind, retry_after_s, reason)
+        return assignments.Refusal(ticket, kind, retry_after_s, reason)
 
     def dispatch_waiting(self, now_s):
         """Assigns queued requests to free slots, in queue order.
 
         :param now_s: current time, in seconds.
-        :return: list of ``Assignment``.
+        :return: list of ``assignments.Assignment``.
         """
         decisions = []
         if not self._waiting:
@@ -545,7 +478,7 @@
         """Refuses the requests that have exceeded their maximum waiting time.
 
         :param now_s: current time, in seconds.
-        :return: list of ``Refusal``.
+        :return: list of ``assignments.Refusal``.
         """
         decisions = []
         is_drained = self._is_drained()
@@ -598,22 +531,22 @@
         :param budget: ``budgets.RetryBudget`` of the service.
         :param has_time: whether there is time for another send before the deadline.
         :param now_s: current time, in seconds.
-        :return: ``Assignment`` or ``Stay``.
+        :return: ``assignments.Assignment`` or ``assignments.Stay``.
         """
         if not ticket.route.is_repeatable:
-            return Stay("may run once")
+            return assignments.Stay("may run once")
         obstacle = outcomes.find_resend_obstacle(ticket, has_time)
         if obstacle:
-            return Stay(obstacle)
+            return assignments.Stay(obstacle)
         if self.may_still_run(ticket, now_s):
-            return Stay(MAY_STILL_RUN)
+            return assignments.Stay(MAY_STILL_RUN)
         if not self.has_capacity(now_s):
-            return Stay(NO_SERVER)
+            return assignments.Stay(NO_SERVER)
         chosen = self._choose_substitute(ticket, now_s)
         if chosen is None:
-            return Stay(NO_SERVER)
+            return assignments.Stay(NO_SERVER)
         if not budget.try_acquire(now_s):
-            return Stay(outcomes.NO_BUDGET)
+            return assignments.Stay(outcomes.NO_BUDGET)
         return self._assign(ticket, chosen, now_s)
 
     def assign_hedge(self, ticket, has_spare_slot, budget, now_s):
@@ -624,13 +557,13 @@
             may get extra work.
         :param budget: ``budgets.RetryBudget`` of the service.
         :param now_s: current time, in seconds.
-        :return: ``Assignment`` or ``Stay``.
+        :return: ``assignments.Assignment`` or ``assignments.Stay``.
         """
         chosen = self._choose_substitute(ticket, now_s, has_spare_slot)
         if chosen is None:
-            return Stay(NO_SERVER)
+            return assignments.Stay(NO_SERVER)
         if not budget.try_acquire_hedge(now_s):
-            return Stay(outcomes.NO_BUDGET)
+            return assignments.Stay(outcomes.NO_BUDGET)
         return self._assign(ticket, chosen, now_s)
 
     def may_still_run(self, ticket, now_s):
@@ -745,7 +678,7 @@
         self.record_send(ticket, server, now_s, score_ms)
         waited_s = now_s - ticket.arrived_s
         is_measured = server.service_times.is_measured
-        return Assignment(ticket, server, waited_s, score_ms, is_measured)
+        return assignments.Assignment(ticket, server, waited_s, score_ms, is_measured)
 
     def has_capacity(self, now_s):
         """Tells whether some request could be sent now, whatever it asks for.
--- a/packages/kernel/wasabiknot_kernel/hedging.py
+++ b/packages/kernel/wasabiknot_kernel/hedging.py
@@ -5,7 +5,7 @@
 sends, and a part of the retry budget of the service.
 """
 
-from wasabiknot_kernel import dispatch, outcomes, send_durations
+from wasabiknot_kernel import assignments, outcomes, send_durations
 
 # Share of busy slots of a service above which no hedge is sent. The rest is for
 # requests of peers that no digest has told of yet.
@@ -100,13 +100,13 @@
         :param budget: ``budgets.RetryBudget`` of its service.
         :param has_time: whether there is time for another send before its deadline.
         :param now_s: current time in seconds.
-        :return: ``dispatch.Assignment`` of the hedge, or ``dispatch.Stay``.
+        :return: ``assignments.Assignment`` of the hedge, or ``assignments.Stay``.
         """
         obstacle = self._find_obstacle(ticket, dispatcher, has_time)
         if obstacle:
-            return dispatch.Stay(obstacle)
+            return assignments.Stay(obstacle)
         decision = dispatcher.assign_hedge(ticket, self._is_spare, budget, now_s)
-        if isinstance(decision, dispatch.Assignment):
+        if isinstance(decision, assignments.Assignment):
             self._share.use_hedge()
         return decision
 
