--- a/packages/kernel/tests/test_hedge_load.py
+++ b/packages/kernel/tests/test_hedge_load.py
@@ -11,12 +11,8 @@
 SHARE = 0.05
 SEEDS = (1, 2, 3)
 DURATION_S = 20.0
-# By how much plays differ that decide one send otherwise: in calm, and while all
-# servers have more to do than they can. Some requests then just exceed their longest
-# wait.
+# By how much plays differ that decide one send otherwise.
 NOISE = 0.1
-OVERLOAD_NOISE = 0.25
-MAX_MORE_REFUSED = 0.02
 
 
 def play(load, share=SHARE):
@@ -87,10 +83,12 @@
         pair = Pair(0.4, slow_spell=(8.0, 12.0))
         self.check_limits(pair)
         self.assertLess(pair.compute_extra_work(), SHARE)
-        self.assertLess(pair.compute_change(99), 1.0 + OVERLOAD_NOISE)
-        requests = pair.sum_after("sends") - pair.sum_after("hedges")
-        more_refused = pair.sum_after("refused") - pair.sum_before("refused")
-        self.assertLess(more_refused, MAX_MORE_REFUSED * requests)
+
+    def test_spell_in_which_all_servers_are_slow_harms_no_caller(self):
+        # Guards against hedges that take the slots of requests that wait.
+        pair = Pair(0.4, slow_spell=(8.0, 12.0))
+        self.assertLess(pair.compute_change(99), 1.0 + NOISE)
+        self.assertLessEqual(pair.sum_after("refused"), pair.sum_before("refused"))
 
     def test_lost_digests_change_neither_limits_nor_effect(self):
         pair = Pair(0.5, digest_loss=0.7)
--- a/packages/kernel/tests/test_share_load.py
+++ b/packages/kernel/tests/test_share_load.py
@@ -291,7 +291,12 @@
         fair = Market(1, 1, True).play()
         in_time = average_others(fair.measure_shares())
         self.assertGreater(in_time, 0.98 * average_others(today.measure_shares()))
-        self.assertLess(fair.refused_by_customer.total(), 0.02 * fair.requests)
+
+    def test_shares_refuse_no_more_while_capacity_suffices(self):
+        # Guards against refusals for a shortage that there isn't.
+        today = Market(1, 1, False).play().refused_by_customer.total()
+        fair = Market(1, 1, True).play().refused_by_customer.total()
+        self.assertLessEqual(fair, today)
 
     def test_engines_are_hardly_overfilled(self):
         # Guards against two entries that claim the same slot.
@@ -324,14 +329,17 @@
 
     def test_entry_that_was_cut_off_goes_on_with_what_it_hears(self):
         # Guards against claims and totals that are kept from before.
-        # What it sends meanwhile overfills engines, with or without shares.
         whole = play_competition()
-        today = Market(1, GREEDY_FACTOR, False, cut_s=CUT_S).play()
         fair = Market(1, GREEDY_FACTOR, True, cut_s=CUT_S).play()
         self.assertGreater(fair.measure_answered(), 0.9)
-        self.assertLess(fair.overfilled, 1.3 * today.overfilled)
         self.assertGreater(fair.sends, 0.9 * whole.sends)
 
+    def test_entry_that_was_cut_off_overfills_engines_no_more_than_today(self):
+        # What it sends meanwhile overfills engines, with or without shares.
+        today = Market(1, GREEDY_FACTOR, False, cut_s=CUT_S).play()
+        fair = Market(1, GREEDY_FACTOR, True, cut_s=CUT_S).play()
+        self.assertLessEqual(fair.overfilled, today.overfilled)
+
     def test_slots_left_to_an_entry_that_has_died_are_used(self):
         # Guards against slots that stay free for a queue that nobody sends from.
         whole = play_competition()
