Say in plain terms what the new modules do

A reader new to the code would have stumbled on: - "pace" without a unit in half of the places, and a third meaning in rate limits; - what "use" and "lead" of a customer are, and which of them decides on shares; - why the draw of servers uses exponential variables; - "told", "says nothing of", "is so no more" and similar turns for reported, not judged, recovered; - log lines of hedges that read as if the hedge went on beside the first send (WK1862), a pace in "hundredths of its usual time" (WK1821), and a customer without the word customer.

Only comments, docstrings and the texts of log lines change; numbers, fields and values are the same.

--- a/packages/entry/wasabiknot_entry/edge_settings.py
+++ b/packages/entry/wasabiknot_entry/edge_settings.py
@@ -33,9 +33,9 @@
     :param canary_share: fraction of the traffic that an unproven version may get.
     :param canary_slack: requests beyond that which such a version may get.
     :param rollback_ms: longest time until a bad version gets no more requests.
-    :param warmup_overrun: factor on the limit of a cold backend server that it bears in
-        one second; ``None`` for the default.
-    :param warmup_slack: requests that it bears on top of that; ``None`` likewise.
+    :param warmup_overrun: factor on the limit of a cold backend server that the
+        requests of one second may reach; ``None`` for the default.
+    :param warmup_slack: requests that are allowed on top of that; ``None`` likewise.
     """
 
     configuration_ms: Positive
--- a/packages/entry/wasabiknot_entry/followers.py
+++ b/packages/entry/wasabiknot_entry/followers.py
@@ -113,7 +113,8 @@
 class ReaderRole:
     """Blocks followers while another entry reads the store for the group.
 
-    While the store doesn't answer, only one follower tries, if there are many entries.
+    While the store doesn't answer and there are many entries, only the follower of
+    ``PROBE_TOPIC`` calls it.
 
     :param should_read: function that returns whether this entry is the reader.
     """
--- a/packages/entry/wasabiknot_entry/gossip.py
+++ b/packages/entry/wasabiknot_entry/gossip.py
@@ -20,14 +20,14 @@
 # recent than this: its next read returns the changes soon enough.
 OWN_READ_MAX_AGE_S = 0.6
 FETCH_TIMEOUT_S = 1.2
-# An entry that starts asks another peer after this time.
+# Time after which an entry that starts requests the facts from another peer.
 START_FETCH_TIMEOUT_S = 0.25
 # An unchanged digest is sent only once per this number of intervals.
 UNCHANGED_DIGEST_INTERVALS = 3
 # Shortest time between two digests that tell of changed loads.
 MIN_ANNOUNCEMENT_INTERVAL_S = 0.05
-# Rate up to which digests tell of changed loads between two regular ones. What is sent
-# to peers must stay under ``peer_traffic.MAX_BYTES_PER_S``.
+# Rate of bytes to peers up to which changed loads are sent between two regular digests.
+# All bytes to peers must stay under ``peer_traffic.MAX_BYTES_PER_S``.
 ANNOUNCED_BYTES_PER_S = 16_000
 # Time for which changed positions are sent with each digest; otherwise they are sent
 # with those that would be sent unchanged as well.
@@ -76,8 +76,8 @@
         self._streams = peer_streams.PeerStreams()
         self._is_fetching = False
         self._interval_count = 0
-        # Contents of the last digests: of the last regular one, unless loads have been
-        # announced since, and of the last one without the use.
+        # Contents of the last regular digest, unless loads have been announced since,
+        # and of the last digest of any kind, without the use.
         self._last_digest = None
         self._last_rest = None
         self._positions = {}
@@ -131,7 +131,7 @@
         if rest == self._last_rest:
             return
         self._last_rest = rest
-        # The next regular digest tells of the use.
+        # The next regular digest, which has the use, must not be skipped as unchanged.
         self._last_digest = None
         self._sent_s = now_s
         peers = self._deployment.roster.list_group_peers()
--- a/packages/entry/wasabiknot_entry/hedges.py
+++ b/packages/entry/wasabiknot_entry/hedges.py
@@ -41,7 +41,7 @@
 
     @property
     def is_held(self):
-        """Whether the entry has just gone on after a pause."""
+        """Whether the entry has just resumed after a pause and holds its requests."""
         return self._deployment.is_held
 
     def decide(self, flow):
@@ -98,7 +98,7 @@
 
         :param assignment: ``assignments.Assignment``.
         """
-        # A send that is left as its server is silent has taken at least this long.
+        # A send that is abandoned because its server is silent took at least this long.
         self._add_sample()
         self._stop()
         ticket = assignment.ticket
@@ -176,7 +176,7 @@
 
     def record_win(self):
         """Records that the hedge replaces the send that is watched."""
-        # It has taken at least this long.
+        # The send that is replaced has taken at least this long.
         self._add_sample()
         self._stop()
         self._hedge = None
--- a/packages/entry/wasabiknot_entry/relays.py
+++ b/packages/entry/wasabiknot_entry/relays.py
@@ -100,7 +100,7 @@
     _status = 0
 
     def _is_withdrawn(self):
-        # The peer decides at its own send.
+        # The peer checks for drains when it sends the request.
         return False
 
     def handle_head(self, head):
--- a/packages/entry/wasabiknot_entry/request_metrics.py
+++ b/packages/entry/wasabiknot_entry/request_metrics.py
@@ -137,7 +137,7 @@
     def count_hedge(self, step, reason):
         """Counts a hedge that was sent, won, lost, failed or was withheld.
 
-        :param step: which of them.
+        :param step: value of ``hedges.Step``.
         :param reason: why it was withheld, or how it ended; empty for a send.
         """
         self._hedges.labels(step, reason).inc()
--- a/packages/entry/wasabiknot_entry/send_records.py
+++ b/packages/entry/wasabiknot_entry/send_records.py
@@ -1,4 +1,4 @@
-"""Records what the end of a send says of its request and its backend server."""
+"""Records the end of a send, for its request and its backend server."""
 
 import msgspec
 
@@ -54,10 +54,10 @@
 
 
 def cancel(gateway, ticket, server, attempt):
-    """Cancels a send that another one of its request makes superfluous.
+    """Cancels a send because another send of its request has replaced it.
 
-    It says nothing of the backend server, but if that has ended meanwhile, the request
-    counts among those that it ran.
+    The backend server isn't judged by it. But if the server turns out to have ended,
+    the request counts among those that it ran.
 
     :param gateway: ``gateways.Gateway`` that owns the request.
     :param ticket: ``arrivals.Ticket``.
--- a/packages/entry/wasabiknot_entry/start_copies.py
+++ b/packages/entry/wasabiknot_entry/start_copies.py
@@ -8,10 +8,11 @@
 from wasabiknot_entry import journal
 from wasabiknot_kernel import events
 
-# Time after the start for which the listing of the members is waited for.
+# Longest time to wait for the listing of the members.
 MEMBER_WAIT_S = 0.2
-# Range of the time for which peers are asked. It is random, as all entries may start
-# together after a loss of power: the first ones that list the topics serve the others.
+# Range of the time for which topics are requested from peers. It is random, as all
+# entries may start together after a loss of power: the first ones that list the topics
+# from the store then serve the others.
 MIN_COPY_S = 0.3
 MAX_COPY_S = 0.9
 RETRY_DELAY_S = 0.05
--- a/packages/kernel/wasabiknot_kernel/budgets.py
+++ b/packages/kernel/wasabiknot_kernel/budgets.py
@@ -11,7 +11,7 @@
 # few requests come to an entry of a large fleet.
 HEDGE_FRACTION = 0.25
 MIN_HEDGES_PER_WINDOW = 1
-# Hedges that are saved up while there are none: slow sends come together.
+# Largest number of unused hedges that accumulate: slow sends come in bursts.
 MAX_SAVED_HEDGES = 5.0
 # Windows, by the delay from their end until now, of which the one with the most
 # requests bounds the retries; in lengths of the window.
--- a/packages/kernel/wasabiknot_kernel/customer_shares.py
+++ b/packages/kernel/wasabiknot_kernel/customer_shares.py
@@ -1,13 +1,16 @@
 """Shares of customers in the engine time of a service, by start-time fair queueing.
 
-Each customer has a virtual time for each rank: the engine time that it has got. The
-virtual time of the rank follows the customer that was sent last, and no customer lags
-behind it. A customer that is new or was idle therefore starts at the time of the rank,
-and capacity that nobody else wants costs a customer nothing. The lead of a customer is
-how far its virtual time is ahead; customers with a smaller lead go first.
-
-Entries tell each other the work of the customers with the largest leads as totals
-since the start of a run, so lost and repeated reports do no harm. All leads decay.
+Each customer has a virtual time for each rank: the engine time that it has used. The
+virtual time of the rank is that of the customer whose request was sent last, and no
+customer's is less. A customer that is new or was idle therefore starts at the time of
+the rank. The lead of a customer is how far its virtual time is ahead of the rank's;
+customers with a smaller lead go first. Leads decay.
+
+The use of a customer is the engine time that it has got while capacity was short, and
+decays faster. It decides who is above its share, so idle capacity costs nothing.
+
+Entries report the work of the customers with the largest uses as totals since the start
+of a run, so a lost or repeated report does not distort them.
 """
 
 import collections
@@ -19,29 +22,29 @@
 
 from wasabiknot_kernel import routes
 
-# Time constant with which a lead decays, and its largest value: engine time that many
-# entries may send for one customer within that time.
+# Time constant with which a lead decays, and bound on a lead: the engine time that many
+# entries may use for one customer within that time.
 LEAD_DECAY_S = 4.0
 MAX_LEAD_S = 60.0
 # Time constant with which the use of a customer while capacity is short decays.
 USE_DECAY_S = 2.0
-# Uses below it are within the share, as is one small request.
+# A smaller use counts as within the share: a single request may take as much.
 MIN_USE_S = 0.05
 # A customer is above its share if its use is larger than this fraction of the largest
 # one of its rank: customers with about the same demand have unequal uses at times.
 ABOVE_SHARE_FRACTION = 0.8
 MAX_REPORTED_CUSTOMERS = 8
-# Peers are told of customers with at least this fraction of the largest use, so that
-# those at the border of their share are told of without gaps.
+# Customers with at least this fraction of the largest use are reported. It is lower
+# than the fraction above, so that reports have no gaps while a use is close to that.
 REPORTED_FRACTION = 0.5
-# Time between two reports. Each costs some 30 bytes for each customer and peer.
+# Time between two reports. Each takes about 30 bytes for each customer and peer.
 REPORT_INTERVAL_S = 0.4
 # Accounts above this number are dropped, those that were used least recently first.
 MAX_ACCOUNTS = 1_024
-# Totals that are older are only a baseline for the next one: what a customer has got
-# while it was within its share is not counted later.
+# The difference to a previous total that is older than this is not charged: it includes
+# work from a time when the customer was within its share and was not reported.
 MAX_BASELINE_AGE_S = 1.5
-# Time constant of the number of sends a second of a customer.
+# Time constant with which the sends a second of a customer are averaged.
 RATE_AVERAGING_S = 1.5
 
 AccountKey = typing.NewType("AccountKey", tuple[int, routes.CustomerName])
@@ -132,7 +135,7 @@
         return account.virtual_s - self._virtual_s[key[0]]
 
     def is_above_share(self, key, now_s):
-        """Tells whether a customer has got more than others that wait would get.
+        """Tells whether a customer is above its share.
 
         :param key: ``AccountKey``.
         :param now_s: current time in seconds.
@@ -198,7 +201,7 @@
         :param now_s: current time in seconds.
         """
         account = self._get_account(key, now_s)
-        # The customer whose request goes first has the smallest lead of those waiting.
+        # Among the waiting customers, the one that is sent first has the smallest lead.
         self._virtual_s[key[0]] = max(self._virtual_s[key[0]], account.virtual_s)
         account.sends_per_s += 1 / RATE_AVERAGING_S
         self._add_own_work(account, work_s)
@@ -242,7 +245,7 @@
             return
         if now_s - previous.received_s > MAX_BASELINE_AGE_S:
             return
-        # Corrections lower a total at times.
+        # The difference may be negative, as corrections can lower a total.
         work_s = (report.work_ms - previous.work_ms) / 1_000
         account = self._get_account(report.key, now_s)
         self._add_work(account, work_s)
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -129,7 +129,7 @@
         self._budgets = {}
         self._services_by_server = {}
         self._peer_loads = peer_loads.PeerLoads(self.find_server)
-        # Use that each source has stated last.
+        # Use in the last digest of each source.
         self._applied_use = {}
         self.store_reads = store_reads.StoreReads()
         self.pauses = pauses.PauseDetector()
@@ -421,12 +421,12 @@
         :param server: ``servers.Server``.
         :param load: ``arrivals.ReportedLoad``.
         :param now_s: current time in seconds.
-        :return: whether the server has become slow by its pace, or is so no more.
+        :return: whether the server has become slow by its pace, or has recovered.
         """
         return server.record_load(load, now_s)
 
     def list_paces(self, now_s):
-        """Lists the paces of the backend servers that have stated one lately.
+        """Lists the paces of the backend servers that have stated one recently.
 
         :param now_s: current time in seconds.
         :return: list of pairs of ids and multiples of the usual time.
@@ -692,7 +692,7 @@
             counter = self.allowances.group_used
         elif digest.group != members.REMOTE_GROUPS:
             counter = self.allowances.remote_used
-        # A digest that tells of loads only repeats the use of the previous one.
+        # A digest that leaves out the use refers to that of the previous one.
         if self._applied_use.get(source) is not digest.used:
             self._applied_use[source] = digest.used
             self.allowances.charge_peer_use(
--- a/packages/kernel/wasabiknot_kernel/digest_builders.py
+++ b/packages/kernel/wasabiknot_kernel/digest_builders.py
@@ -21,7 +21,7 @@
 # Backend servers of other groups, by service, whose loads a group is told of: those
 # with the most free slots. It uses no others.
 MAX_REMOTE_SERVERS = 16
-# Answers of servers that are older say nothing of them any more.
+# Age up to which the newest response of a service's servers is reported.
 MAX_HEARD_AGE_S = 5.0
 
 
--- a/packages/kernel/wasabiknot_kernel/digest_datagrams.py
+++ b/packages/kernel/wasabiknot_kernel/digest_datagrams.py
@@ -1,7 +1,7 @@
 """Datagrams of digests, in full or as changes of a full one.
 
-They are in MessagePack, compressed if that is worth it. Entries of earlier versions
-send and understand only JSON, see ``members.Bundle``.
+They are in MessagePack, and compressed unless they are small. Entries of earlier
+versions send and understand only JSON, see ``members.Bundle``.
 """
 
 import typing
@@ -75,8 +75,8 @@
 
     :param digest: ``members.Digest``.
     :param keys: texts that changes refer to by their index.
-    :param is_repeated: whether it is sent again to a receiver that lacks it. It tells
-        nothing of the present state of the sender.
+    :param is_repeated: whether it is sent again to a receiver that lacks it. It is then
+        not the present state of the sender.
     """
 
     digest: members.Digest
--- a/packages/kernel/wasabiknot_kernel/digest_receivers.py
+++ b/packages/kernel/wasabiknot_kernel/digest_receivers.py
@@ -17,12 +17,13 @@
 
 
 class _Stream(msgspec.Struct):
-    # What a receiver knows of a stream; no full digest before the first one.
+    # What a receiver knows of a stream; ``full`` is None until the first full digest.
     full: digest_datagrams.FullDigest | None = None
     # Texts of the full digest by their indexes.
     keys: dict[int, str] = {}
-    # The newest digest, of which later ones repeat what they leave out.
+    # The newest digest, from which values that a later one leaves out are taken.
     newest: members.Digest | None = None
+    # The newest change whose full digest is missing, and when it was received.
     held: digest_datagrams.ChangedDigest | None = None
     held_s: float = 0.0
     requested_s: float = -REQUEST_INTERVAL_S
@@ -93,7 +94,7 @@
     def _get_stream(self, stream_id):
         if stream_id not in self._streams:
             if len(self._streams) >= MAX_STREAMS:
-                # The oldest one is most likely of a run that has ended.
+                # The oldest stream most likely belongs to a run that has ended.
                 del self._streams[next(iter(self._streams))]
             self._streams[stream_id] = _Stream()
         return self._streams[stream_id]
--- a/packages/kernel/wasabiknot_kernel/digest_streams.py
+++ b/packages/kernel/wasabiknot_kernel/digest_streams.py
@@ -1,8 +1,8 @@
 """Encodes digests so that mostly only changes are sent.
 
 A sender sends a full digest from time to time, and otherwise what differs from the last
-full one. So a lost, repeated or late datagram leaves no trace in the next digest. A
-receiver that lacks the full digest to which a change refers asks for it.
+full one. So a lost, repeated or late change doesn't affect later ones. A receiver that
+lacks the full digest to which a change refers asks for it.
 
 The tokens used, the work of customers and the evidence of releases change with each
 response and only grow. They are left out of some digests, and then stay as they were
@@ -16,8 +16,8 @@
 
 from wasabiknot_kernel import digest_datagrams, members
 
-# Time between two full digests of a stream, if the other streams of the entry have just
-# sent none.
+# Time between two full digests of a stream. It may be longer by ``FULL_SPACING_S`` for
+# each other stream of the entry.
 FULL_INTERVAL_S = 5.0
 # Shortest time between the full digests of two streams of an entry.
 FULL_SPACING_S = 1.0
@@ -29,7 +29,7 @@
 FAILURE_INTERVAL_S = 0.2
 EVIDENCE_INTERVAL_S = 0.5
 MAX_EVIDENCE_INTERVAL_S = 1.5
-# Rate at which evidence without new failures is told to each peer.
+# Rate at which evidence without new failures is sent to each peer.
 EVIDENCE_BYTES_PER_S = 600
 # Part of a full digest that changes may take before the next full one is sent, and the
 # shortest time between two full ones for that reason.
@@ -113,6 +113,7 @@
         return omitted
 
     def _may_omit_evidence(self, digest, now_s):
+        # If it returns False, the evidence is recorded as sent now.
         failures = sum(stats.failures for stats in digest.evidence.values())
         interval_s = FAILURE_INTERVAL_S
         if failures == self._failures:
@@ -144,7 +145,7 @@
 
     def _build_full(self, digest, now_s):
         self._is_full_due = False
-        # A copy, as the evidence that it refers to may change.
+        # A copy, as the digest refers to evidence that is changed in place.
         self._base = msgspec.convert(msgspec.to_builtins(digest), members.Digest)
         self._base_s = now_s
         self._stream = digest_datagrams.compute_stream_id(digest)
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -61,8 +61,8 @@
 MAY_STILL_RUN = "may still run"
 # Reason for no other send, silent or slow as the server may be.
 NO_SERVER = "no other server"
-# Time from which a server that takes nothing, by what it has stated, doesn't keep
-# requests from trying one in a backoff.
+# A server that takes no request for longer than this, by its limit or the retry time
+# that it has stated, doesn't keep requests from trying servers in a backoff.
 HELD_S = 1.0
 # Bounds on the retry time of a refusal, before jitter.
 MIN_RETRY_AFTER_S = 0.25
@@ -320,9 +320,9 @@
         )
 
     def _find_early_refusal(self, ticket, delay, now_s):
-        # A caller that doesn't wait as told would displace those that do.
-        # Requests with the same content look alike, so only those of customers above
-        # their shares are refused for it, and none that was sent before.
+        # A caller that returns before its retry time would displace those that wait.
+        # Requests with the same content can't be told apart, so only customers above
+        # their shares are refused for it, and no request that was sent before.
         returns = self.order.returns
         if returns is None or not delay.ahead or ticket.sends:
             return None
@@ -514,7 +514,7 @@
         return ticket.allowed_regions is not None and not self._list_open(ticket)
 
     def _is_drained(self):
-        # Drains hold for long; of other causes, the servers are mostly back soon.
+        # Drains last long; after other causes, servers are usually back soon.
         if not self._eligibility.drains:
             return False
         listed = self.servers.values()
--- a/packages/kernel/wasabiknot_kernel/events.py
+++ b/packages/kernel/wasabiknot_kernel/events.py
@@ -276,7 +276,7 @@
         "{request}: response of {source} {address} breaks {rule}: {excerpt}",
     )
     PACE_CHANGED = EventDefinition(
-        1821, logging.INFO, "server {server} takes {pace} hundredths of its usual time"
+        1821, logging.INFO, "server {server}: work takes {pace}% of the usual time"
     )
     PEER_TRAFFIC = EventDefinition(
         1502, logging.WARNING, "sent {sent_bytes} bytes to peers in a second"
@@ -305,25 +305,28 @@
     CUSTOMER_ABOVE_SHARE = EventDefinition(
         1841,
         logging.INFO,
-        "{service}: {customer} is above its share, used {use_ms} ms of engine time",
+        "{service}: customer {customer} is above its share, used {use_ms} ms of engine"
+        " time",
     )
     CUSTOMER_WITHIN_SHARE = EventDefinition(
-        1842, logging.INFO, "{service}: {customer} is within its share again"
+        1842, logging.INFO, "{service}: customer {customer} is within its share again"
     )
     HEDGE_SENT = EventDefinition(
         1861, logging.INFO, "{request}: hedge sent to {server} after {after_ms} ms"
     )
     HEDGE_WON = EventDefinition(
-        1862, logging.INFO, "{request}: hedge at {server} goes on, {reason}"
+        1862,
+        logging.INFO,
+        "{request}: hedge at {server} replaces the first send: {reason}",
     )
     HEDGE_LOST = EventDefinition(
-        1863, logging.INFO, "{request}: hedge at {server} cancelled, {reason}"
+        1863, logging.INFO, "{request}: hedge at {server} cancelled: {reason}"
     )
     HEDGE_FAILED = EventDefinition(
-        1864, logging.INFO, "{request}: hedge at {server} failed, {reason}"
+        1864, logging.INFO, "{request}: hedge at {server} failed: {reason}"
     )
     HEDGE_WITHHELD = EventDefinition(
-        1865, logging.INFO, "{request}: slow, but no hedge sent, {reason}"
+        1865, logging.INFO, "{request}: slow, but no hedge sent: {reason}"
     )
     START_COPIED = EventDefinition(
         1881, logging.INFO, "copied all topics from {peer} after {elapsed_ms} ms"
--- a/packages/kernel/wasabiknot_kernel/hedging.py
+++ b/packages/kernel/wasabiknot_kernel/hedging.py
@@ -10,8 +10,8 @@
 # Share of busy slots of a service above which no hedge is sent. The rest is for
 # requests of peers that no digest has told of yet.
 MAX_BUSY_SHARE = 0.7
-# Hedges that the operators' share may save up while there are none: slow sends come
-# together.
+# Largest number of unused hedges that the operators' share accumulates: slow sends come
+# in bursts.
 MAX_SAVED_HEDGES = 5.0
 # Time for which two backend servers may work on one stream, in seconds.
 MAX_STREAM_OVERLAP_S = 0.35
@@ -27,8 +27,8 @@
 class HedgeShare:
     """The operators' limit on the share of hedges in all sends of this entry.
 
-    Each send earns the share of a hedge, so there were never more hedges than the share
-    of all sends since the start.
+    Each send adds the share to what may be used, so hedges never exceed that share of
+    all sends since the start.
     """
 
     def __init__(self):
@@ -50,7 +50,7 @@
 
 
 class Hedging:
-    """What one entry knows for its hedges, and the decision on each.
+    """Decides on the hedges of one entry, and keeps the state for it.
 
     :param is_suspected: function of a ticket that tells whether failures of the request
         may be its own fault.
@@ -111,7 +111,7 @@
         return decision
 
     def _is_spare(self, server):
-        # What a limited server takes is for requests that no other one runs.
+        # A server with a limit has no capacity to spare for a second send.
         is_unlimited = self._find_rate(server.server_id) is None
         return is_unlimited and count_busy(server) < server.slots
 
@@ -137,8 +137,8 @@
 def may_be_hedged(ticket):
     """Tells whether a request may be at two backend servers at the same time.
 
-    A trial finds out whether a request crashes its server, or whether a path works
-    again, with one send. A request that a peer has handed over has one send as well.
+    A trial tests with a single send whether a request crashes its server, or whether a
+    path works again. A request that a peer has handed over also has a single send.
 
     :param ticket: ``arrivals.Ticket``.
     :return: ``False`` if it may run once, or its response has begun.
@@ -163,8 +163,8 @@
 def count_busy(server):
     """Counts the busy slots of a backend server, as far as this entry knows.
 
-    Digests don't tell how many requests peers have at plain servers, so what the server
-    has stated last counts for them.
+    Digests don't state how many requests peers have at plain servers, so the load that
+    the server has stated last is used as well.
 
     :param server: ``servers.Server``.
     :return: number of requests.
--- a/packages/kernel/wasabiknot_kernel/limit_waits.py
+++ b/packages/kernel/wasabiknot_kernel/limit_waits.py
@@ -1,15 +1,15 @@
-"""How long requests wait for the limits of backend servers."""
+"""Estimates how long requests wait because of the rate limits of backend servers."""
 
 
 def estimate_s(tables, server_ids, count, now_s):
-    """Estimates how long a number of requests wait for the limits of servers.
+    """Estimates how long requests wait because of the rate limits of servers.
 
-    :param tables: list of ``limits.LimitTable``, all of which hold.
+    :param tables: list of ``limits.LimitTable``; the lowest limit of a server applies.
     :param server_ids: ids of the backend servers that may take the requests.
     :param count: number of requests.
     :param now_s: current time in seconds.
-    :return: seconds until the last of them may be sent; infinite if this entry is the
-        sender of none.
+    :return: seconds until the last of them may be sent; infinite if this entry may send
+        to none of the servers.
     """
     rate_per_s = 0.0
     saved = 0.0
--- a/packages/kernel/wasabiknot_kernel/queue_orders.py
+++ b/packages/kernel/wasabiknot_kernel/queue_orders.py
@@ -14,7 +14,7 @@
 
     :param rank: rank of the customer, or of the route if the customer has none.
     :param is_unbegun: whether its caller has got no part of the response yet.
-    :param is_above_share: whether its customer has got more than its share.
+    :param is_above_share: whether its customer is above its share.
     :param is_late: whether it can't meet its objective any more. Late requests have
         lost most of their value and would make further requests late.
     """
@@ -101,7 +101,7 @@
         return self._sort_by_shares(keys, now_s)
 
     def _sort_by_shares(self, keys, now_s):
-        # A request goes behind the work of its customer that goes before it.
+        # The lead of a request includes the work of its customer's earlier requests.
         leads_s = {}
         tagged = []
         for key, ticket in keys:
--- a/packages/kernel/wasabiknot_kernel/request_admission.py
+++ b/packages/kernel/wasabiknot_kernel/request_admission.py
@@ -19,12 +19,13 @@
 # Bounds on the retry time where callers are told to return one after the other.
 MIN_RETURN_S = 0.25
 MAX_RETURN_S = 8.0
-# Callers return a little later than told, so that they don't arrive too early.
+# Range of the factor on the retry time that a caller is told. It is at least 1, so that
+# callers don't return before their scheduled time.
 RETURN_JITTER = (1.0, 1.1)
-# A caller that returns later than this after its time has lost its place.
+# A caller that returns later than this after its scheduled time has lost its place.
 RETURN_GRACE_S = 2.0
 MAX_RETURNS = 2_048
-# Sends a second below which a customer's own rate says nothing of its next send.
+# Lower bound on the sends a second of a customer, where its wait follows from them.
 MIN_SENDS_PER_S = 0.1
 
 
@@ -113,7 +114,7 @@
 
 
 class Delay(msgspec.Struct, frozen=True):
-    """What a new request would wait for.
+    """How long a new request would wait.
 
     :param ahead: number of waiting requests that are sent before it.
     :param wait_s: expected seconds until it is sent.
@@ -128,8 +129,8 @@
 def estimate_delay(ticket, ahead, peers_ahead, shares, interval_s, now_s):
     """Estimates how long a new request would wait, where customers have shares.
 
-    Requests of a customer above its share wait for those of others that arrive later,
-    so their wait follows from how often such requests have been sent lately.
+    Later arrivals of other customers go before the requests of a customer above its
+    share. Its wait is therefore computed from the rate at which its requests were sent.
 
     :param ticket: ``arrivals.Ticket``.
     :param ahead: list of the tickets that are sent before it.
--- a/packages/kernel/wasabiknot_kernel/resends.py
+++ b/packages/kernel/wasabiknot_kernel/resends.py
@@ -1,22 +1,23 @@
-"""When a request may try servers again that have refused or reset its connections.
+"""Backoff of a request whose connections were refused or reset.
 
-A server that isn't in a backoff is used at once. While all are, a request that has
-failed to reach them waits between its tries: each costs a connection and a log line,
-and servers that refuse connections answer within a millisecond.
+A server that isn't in a backoff is used at once. While all of them are, a request that
+could not be sent waits between its attempts to connect: each takes a connection and a
+log line, and servers refuse connections within a millisecond.
 """
 
-# Failed connections of a request that are followed by another try at once: the first
-# one may be due to a connection that the server had closed while it was idle.
+# Failed connections of a request that are followed by another attempt at once: the
+# first failure may be due to an idle connection that the server had closed.
 FREE_TRIES = 1
-# Wait before the next try, which doubles up to the maximum.
+# Wait before the next attempt. It doubles with each failure, up to the maximum.
 INITIAL_WAIT_S = 0.02
 MAX_WAIT_S = 0.16
-# Time after the wait in which the next try starts: queues are checked in such turns.
+# Longest time from the end of the wait to the next attempt: queues are checked at this
+# interval.
 TURN_S = 0.1
 
 
 def compute_wait_s(unreached):
-    """Computes how long a request waits before it tries such servers again.
+    """Computes how long a request waits before its next attempt to connect.
 
     :param unreached: number of connections that have failed for it.
     :return: seconds.
@@ -28,7 +29,7 @@
 
 
 def is_waiting(ticket, now_s):
-    """Tells whether a request waits before it tries such servers again.
+    """Tells whether a request waits before its next attempt to connect.
 
     :param ticket: ``arrivals.Ticket``.
     :param now_s: current time in seconds.
@@ -37,10 +38,10 @@
 
 
 def is_retried(ticket, now_s):
-    """Tells whether a queued request waits for its next try, or is about to have it.
+    """Tells whether a request waits for its next attempt, or is about to make it.
 
     :param ticket: ``arrivals.Ticket``.
     :param now_s: current time in seconds.
-    :return: ``False`` for one that waits for something else.
+    :return: ``False`` if it waits for something else, such as a free slot.
     """
     return now_s < ticket.resend_s + TURN_S
--- a/packages/kernel/wasabiknot_kernel/send_durations.py
+++ b/packages/kernel/wasabiknot_kernel/send_durations.py
@@ -15,7 +15,7 @@
 
 # Fraction of the comparable sends that a slow send has exceeded.
 SLOW_FRACTION = 0.95
-# Samples without which nothing is slow: two of them are beyond the fraction.
+# Least number of samples for a comparison: two of these are beyond the fraction.
 MIN_SAMPLES = 40
 # Newest samples that are compared with, so that the comparison follows the load.
 RECENT_SAMPLES = 256
@@ -54,7 +54,8 @@
 def classify(ticket, server, now_s):
     """Finds the class of a send.
 
-    Learned durations don't include the pace that a backend server states.
+    Its band of the pace is that of the learned duration times the pace that the server
+    states, as learned durations don't include the latter.
 
     :param ticket: ``arrivals.Ticket``.
     :param server: ``servers.Server`` that it is sent to.
@@ -70,7 +71,7 @@
 
 
 class _Series:
-    # The newest samples.
+    # The newest samples of one key, and their ``SLOW_FRACTION`` quantile.
 
     def __init__(self):
         self._samples = collections.deque(maxlen=RECENT_SAMPLES)
@@ -92,7 +93,7 @@
 
 
 class _SeriesTable:
-    # Series by key; the one that got no sample for longest is dropped.
+    # Series by key; the one whose newest sample is the oldest is dropped first.
 
     def __init__(self):
         self._series = collections.OrderedDict()
@@ -118,7 +119,7 @@
 
     def __init__(self):
         self._by_class = _SeriesTable()
-        # Factors by which the expected time was exceeded.
+        # Ratios of the durations to the expected ones.
         self._by_route = _SeriesTable()
 
     def count_series(self):
@@ -132,7 +133,7 @@
         """Adds a send.
 
         A send that was cancelled because it was slow is added with the time that it
-        had taken by then. Without it the percentile would fall with each slow send.
+        had taken by then. Without that sample the percentile would be too low.
 
         :param expectation: ``Expectation``.
         :param duration_s: seconds from the send to its response, or to its cancelling.
--- a/packages/kernel/wasabiknot_kernel/server_paces.py
+++ b/packages/kernel/wasabiknot_kernel/server_paces.py
@@ -1,9 +1,12 @@
 """Paces of backend servers: how long work takes on their machines at this moment.
 
 A pace is a multiple of the usual time: 1 as usual, 2.5 for two and a half times as
-long. It changes many times a second with the other work on the machine, so one value
-says little by the time that it is read. The estimate is the mean of the values that
-this entry and its group have read lately; it returns to 1 as they age.
+long. Response headers and digests state it in hundredths (250). It changes many times a
+second with the other work on the machine, so a single value is out of date when it is
+read. The estimate is the weighted mean of the values that this entry and its group have
+read recently; it returns to 1 as they age.
+
+``rate_limiters``, which limits requests a second, is not related.
 """
 
 import heapq
@@ -13,34 +16,34 @@
 
 # Time in which the weight of a value falls to 1/e.
 TIME_CONSTANT_S = 1.0
-# Weight of the usual pace in the estimate. A single value is drawn from a pace that
-# varies, so it is believed by half.
+# Weight of the usual pace in the estimate. A single value is a noisy sample, so it
+# moves the estimate only half of the way.
 PRIOR_WEIGHT = 1.0
-# Weight of the usual pace where the pace of a past response is estimated. Its own head
-# has stated one, so little is left to the prior.
+# Weight of the usual pace where the pace during a past response is estimated. The head
+# of that response has stated it, so the prior has a small weight.
 PAST_PRIOR_WEIGHT = 0.1
-# Values that are closer together than this tell little more than one of them.
+# Values that are closer together in time are correlated, so their weight is lower.
 CORRELATION_S = 0.1
 # Bounds on a value. Those beyond them are due to a fault of the measurement.
 MIN_PACE = 0.1
 MAX_PACE = 20.0
 USUAL_PACE = 1.0
-# Age from which a pace counts as usual. The small rest would otherwise keep requests
-# away from the server, as the lowest score is chosen.
+# Age from which a pace counts as usual. A small remaining difference would otherwise
+# keep requests away from the server, as the lowest score is chosen.
 MAX_AGE_S = 4 * TIME_CONSTANT_S
 HUNDREDTHS = 100
-# Paces from which a server counts as slow, and below which it no longer does, for the
-# log. They are apart, so that a pace near one of them isn't logged again and again.
+# Paces above which a server is logged as slow, and below which it no longer is. The gap
+# between them keeps a pace near one of them from being logged repeatedly.
 SLOW_PACE = 2.0
 RECOVERED_PACE = 1.25
 # Largest number of backend servers in the reports of one digest.
 MAX_REPORTS = 16
-# Age up to which a value is reported. Digests are sent several times in this time.
+# Age up to which a value is reported. Several digests are sent within this time.
 MAX_REPORT_AGE_S = 0.3
 # Largest number of peers whose reports on one server are told apart.
 MAX_SOURCES = 64
-# Difference of time between reports of one peer from which they are of two values.
-# Ages are rounded to milliseconds, and digests take different times to arrive.
+# Reports of one peer whose times differ by less are taken to be of the same value: ages
+# are rounded to milliseconds, and digests take different times to arrive.
 MIN_NEWER_S = 0.01
 
 
@@ -58,7 +61,7 @@
 
 
 class Samples(msgspec.Struct):
-    """Sums of values that lose their weight with their age.
+    """Sums of paces, weighted by age.
 
     :param weight: sum of the weights at the time of the newest value.
     :param total: weighted sum of the values.
@@ -92,10 +95,10 @@
         self.squares += weight * value * value
 
     def fade(self, now_s):
-        """Computes the factor by which the sums have faded.
+        """Computes the factor by which the weights have decayed since the newest value.
 
         :param now_s: current time in seconds.
-        :return: factor from 0 to 1; 0 for sums that are too old to say something.
+        :return: factor from 0 to 1; 0 if all values are too old to count.
         """
         age_s = max(0.0, now_s - self.newest_s)
         if age_s > MAX_AGE_S:
@@ -125,7 +128,7 @@
 
         :param pace: hundredths of the usual time.
         :param now_s: current time in seconds.
-        :return: whether the server has become slow, or is so no more.
+        :return: whether the server has become slow or has recovered.
         """
         value = _clip(pace)
         self._own.add(value, now_s)
@@ -136,7 +139,7 @@
         return self.is_slow is not was_slow
 
     def apply_report(self, source, report, now_s):
-        """Applies the report of a peer, unless its value is known.
+        """Applies the report of a peer, unless its value is already known.
 
         :param source: name of the peer.
         :param report: ``PaceReport``.
@@ -153,7 +156,7 @@
         return True
 
     def is_known(self, now_s):
-        """Tells whether a value is recent enough to say something.
+        """Tells whether a value is recent enough to count.
 
         :param now_s: current time in seconds.
         :return: ``False`` if the pace counts as usual for lack of values.
@@ -164,7 +167,7 @@
         """Estimates the pace.
 
         :param now_s: current time in seconds.
-        :param prior_weight: weight of the usual pace, beside values of weight 1.
+        :param prior_weight: weight of the usual pace; a new value has weight 1.
         :return: multiple of the usual time; 1 if nothing is known.
         """
         samples = self._all
--- a/packages/kernel/wasabiknot_kernel/server_scores.py
+++ b/packages/kernel/wasabiknot_kernel/server_scores.py
@@ -25,12 +25,13 @@
 REMAINING_TIME_WEIGHT = 0.05
 # Factor by which a response may exceed its estimated length.
 OUTPUT_LENGTH_MARGIN = 1.5
-# Standard deviations by which a pace counts above its mean. Objectives are missed by
-# the slow responses, and those come from machines whose pace varies much.
+# Standard deviations that are added to the mean pace. Responses that miss their
+# objective come mostly from machines whose pace varies much.
 PACE_DEVIATIONS = 1.0
-# Number of servers of which the best is chosen if they state their pace. The entries
-# that read the same statements would otherwise choose the same server. All entries
-# read those of plain servers, only those of a group read those of its engines.
+# Number of servers that are drawn at random, and of which the best is chosen, if they
+# state their pace: entries that have read the same paces would otherwise all choose the
+# same server. It is smaller for plain servers, as all entries read their paces; only
+# the entries of a group read those of its engines.
 ENGINE_SAMPLE_SIZE = 3
 PLAIN_SAMPLE_SIZE = 2
 
@@ -148,7 +149,7 @@
 def sample(candidates, scorer, rng, now_s):
     """Draws the servers among which the best is chosen, if they state their pace.
 
-    Servers with a lower score are drawn more often, in proportion.
+    The probability of each draw is inversely proportional to the server's score.
 
     :param candidates: list of ``servers.Server``.
     :param scorer: ``Scorer``.
@@ -162,6 +163,7 @@
         return candidates
     size = ENGINE_SAMPLE_SIZE if candidates[0].is_engine else PLAIN_SAMPLE_SIZE
 
+    # The smallest of exponential variables with these means is such a draw.
     def draw(server):
         return rng.expovariate(1.0) * scorer(server)
 
--- a/packages/kernel/wasabiknot_kernel/servers.py
+++ b/packages/kernel/wasabiknot_kernel/servers.py
@@ -19,8 +19,8 @@
 # Longest silence of a sound backend server. One that is silent for longer may have lost
 # the requests that wait there, and answer others.
 MAX_SILENCE_S = 2.0
-# Time in which the load that others have placed by a report falls to 1/e: what is
-# running there ends, and digests tell of a part of it.
+# Time constant with which the reported load of other entries decays: their requests
+# end, and digests account for a part of them.
 OTHER_LOAD_FADING_S = 0.5
 MAX_OTHER_LOAD_AGE_S = 2.0
 
@@ -111,7 +111,7 @@
 
     @property
     def is_retired(self):
-        """Whether the server gets no new requests: it ends or is drained."""
+        """Whether the server gets no new requests: it is ending or drained."""
         return self.is_ending or self.is_drained
 
     @property
@@ -151,7 +151,7 @@
 
         :param load: ``arrivals.ReportedLoad``.
         :param now_s: current time, in seconds.
-        :return: whether the server has become slow by its pace, or is so no more.
+        :return: whether the server has become slow by its pace, or has recovered.
         """
         if load.running is not None:
             self.reported_load = load.running + (load.waiting or 0)
--- a/packages/kernel/wasabiknot_kernel/share_changes.py
+++ b/packages/kernel/wasabiknot_kernel/share_changes.py
@@ -5,9 +5,9 @@
 from wasabiknot_kernel import routes
 
 # Time for which a customer must be within its share again before this is reported, so
-# that one at the border isn't reported all the time.
+# that a use close to the limit isn't reported repeatedly.
 SETTLING_S = 5.0
-# Use below it is not reported: one long request may take as much.
+# A smaller use is not reported: one long request may take as much.
 MIN_REPORTED_USE_S = 2.0
 
 
@@ -17,7 +17,7 @@
     :param service: name of the service.
     :param customer: name of the customer; empty for requests without one.
     :param is_above: whether it is above its share.
-    :param use_s: engine time in seconds that it has used lately in the group.
+    :param use_s: its use, in seconds of engine time; see ``customer_shares``.
     """
 
     service: routes.ServiceName
--- a/packages/kernel/wasabiknot_kernel/slot_claims.py
+++ b/packages/kernel/wasabiknot_kernel/slot_claims.py
@@ -2,8 +2,8 @@
 
 Each digest carries the head of the sender's queue. The free slots go to the entries
 with the most urgent heads, as many as there are slots; a hash decides between them. A
-claim is a head that was received lately: it expires without any message, so a slot that
-was left to an entry that has died is used by others soon.
+claim is a head that was received recently. It expires without a message, so others soon
+use the slots that an entry claimed before it failed.
 """
 
 import collections
@@ -14,7 +14,7 @@
 from wasabiknot_kernel import group_servers
 
 EntryName = typing.NewType("EntryName", str)
-# Time after which a head counts no more; three digests may be lost.
+# Time after which a head is ignored; three digests may be lost within it.
 HEAD_LIFETIME_S = 0.35
 # Heads whose waiting times differ by less count as equally urgent.
 WAIT_STEP_MS = 50
@@ -103,7 +103,7 @@
         return len(self._claims)
 
     def count_as_urgent(self, urgency, now_s):
-        """Counts the requests of peers that are as urgent as one of this entry.
+        """Counts the requests of peers that are no less urgent than one of this entry.
 
         :param urgency: ``queue_orders.Urgency`` of the request.
         :param now_s: current time in seconds.
@@ -156,8 +156,8 @@
     def count_claimable(self, server):
         """Counts the free slots of a backend server that this entry may still use.
 
-        Slots that it has released since its last digest go to others as well if those
-        hold more urgent requests.
+        Slots that this entry has released since its last digest are not reserved for
+        it: they go to peers that hold more urgent requests.
 
         :param server: ``servers.Server`` whose slots were divided.
         :return: number of slots.
@@ -180,7 +180,7 @@
     won = collections.Counter()
     contenders = select_contenders(heads, sum(free_slots.values()))
     wanted = {contender: heads[contender].count for contender in contenders}
-    # What the most urgent requests leave goes to any others.
+    # Slots that are left over go to any entries.
     everyone = tuple(sorted(heads))
     for server_id, count in sorted(free_slots.items()):
         for slot in range(count):
--- a/packages/kernel/wasabiknot_kernel/store_readers.py
+++ b/packages/kernel/wasabiknot_kernel/store_readers.py
@@ -8,7 +8,7 @@
 group decides whether its own does, from the reads that the summaries report, and tells
 the members in its digest. Within the group, and among the groups of a failure domain,
 one after the other tries once no read is fresh, so that a store that is down or busy
-isn't asked by hundreds.
+doesn't get calls from hundreds of entries.
 """
 
 import msgspec
@@ -16,10 +16,10 @@
 # Time beyond the poll interval for which a read counts as fresh: a slow response of the
 # store, and digests that are late or lost.
 FRESH_MARGIN_S = 0.4
-# Time for which an entry tries before it is the turn of the next one too.
+# Time for which an entry tries to read before the next one tries.
 TURN_S = 0.4
-# Time for which a group tries before it is the turn of the next one: two entries try,
-# and a summary tells of the read.
+# Time for which a group tries to read before the next one does: enough for two entries
+# to try, and for a summary to report the read.
 GROUP_TURN_S = 2 * TURN_S
 # Reads whose times differ by less count as made at the same time, as digests state
 # their ages in whole milliseconds and arrive late.
@@ -77,7 +77,8 @@
         rank = [peer for peer, _ in known].index(None)
         return now_s - reads.started_s >= rank * TURN_S
     turn = int((now_s - newest_s - reads.fresh_s) / TURN_S)
-    # Groups take turns as well. The shift has each member try, whatever the period.
+    # Groups take turns as well. Without the shift by one in each round, a group whose
+    # turns have the same period as its members would always let the same member try.
     turn += turn // len(known)
     peer, _ = _put_last_reader_last(known, newest_s)[turn % len(known)]
     return peer is None
@@ -126,7 +127,8 @@
 
 
 def _list_reads(roster, reads, now_s):
-    # In the order of the candidates for leader; no peer stands for this entry.
+    # Pairs of peer and time of its read, in the order of the candidates for leader. The
+    # peer is None for this entry.
     known = [(roster.member.order, None, reads.own_s)]
     is_waiting = roster.has_several_groups and reads.is_starting(now_s)
     for peer in roster.list_group_peers():
--- a/packages/kernel/wasabiknot_kernel/warmups.py
+++ b/packages/kernel/wasabiknot_kernel/warmups.py
@@ -1,13 +1,14 @@
-"""Cold backend servers, which bear only a part of the usual rate of requests.
+"""Cold backend servers, which can take only a part of the usual rate of requests.
 
-A cold server has a rate limit, as if it stated one: that of its service. It holds for
-all entries together and is divided among them like other limits.
+A cold server has the rate limit of its service for cold servers, as if it stated one.
+The limit holds for all entries together and is divided among them like other limits.
 
-| state | entered by | left by |
+| a server is cold | from | until |
 | --- | --- | --- |
-| warm | the end of the longer time below | one of the following |
-| cold, stated | a registration or a response | that time, or a shorter one |
-| cold, presumed | the end of a drain, a broken connection | a fixed time |
+| as stated | a registration or a response | the stated time, which may be replaced |
+| as presumed | the end of a drain, a broken connection | a fixed time after it |
+
+It is warm when both times are over.
 """
 
 import collections
@@ -17,14 +18,15 @@
 
 from wasabiknot_kernel import deferrals, limits, statements
 
-# Part of the tolerance that the senders may use; the rest is for entries that have
-# another view of the senders, and for requests that are late on the way.
+# Fraction of the tolerance that the senders may use. The rest is for entries with
+# another view of who the senders are, and for requests that are delayed in transit.
 USED_TOLERANCE = 0.5
-# Time for which an entry that becomes a sender waits, until the former one knows.
+# Time for which an entry that becomes a sender waits: the one that it replaces may not
+# know of it yet.
 TAKEOVER_S = 1.0
 
-# Time for which a broken connection is remembered, so that the reports of peers on the
-# same one aren't taken for news.
+# Time for which a broken connection is remembered, so that later reports of it by peers
+# are recognized as repeated.
 BREAK_MEMORY_S = 5.0
 
 
@@ -152,7 +154,7 @@
         if service is None or known is not None and known.broken_s >= seen.broken_s:
             return
         self._breaks[server_id] = seen
-        # It may start again some time later, and its registration is read later.
+        # The server may restart later, and its new registration is read after that.
         until_s = seen.broken_s + deferrals.RESTART_NEWS_S + service.warmup_s
         self._presume(server_id, until_s, Cause.CONNECTION_LOST, now_s)
 
@@ -246,7 +248,7 @@
             self._end(server_id, now_s)
 
     def tick(self, now_s, known_ids):
-        """Ends what has lasted long enough, and chooses the senders again.
+        """Ends the cold times that are over, and chooses the senders again.
 
         :param now_s: current time in seconds.
         :param known_ids: ids of the registered backend servers.
