Call the limiter of sends to a server a rate limiter, not a pace

"Pace" meant two things: the requests a second that an entry sends to a server with a limit (paces.Pace), and how long work takes on a server (server_paces). A reader of limit_waits, which uses the first, would have looked for the second.

--- a/packages/kernel/wasabiknot_kernel/limit_waits.py
+++ b/packages/kernel/wasabiknot_kernel/limit_waits.py
@@ -16,10 +16,10 @@
     for server_id in server_ids:
         if all(table.may_send(server_id, now_s) for table in tables):
             return 0.0
-        found = [table.find_pace(server_id) for table in tables]
-        held = [pace for pace in found if pace is not None]
-        rate_per_s += min(pace.rate_per_s for pace in held)
-        saved += min(pace.count_saved(now_s) for pace in held)
+        found = [table.find_rate_limiter(server_id) for table in tables]
+        limiters = [limiter for limiter in found if limiter is not None]
+        rate_per_s += min(limiter.rate_per_s for limiter in limiters)
+        saved += min(limiter.count_saved(now_s) for limiter in limiters)
     if rate_per_s <= 0.0:
         return float("inf")
     return max(0.0, count - saved) / rate_per_s
--- a/packages/kernel/wasabiknot_kernel/limits.py
+++ b/packages/kernel/wasabiknot_kernel/limits.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from wasabiknot_kernel import hashing, paces, statements
+from wasabiknot_kernel import hashing, rate_limiters, statements
 
 # Requests that a server takes beyond its limit within a few seconds. Each sender may
 # save up one request, so their number is bounded by this plus a second of the limit.
@@ -51,13 +51,14 @@
         server states no limit any more.
     :param stated_s: time in seconds at which an entry last read this.
     :param source: ``statements.Channel`` of the newest statement.
-    :param pace: ``paces.Pace`` of this entry; its rate is 0 if it is no sender.
+    :param rate_limiter: ``rate_limiters.RateLimiter`` of this entry; its rate is 0 if
+        it is no sender.
     """
 
     rate_per_s: float | None
     stated_s: float
     source: statements.Channel
-    pace: paces.Pace
+    rate_limiter: rate_limiters.RateLimiter
 
 
 class Place(msgspec.Struct, frozen=True):
@@ -147,22 +148,22 @@
     def _set_limit(self, server_id, rate_per_s, stated_s, source, now_s):
         limit = self._limits.get(server_id)
         if limit is None:
-            limit = Limit(None, stated_s, source, paces.Pace(now_s))
+            limit = Limit(None, stated_s, source, rate_limiters.RateLimiter(now_s))
             self._limits[server_id] = limit
         limit.stated_s = stated_s
         limit.source = source
         if limit.rate_per_s == rate_per_s:
             return
         if limit.rate_per_s is None:
-            limit.pace = paces.Pace(now_s)
+            limit.rate_limiter = rate_limiters.RateLimiter(now_s)
         limit.rate_per_s = rate_per_s
         kind = statements.ChangeKind.LIMITED
         if rate_per_s is None:
             kind = statements.ChangeKind.UNLIMITED
         self._changes.append(statements.Change(server_id, kind, rate_per_s, source))
-        self._update_pace(server_id, limit, now_s)
+        self._update_rate(server_id, limit, now_s)
 
-    def _update_pace(self, server_id, limit, now_s):
+    def _update_rate(self, server_id, limit, now_s):
         if limit.rate_per_s is None:
             return
         place = self._find_place(server_id, limit, now_s)
@@ -170,7 +171,7 @@
         if place.is_sender:
             rate_per_s = max(limit.rate_per_s, MIN_RATE_PER_S) * self.share
             rate_per_s /= place.senders
-        limit.pace.set_rate(rate_per_s, now_s)
+        limit.rate_limiter.set_rate(rate_per_s, now_s)
 
     def _find_place(self, server_id, limit, now_s):
         candidates = self.find_candidates(server_id, now_s)
@@ -196,10 +197,10 @@
                 self._update_role(server_id, limit, now_s)
 
     def _update_role(self, server_id, limit, now_s):
-        was_sender = limit.pace.rate_per_s > 0.0
-        self._update_pace(server_id, limit, now_s)
-        if self.takeover_s and not was_sender and limit.pace.rate_per_s > 0.0:
-            limit.pace.hold(now_s + self.takeover_s)
+        was_sender = limit.rate_limiter.rate_per_s > 0.0
+        self._update_rate(server_id, limit, now_s)
+        if self.takeover_s and not was_sender and limit.rate_limiter.rate_per_s > 0.0:
+            limit.rate_limiter.hold(now_s + self.takeover_s)
 
     def forget(self, server_id):
         """Forgets what a backend server has stated, as it has ended or restarted.
@@ -238,12 +239,12 @@
         limit = self._limits.get(server_id)
         if limit is None or limit.rate_per_s is None:
             return True
-        if limit.pace.rate_per_s <= 0.0:
+        if limit.rate_limiter.rate_per_s <= 0.0:
             silence_s = now_s - limit.stated_s
             if silence_s < SILENCE_S:
                 return False
             return self._find_place(server_id, limit, now_s).has_turn(silence_s)
-        return limit.pace.may_send(now_s)
+        return limit.rate_limiter.may_send(now_s)
 
     def record_send(self, server_id, now_s):
         """Records that a request is sent to a backend server.
@@ -254,21 +255,21 @@
         limit = self._limits.get(server_id)
         if limit is None or limit.rate_per_s is None:
             return
-        limit.pace.record_send(now_s)
-        if limit.pace.rate_per_s <= 0.0:
+        limit.rate_limiter.record_send(now_s)
+        if limit.rate_limiter.rate_per_s <= 0.0:
             # The response to this request tells; until then no further one is sent.
             limit.stated_s = now_s
 
-    def find_pace(self, server_id):
-        """Finds at what pace this entry sends to a backend server.
+    def find_rate_limiter(self, server_id):
+        """Finds the rate limiter of this entry's sends to a backend server.
 
         :param server_id: id of the backend server.
-        :return: ``paces.Pace``; ``None`` if the server has no limit.
+        :return: ``rate_limiters.RateLimiter``; ``None`` if the server has no limit.
         """
         limit = self._limits.get(server_id)
         if limit is None or limit.rate_per_s is None:
             return None
-        return limit.pace
+        return limit.rate_limiter
 
     def list_reports(self, now_s, channels):
         """Lists the latest statements for a digest.
--- a/packages/kernel/wasabiknot_kernel/paces.py
+++ b/packages/kernel/wasabiknot_kernel/rate_limiters.py
@@ -1,12 +1,12 @@
-"""Sending requests at a steady rate."""
+"""Limits the rate at which an entry sends requests to a backend server."""
 
 MAX_SAVED_REQUESTS = 1.0
 
 
-class Pace:
-    """A rate of requests, of which at most one may be saved up.
+class RateLimiter:
+    """A token bucket with room for one request.
 
-    It starts with nothing saved: how many requests were sent just before isn't known.
+    It starts empty, as it isn't known how many requests were sent just before.
 
     :param now_s: current time in seconds.
     """
--- a/packages/kernel/wasabiknot_kernel/server_paces.py
+++ b/packages/kernel/wasabiknot_kernel/server_paces.py
@@ -5,8 +5,6 @@
 second with the other work on the machine, so a single value is out of date when it is
 read. The estimate is the weighted mean of the values that this entry and its group have
 read recently; it returns to 1 as they age.
-
-``rate_limiters``, which limits requests a second, is not related.
 """
 
 import heapq
