Name leaving servers and broken connections by what they are

"Leavings" are remains, and a "Break" could be an outage, a pause or a protocol error. They are servers that state that they are leaving, and connections that were refused or reset. Names only; the fields of digests are unchanged.

--- a/packages/kernel/tests/test_eligibility.py
+++ b/packages/kernel/tests/test_eligibility.py
@@ -7,7 +7,7 @@
     assignments,
     deferrals,
     eligibility,
-    leavings,
+    leaving_servers,
     outcomes,
     statements,
 )
@@ -45,14 +45,14 @@
         reports = self.eligibility.list_leaving_reports(now_s, statements.Channel)
         self.assertEqual(reports, (statements.LeavingReport("w1", 99),))
         kept = [self.eligibility.is_leaving("w1", number) for number in range(1, 100)]
-        self.assertLessEqual(sum(kept), 1 + leavings.LEAVING_MEMORY_S / 10.0)
+        self.assertLessEqual(sum(kept), 1 + leaving_servers.LEAVING_MEMORY_S / 10.0)
 
     def test_lapse_of_the_registration_changes_nothing(self):
         self.eligibility.record("w1", 1, LEAVING, 0.0, 0.1)
         self.eligibility.apply_start("w1", 1, 0.2)
         self.eligibility.tick(10.0, {})
         self.assertTrue(self.eligibility.is_leaving("w1", 1))
-        self.eligibility.tick(1.0 + leavings.LEAVING_MEMORY_S, {})
+        self.eligibility.tick(1.0 + leaving_servers.LEAVING_MEMORY_S, {})
         self.assertFalse(self.eligibility.is_leaving("w1", 1))
 
     def test_peers_learn_of_it_and_do_not_pass_it_on_as_their_own(self):
--- a/packages/kernel/tests/test_warmups.py
+++ b/packages/kernel/tests/test_warmups.py
@@ -207,7 +207,7 @@
         self.assertTrue(self.warmups.is_cold("w1"))
 
     def build_digest(self, started_ms, age_ms):
-        report = statements.BreakReport("w1", started_ms, age_ms)
+        report = statements.BrokenConnectionReport("w1", started_ms, age_ms)
         return members.Digest("e2", "r2", 1, {}, {}, {}, broken_servers=(report,))
 
     def test_broken_connection_that_a_peer_reports_counts_for_the_same_start(self):
@@ -226,16 +226,20 @@
         # Guards against entries that tell each other of the same break for ever.
         self.entry.record_broken_connection(self.dispatcher.servers["w1"], 10.0)
         own, group = statements.Channel.OWN, statements.Channel.GROUP
-        (report,) = self.warmups.list_breaks(10.4, {own})
-        self.assertEqual(report, statements.BreakReport("w1", 1, 400))
+        (report,) = self.warmups.list_broken_connections(10.4, {own})
+        self.assertEqual(report, statements.BrokenConnectionReport("w1", 1, 400))
         peer = builders.build_deployment("e2")
         peer.apply_configuration(build_table(), 0.0)
         peer.apply_registration(builders.build_registration("w1"), 0.0)
-        peer.eligibility.apply_break_reports([report], group, 10.4)
-        self.assertEqual(peer.eligibility.warmups.list_breaks(10.5, {own}), ())
-        (passed,) = peer.eligibility.warmups.list_breaks(10.5, {own, group})
+        peer.eligibility.apply_broken_connections([report], group, 10.4)
+        self.assertEqual(
+            peer.eligibility.warmups.list_broken_connections(10.5, {own}), ()
+        )
+        (passed,) = peer.eligibility.warmups.list_broken_connections(10.5, {own, group})
         self.assertEqual(passed.age_ms, 500)
-        self.assertEqual(peer.eligibility.warmups.list_breaks(11.1, {group}), ())
+        self.assertEqual(
+            peer.eligibility.warmups.list_broken_connections(11.1, {group}), ()
+        )
 
     def test_repeated_and_late_reports_change_nothing(self):
         # Guards against copies of a digest that keep a warm server limited.
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -317,7 +317,9 @@
         """
         started_ms = server.registration.started_ms
         own = statements.Channel.OWN
-        self.eligibility.record_break(server.server_id, started_ms, now_s, own, now_s)
+        self.eligibility.record_broken_connection(
+            server.server_id, started_ms, now_s, own, now_s
+        )
 
     def order_drain(self, domain):
         """Drains a failure domain: nothing more is sent to its backend servers.
@@ -702,7 +704,7 @@
         self.releases.apply_evidence(source, digest.evidence)
         self.silences.apply_reports(source, digest.silence_reports, now_s)
         self.crash_monitor.apply_digest(source, digest, now_s)
-        self.eligibility.apply_break_reports(
+        self.eligibility.apply_broken_connections(
             digest.broken_servers, digest.find_channel(), now_s
         )
         self.brittleness.apply_reports(
--- a/packages/kernel/wasabiknot_kernel/digest_builders.py
+++ b/packages/kernel/wasabiknot_kernel/digest_builders.py
@@ -202,7 +202,9 @@
             ),
             silence_reports=silent,
             brittle_services=self._entry.brittleness.list_reports(now_s, channels),
-            broken_servers=self._entry.eligibility.warmups.list_breaks(now_s, channels),
+            broken_servers=self._entry.eligibility.warmups.list_broken_connections(
+                now_s, channels
+            ),
         )
 
     def _list_loads(self):
--- a/packages/kernel/wasabiknot_kernel/eligibility.py
+++ b/packages/kernel/wasabiknot_kernel/eligibility.py
@@ -6,7 +6,7 @@
 | statement | held in | until | known to |
 | --- | --- | --- | --- |
 | limit of requests a second | ``limits`` | it states none | all entries |
-| leaving | ``leavings`` | this start of the server is gone | all entries |
+| leaving | ``leaving_servers`` | this start of the server is gone | all entries |
 | no request for a time | ``deferrals`` | a trial after it succeeds | this entry |
 | being cold | ``warmups`` | that time is over | this entry |
 
@@ -18,7 +18,7 @@
 from wasabiknot_kernel import (
     deferrals,
     domain_drains,
-    leavings,
+    leaving_servers,
     limit_waits,
     limits,
     statements,
@@ -43,7 +43,7 @@
         self.drains = domain_drains.DomainDrains()
         self.warmups = warmups.Warmups(name, self._changes)
         self._limit_tables = (self.limits, self.warmups.limits)
-        self._leavings = leavings.LeavingTable(self._changes)
+        self._leaving = leaving_servers.LeavingTable(self._changes)
         # Starts of the servers in Unix milliseconds, and since when those that aren't
         # registered have been away, by id.
         self._starts = {}
@@ -79,7 +79,7 @@
             if not statement.is_limit_unreadable:
                 self.limits.record(server_id, statement.limit_per_s, sent_s, now_s)
             if statement.is_leaving:
-                self._leavings.record(server_id, started_ms, own, now_s)
+                self._leaving.record(server_id, started_ms, own, now_s)
         if statement.cold_s is not None:
             self.warmups.record_statement(server_id, statement.cold_s, now_s)
         retry_after_s = statement.retry_after_s
@@ -95,7 +95,7 @@
         if len(self._changes) > known_changes:
             self.changed_s[channel] = now_s
 
-    def record_break(self, server_id, started_ms, broken_s, channel, now_s):
+    def record_broken_connection(self, server_id, started_ms, broken_s, channel, now_s):
         """Records that a server has refused or reset a connection.
 
         :param server_id: id of the backend server.
@@ -108,20 +108,22 @@
             # The registration of a later start is known.
             return
         with self._note_changes(channel, now_s):
-            seen = warmups.Break(started_ms, broken_s, channel)
-            self.warmups.record_break(server_id, seen, now_s)
+            seen = warmups.BrokenConnection(started_ms, broken_s, channel)
+            self.warmups.record_broken_connection(server_id, seen, now_s)
 
-    def apply_break_reports(self, reports, channel, now_s):
+    def apply_broken_connections(self, reports, channel, now_s):
         """Applies what a digest of a peer says of broken connections.
 
-        :param reports: iterable of ``statements.BreakReport``.
+        :param reports: iterable of ``statements.BrokenConnectionReport``.
         :param channel: ``statements.Channel`` of the digest.
         :param now_s: current time in seconds.
         """
         for report in reports:
             broken_s = now_s - report.age_ms / 1_000
             started_ms = report.started_ms
-            self.record_break(report.server_id, started_ms, broken_s, channel, now_s)
+            self.record_broken_connection(
+                report.server_id, started_ms, broken_s, channel, now_s
+            )
 
     def apply_reports(self, limit_reports, leaving_reports, channel, now_s):
         """Applies what a digest of a peer says of backend servers.
@@ -135,7 +137,7 @@
             self.limits.apply_reports(limit_reports, channel, now_s)
             for report in leaving_reports:
                 started_ms = report.started_ms
-                self._leavings.record(report.server_id, started_ms, channel, now_s)
+                self._leaving.record(report.server_id, started_ms, channel, now_s)
 
     def list_leaving_reports(self, now_s, channels):
         """Lists the servers that have lately stated that they leave, for a digest.
@@ -145,7 +147,7 @@
             listed.
         :return: tuple of ``statements.LeavingReport``.
         """
-        return self._leavings.list_reports(now_s, channels)
+        return self._leaving.list_reports(now_s, channels)
 
     def is_leaving(self, server_id, started_ms):
         """Tells whether a backend server has stated that it is leaving.
@@ -154,7 +156,7 @@
         :param started_ms: start of the server, in Unix milliseconds; 0 if unknown.
         :return: ``True`` if this start of the server has said so.
         """
-        return self._leavings.is_leaving(server_id, started_ms)
+        return self._leaving.is_leaving(server_id, started_ms)
 
     @property
     def has_waits(self):
@@ -231,7 +233,7 @@
         self.limits.tick(now_s, known_ids)
         self.warmups.tick(now_s, known_ids)
         self._forget_unregistered(now_s, known_ids)
-        self._leavings.drop_expired(
+        self._leaving.drop_expired(
             lambda *key: self._is_registered(*key, known_ids), now_s
         )
 
@@ -264,7 +266,7 @@
         :param now_s: current time in seconds.
         :return: list of ``statements.ServerState``.
         """
-        leaving_ids = self._leavings.list_ids(self._starts)
+        leaving_ids = self._leaving.list_ids(self._starts)
         listed = {
             *self.limits.list_ids(),
             *self._deferrals.list_ids(),
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -155,7 +155,7 @@
     queue_heads: dict[str, slot_claims.QueueHead] = {}
     customer_work: tuple[customer_shares.CustomerWork, ...] = ()
     paces: tuple[server_paces.PaceReport, ...] = ()
-    broken_servers: tuple[statements.BreakReport, ...] = ()
+    broken_servers: tuple[statements.BrokenConnectionReport, ...] = ()
 
     def find_channel(self):
         """Finds the channel by which the receiver learns what the digest reports.
--- a/packages/kernel/wasabiknot_kernel/statements.py
+++ b/packages/kernel/wasabiknot_kernel/statements.py
@@ -69,7 +69,7 @@
     started_ms: int
 
 
-class BreakReport(msgspec.Struct, frozen=True, array_like=True):
+class BrokenConnectionReport(msgspec.Struct, frozen=True, array_like=True):
     """A backend server that has refused or reset a connection, in a digest.
 
     :param server_id: id of the server.
--- a/packages/kernel/wasabiknot_kernel/warmups.py
+++ b/packages/kernel/wasabiknot_kernel/warmups.py
@@ -27,7 +27,7 @@
 
 # Time for which a broken connection is remembered, so that later reports of it by peers
 # are recognized as repeated.
-BREAK_MEMORY_S = 5.0
+BROKEN_CONNECTION_MEMORY_S = 5.0
 
 
 class Cause(enum.Enum):
@@ -83,7 +83,7 @@
         return self.presumed_by
 
 
-class Break(msgspec.Struct, frozen=True):
+class BrokenConnection(msgspec.Struct, frozen=True):
     """The newest connection that a backend server has refused or reset.
 
     :param started_ms: start of the server, in Unix milliseconds; 0 if unknown.
@@ -106,7 +106,7 @@
     def __init__(self, name, changes):
         self._changes = changes
         self._times = {}
-        self._breaks = {}
+        self._broken_connections = {}
         self.tolerance = Tolerance()
         # Function of a server's id that returns its ``routes.Service`` or None.
         self.find_service = lambda server_id: None
@@ -142,35 +142,35 @@
             until_s = now_s + service.warmup_s
             self._presume(server_id, until_s, Cause.DRAIN_ENDED, now_s)
 
-    def record_break(self, server_id, seen, now_s):
+    def record_broken_connection(self, server_id, seen, now_s):
         """Records that a server has refused or reset a connection.
 
         :param server_id: id of the backend server.
-        :param seen: ``Break``.
+        :param seen: ``BrokenConnection``.
         :param now_s: current time in seconds.
         """
         service = self._find_limiting(server_id)
-        known = self._breaks.get(server_id)
+        known = self._broken_connections.get(server_id)
         if service is None or known is not None and known.broken_s >= seen.broken_s:
             return
-        self._breaks[server_id] = seen
+        self._broken_connections[server_id] = seen
         # The server may restart later, and its new registration is read after that.
         until_s = seen.broken_s + deferrals.RESTART_NEWS_S + service.warmup_s
         self._presume(server_id, until_s, Cause.CONNECTION_LOST, now_s)
 
-    def list_breaks(self, now_s, channels):
+    def list_broken_connections(self, now_s, channels):
         """Lists the servers that have lately refused or reset a connection.
 
         :param now_s: current time in seconds.
         :param channels: set of ``statements.Channel``; only what came by one of them is
             listed.
-        :return: tuple of ``statements.BreakReport``.
+        :return: tuple of ``statements.BrokenConnectionReport``.
         """
         return tuple(
-            statements.BreakReport(
+            statements.BrokenConnectionReport(
                 server_id, seen.started_ms, round((now_s - seen.broken_s) * 1_000)
             )
-            for server_id, seen in self._breaks.items()
+            for server_id, seen in self._broken_connections.items()
             if statements.is_reported(seen.source, seen.broken_s, channels, now_s)
         )
 
@@ -255,7 +255,7 @@
         """
         for server_id in list(self._times):
             self._update(server_id, now_s)
-        for server_id, seen in list(self._breaks.items()):
-            if now_s - seen.broken_s > BREAK_MEMORY_S:
-                del self._breaks[server_id]
+        for server_id, seen in list(self._broken_connections.items()):
+            if now_s - seen.broken_s > BROKEN_CONNECTION_MEMORY_S:
+                del self._broken_connections[server_id]
         self.limits.tick(now_s, known_ids)
