Call the retries of refused callers caller retries, not returns

"Returning" already means a request that goes back to a server that has rejected it (_is_returning, returnable_to). The schedule of when refused callers may retry used the same word, and its module said that it decides on refusals, which the dispatcher does. The refusal's reason in the log now says "retried ... too early". Names and texts only.

--- a/packages/kernel/tests/test_request_admission.py
+++ b/packages/kernel/tests/test_request_admission.py
@@ -5,9 +5,9 @@
 from wasabiknot_kernel import assignments, request_admission
 
 
-class ReturnScheduleTests(unittest.TestCase):
+class CallerRetriesTests(unittest.TestCase):
     def setUp(self):
-        self.returns = request_admission.ReturnSchedule()
+        self.caller_retries = request_admission.CallerRetries()
 
     def build(self, name, now_s=0.0, customer="graz"):
         ticket = builders.build_ticket(name, now_s)
@@ -17,30 +17,32 @@
     def test_callers_of_a_customer_return_one_after_the_other(self):
         # Guards against callers that all return when the first slot is free.
         times_s = [
-            self.returns.schedule(self.build(f"q{number}"), 0.5, 0.2, 0.0)
+            self.caller_retries.schedule(self.build(f"q{number}"), 0.5, 0.2, 0.0)
             for number in range(4)
         ]
         for time_s, expected_s in zip(times_s, (0.5, 0.7, 0.9, 1.1), strict=True):
             self.assertAlmostEqual(time_s, expected_s)
         other = self.build("q9", customer="linz")
-        self.assertEqual(self.returns.schedule(other, 0.5, 0.2, 0.0), 0.5)
+        self.assertEqual(self.caller_retries.schedule(other, 0.5, 0.2, 0.0), 0.5)
 
     def test_caller_that_returns_as_told_keeps_its_place(self):
-        self.returns.schedule(self.build("q1", 10.0), 1.0, 0.2, 10.0)
+        self.caller_retries.schedule(self.build("q1", 10.0), 1.0, 0.2, 10.0)
         early = self.build("q1", 10.4)
-        self.assertAlmostEqual(self.returns.find_remaining_s(early), 0.6)
-        self.assertEqual(self.returns.find_since_s(early), 10.4)
+        self.assertAlmostEqual(self.caller_retries.find_remaining_s(early), 0.6)
+        self.assertEqual(self.caller_retries.find_since_s(early), 10.4)
         as_told = self.build("q1", 11.05)
-        self.assertEqual(self.returns.find_remaining_s(as_told), 0.0)
-        self.assertEqual(self.returns.find_since_s(as_told), 10.0)
-        self.assertEqual(self.returns.find_since_s(self.build("q1", 60.0)), 60.0)
+        self.assertEqual(self.caller_retries.find_remaining_s(as_told), 0.0)
+        self.assertEqual(self.caller_retries.find_since_s(as_told), 10.0)
+        self.assertEqual(self.caller_retries.find_since_s(self.build("q1", 60.0)), 60.0)
 
     def test_times_and_memory_are_bounded(self):
-        for number in range(3 * request_admission.MAX_RETURNS):
-            time_s = self.returns.schedule(self.build(f"q{number}"), 0.0, 0.1, 0.0)
-            self.assertGreaterEqual(time_s, request_admission.MIN_RETURN_S)
-            self.assertLessEqual(time_s, request_admission.MAX_RETURN_S)
-        self.assertEqual(self.returns.find_remaining_s(self.build("q0")), 0.0)
+        for number in range(3 * request_admission.MAX_CALLER_RETRIES):
+            time_s = self.caller_retries.schedule(
+                self.build(f"q{number}"), 0.0, 0.1, 0.0
+            )
+            self.assertGreaterEqual(time_s, request_admission.MIN_RETRY_TIME_S)
+            self.assertLessEqual(time_s, request_admission.MAX_RETRY_TIME_S)
+        self.assertEqual(self.caller_retries.find_remaining_s(self.build("q0")), 0.0)
 
 
 class AdmissionTests(unittest.TestCase):
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -320,19 +320,19 @@
         )
 
     def _find_early_refusal(self, ticket, delay, now_s):
-        # A caller that returns before its retry time would displace those that wait.
+        # A caller that retries before its retry time would displace those that wait.
         # Requests with the same content can't be told apart, so only customers above
         # their shares are refused for it, and no request that was sent before.
-        returns = self.order.returns
-        if returns is None or not delay.ahead or ticket.sends:
+        retries = self.order.caller_retries
+        if retries is None or not delay.ahead or ticket.sends:
             return None
         key = customer_shares.find_key(ticket)
         if not self.order.shares.is_above_share(key, now_s):
             return None
-        remaining_s = returns.find_remaining_s(ticket)
+        remaining_s = retries.find_remaining_s(ticket)
         if not remaining_s:
             return None
-        reason = f"{delay.ahead} wait, returned {remaining_s:.2f} s too early"
+        reason = f"{delay.ahead} wait, retried {remaining_s:.2f} s too early"
         kind = exceptions.ErrorKind.QUEUE_FULL
         return assignments.Refusal(ticket, kind, remaining_s, reason)
 
@@ -345,7 +345,9 @@
             return
         shares = customer_shares.ServiceShares(self.service) if is_fair else None
         self.order.shares = shares
-        self.order.returns = request_admission.ReturnSchedule() if is_fair else None
+        self.order.caller_retries = (
+            request_admission.CallerRetries() if is_fair else None
+        )
         self._claims = slot_claims.SlotClaims(self.name) if is_fair else None
 
     def build_queue_head(self, now_s):
@@ -421,7 +423,11 @@
     def _create_refusal(
         self, ticket, kind, reason, now_s=None, stated_wait_s=0.0, delay=None
     ):
-        if self.order.returns is not None and not stated_wait_s and now_s is not None:
+        if (
+            self.order.caller_retries is not None
+            and not stated_wait_s
+            and now_s is not None
+        ):
             return self._create_scheduled_refusal(ticket, kind, reason, delay, now_s)
         send_interval_s = (
             DEFAULT_SEND_INTERVAL_S
@@ -442,7 +448,7 @@
         if delay is None:
             ahead = self._list_ahead(ticket, now_s)
             delay = self._estimate_delay(ticket, ahead, now_s)
-        wait_s = self.order.returns.schedule(
+        wait_s = self.order.caller_retries.schedule(
             ticket, delay.wait_s, delay.interval_s, now_s
         )
         retry_after_s = wait_s * self._rng.uniform(*request_admission.RETURN_JITTER)
--- a/packages/kernel/wasabiknot_kernel/queue_orders.py
+++ b/packages/kernel/wasabiknot_kernel/queue_orders.py
@@ -41,8 +41,8 @@
         self.is_by_rank = True
         # ``customer_shares.ServiceShares``; None if customers have no shares.
         self.shares = None
-        # ``request_admission.ReturnSchedule`` if customers have shares.
-        self.returns = None
+        # ``request_admission.CallerRetries`` if customers have shares.
+        self.caller_retries = None
         # Whether customers are above their shares, by account, at the time of the last
         # comparison.
         self._above_share = {}
@@ -83,9 +83,9 @@
         return (urgency, ticket.route.rank, self._find_since_s(ticket))
 
     def _find_since_s(self, ticket):
-        if self.returns is None:
+        if self.caller_retries is None:
             return ticket.arrived_s
-        return self.returns.find_since_s(ticket)
+        return self.caller_retries.find_since_s(ticket)
 
     def sort(self, waiting, now_s):
         """Sorts requests by the order in which they are sent.
--- a/packages/kernel/wasabiknot_kernel/request_admission.py
+++ b/packages/kernel/wasabiknot_kernel/request_admission.py
@@ -1,4 +1,7 @@
-"""Decides which requests are refused on arrival, and when their callers may return."""
+"""Limits on the waiting time of requests, and the retry times of those refused.
+
+A *retry* is here one by the caller, after the retry time in a refusal.
+"""
 
 import collections
 
@@ -16,15 +19,16 @@
 CALLER_TIMEOUT_GAPS = 8
 # Fraction of that timeout that a stream may wait in the queue.
 MAX_CALLER_TIMEOUT_FRACTION = 0.5
-# Bounds on the retry time where callers are told to return one after the other.
-MIN_RETURN_S = 0.25
-MAX_RETURN_S = 8.0
-# Range of the factor on the retry time that a caller is told. It is at least 1, so that
-# callers don't return before their scheduled time.
-RETURN_JITTER = (1.0, 1.1)
-# A caller that returns later than this after its scheduled time has lost its place.
-RETURN_GRACE_S = 2.0
-MAX_RETURNS = 2_048
+# Bounds on the retry time where the retries of a customer's callers are scheduled one
+# after the other.
+MIN_RETRY_TIME_S = 0.25
+MAX_RETRY_TIME_S = 8.0
+# Range of the factor from the scheduled time to the stated one. It is at least 1, so
+# that callers don't retry before their scheduled time.
+RETRY_TIME_JITTER = (1.0, 1.1)
+# A caller that retries later than this after its scheduled time has lost its place.
+RETRY_GRACE_S = 2.0
+MAX_CALLER_RETRIES = 2_048
 # Lower bound on the sends a second of a customer, where its wait follows from them.
 MIN_SENDS_PER_S = 0.1
 
@@ -47,10 +51,10 @@
     return min(max_wait_s, MAX_CALLER_TIMEOUT_FRACTION * caller_timeout_s)
 
 
-class Return(msgspec.Struct, frozen=True):
-    """The time at which a caller was told to return.
+class CallerRetry(msgspec.Struct, frozen=True):
+    """The scheduled retry of a refused request.
 
-    :param due_s: time in seconds.
+    :param due_s: scheduled time in seconds.
     :param since_s: time in seconds of its first arrival.
     """
 
@@ -58,57 +62,57 @@
     since_s: float
 
 
-class ReturnSchedule:
-    """The times at which callers that were turned away were told to return.
+class CallerRetries:
+    """The scheduled retries of the requests that this entry has refused.
 
-    Requests are recognized by their fingerprints. The schedule covers the callers that
-    this entry has turned away, those of each customer one after the other.
+    Requests are recognized by their fingerprints. The retries for each customer are
+    scheduled one after the other.
     """
 
     def __init__(self):
-        self._returns = collections.OrderedDict()
+        self._retries = collections.OrderedDict()
         self._last_due_s = collections.OrderedDict()
 
     def find_since_s(self, ticket):
         """Finds the time from which a request counts as waiting.
 
         :param ticket: ``arrivals.Ticket``.
-        :return: time in seconds: its first arrival, if its caller returned as told.
+        :return: time in seconds: its first arrival, if it was retried on schedule.
         """
-        known = self._returns.get(ticket.fingerprint)
+        known = self._retries.get(ticket.fingerprint)
         if known is None:
             return ticket.arrived_s
-        is_as_told = known.due_s <= ticket.arrived_s <= known.due_s + RETURN_GRACE_S
-        return known.since_s if is_as_told else ticket.arrived_s
+        is_on_schedule = known.due_s <= ticket.arrived_s <= known.due_s + RETRY_GRACE_S
+        return known.since_s if is_on_schedule else ticket.arrived_s
 
     def find_remaining_s(self, ticket):
-        """Finds how much too early a caller returns.
+        """Finds how much too early a caller retries.
 
         :param ticket: ``arrivals.Ticket``.
-        :return: seconds; 0 if it wasn't turned away or returns as told.
+        :return: seconds; 0 if it wasn't refused before, or is on schedule or late.
         """
-        known = self._returns.get(ticket.fingerprint)
+        known = self._retries.get(ticket.fingerprint)
         return 0.0 if known is None else max(0.0, known.due_s - ticket.arrived_s)
 
     def schedule(self, ticket, wait_s, interval_s, now_s):
-        """Schedules the return of a caller that is turned away.
+        """Schedules the retry of a request that is refused.
 
         :param ticket: ``arrivals.Ticket``.
         :param wait_s: seconds until a request like this one would be sent.
         :param interval_s: seconds between two sends of such requests.
         :param now_s: current time in seconds.
-        :return: seconds until the caller is to return.
+        :return: seconds until the retry.
         """
         key = customer_shares.find_key(ticket)
         after_last_s = self._last_due_s.get(key, 0.0) + interval_s - now_s
-        bounded_s = min(max(wait_s, after_last_s, MIN_RETURN_S), MAX_RETURN_S)
+        bounded_s = min(max(wait_s, after_last_s, MIN_RETRY_TIME_S), MAX_RETRY_TIME_S)
         self._last_due_s[key] = now_s + bounded_s
         self._last_due_s.move_to_end(key)
         since_s = self.find_since_s(ticket)
-        self._returns[ticket.fingerprint] = Return(now_s + bounded_s, since_s)
-        self._returns.move_to_end(ticket.fingerprint)
-        for table in (self._returns, self._last_due_s):
-            if len(table) > MAX_RETURNS:
+        self._retries[ticket.fingerprint] = CallerRetry(now_s + bounded_s, since_s)
+        self._retries.move_to_end(ticket.fingerprint)
+        for table in (self._retries, self._last_due_s):
+            if len(table) > MAX_CALLER_RETRIES:
                 table.popitem(last=False)
         return bounded_s
 
