Say plainly what check-routes reports

"DOUBTFUL" as an exit code, "it has 1" without what has one, and "an idle connection ends before a slow one" needed the source to be understood. Texts and one internal name; no check changes.

--- a/packages/kernel/wasabiknot_kernel/configuration_checks.py
+++ b/packages/kernel/wasabiknot_kernel/configuration_checks.py
@@ -1,4 +1,4 @@
-"""Finds what is wrong with a configuration before it is put in force."""
+"""Finds problems of a configuration before it is put in force."""
 
 import collections
 import enum
@@ -10,8 +10,8 @@
     """Kinds of problems. The values appear in reports.
 
     An error makes part of the configuration unusable. An entry that never matches and
-    values that contradict each other are valid, but have no or another effect than
-    their author expects.
+    values that contradict each other are valid, but don't have the effect that their
+    author expects.
     """
 
     ERROR = "error"
@@ -132,9 +132,9 @@
     if not route.is_resumable:
         return
     if not route.is_stream:
-        yield _report_contradiction(place, "its responses are no streams")
+        yield _report_contradiction(place, "the route has no stream responses")
     if route.attempts < 2:
-        text = f"another server needs 2 attempts, and it has {route.attempts}"
+        text = f"resuming at another server takes 2 attempts, not {route.attempts}"
         yield _report_contradiction(place, text)
 
 
@@ -182,13 +182,14 @@
         return
     if 0 < customer.burst_tokens < rate:
         text = (
-            f"{customer.burst_tokens:g} tokens, but a second of the rate, "
-            f"{rate:g}, is always allowed"
+            f"{customer.burst_tokens:g} tokens have no effect: the burst is at least "
+            f"one second of the rate, {rate:g} tokens"
         )
         yield _report_contradiction(f"{place}: burst", text)
     if customer.plain_tokens > max(customer.burst_tokens, rate):
         text = (
-            f"{customer.plain_tokens} for a request, more than the burst and the rate"
+            f"{customer.plain_tokens} for one request, more than the burst and than "
+            "one second of the rate"
         )
         yield _report_contradiction(f"{place}: plain tokens", text)
 
@@ -200,7 +201,7 @@
             yield _report_error(f"limits: {name}", f"{value:g}")
     if 0 < limits.idle_ms < limits.header_ms:
         text = (
-            f"{limits.idle_ms:g} ms, but a head may take {limits.header_ms:g} ms: "
-            "an idle connection ends before a slow one"
+            f"{limits.idle_ms:g} ms, but a request head may take "
+            f"{limits.header_ms:g} ms"
         )
         yield _report_contradiction("limits: idle_ms", text)
--- a/packages/operator/tests/test_route_configurations.py
+++ b/packages/operator/tests/test_route_configurations.py
@@ -66,7 +66,7 @@
         code, lines = self.check(
             self.write("new.json", create_content(services=services))
         )
-        self.assertEqual(code, main.ExitCode.DOUBTFUL)
+        self.assertEqual(code, main.ExitCode.HAS_WARNINGS)
         self.assertEqual(lines, ["service spare: never matches: no route names it"])
 
     def test_differences_from_another_version(self):
--- a/packages/operator/wasabiknot_operator/main.py
+++ b/packages/operator/wasabiknot_operator/main.py
@@ -31,7 +31,7 @@
     NOT_IN_FORCE = 4
     UNREACHABLE = 5
     NOT_FOUND = 6
-    DOUBTFUL = 7
+    HAS_WARNINGS = 7
 
 
 PUBLISH_CODES = {
@@ -97,8 +97,8 @@
     """Check a configuration of routes before it is sent, and compare it.
 
     Each problem is printed as PLACE: KIND: TEXT, each difference as PLACE: OLD -> NEW.
-    Exit codes: 0 no problems, 2 there are errors, 5 the store can't be reached, 7 no
-    errors, but entries that never match or values that contradict each other.
+    Exit codes: 0 no problems, 2 errors, 5 the store can't be reached, 7 warnings only:
+    entries that never match or values that contradict each other.
 
     :param file: the configuration, as JSON
     :param against: file with another version to compare with
@@ -137,7 +137,7 @@
     kinds = {problem.kind for problem in problems}
     if configuration_checks.ProblemKind.ERROR in kinds:
         return ExitCode.BAD_INPUT
-    return ExitCode.DOUBTFUL if kinds else ExitCode.OK
+    return ExitCode.HAS_WARNINGS if kinds else ExitCode.OK
 
 
 def publish(
