Use one name for each state of waiting, shortage and limits

_is_held meant a server with a long stated wait, while is_held elsewhere means an entry after a pause; resends.is_retried included requests that still wait; _select_claims divides slots; is_short did not say what is short; _goes_first compared with "silent", which may be a slow send as well; FREE_TRIES and TURN_S did not say what they count.

--- a/packages/entry/wasabiknot_entry/hedges.py
+++ b/packages/entry/wasabiknot_entry/hedges.py
@@ -102,14 +102,14 @@
         self._add_sample()
         self._stop()
         ticket = assignment.ticket
-        knowledge = self._shared.hedging
-        is_watched = knowledge.is_on and self._hedge is None
+        decisions = self._shared.hedging
+        is_watched = decisions.is_on and self._hedge is None
         if not is_watched or not hedging.may_be_hedged(ticket):
             return
         self._sent_s = self._reactor.seconds()
         send_class = send_durations.classify(ticket, assignment.server, self._sent_s)
         self._expectation = send_durations.Expectation(send_class, assignment.score_ms)
-        delay_s = knowledge.find_delay_s(ticket, self._expectation)
+        delay_s = decisions.find_delay_s(ticket, self._expectation)
         if delay_s is not None:
             self._call_later(delay_s)
 
--- a/packages/kernel/tests/test_customer_shares.py
+++ b/packages/kernel/tests/test_customer_shares.py
@@ -14,7 +14,7 @@
 class ServiceSharesTests(unittest.TestCase):
     def setUp(self):
         self.shares = customer_shares.ServiceShares("pool")
-        self.shares.is_short = True
+        self.shares.is_capacity_short = True
 
     def test_new_customer_begins_at_the_current_time(self):
         # Guards against a customer that has to be served alone until it has caught up.
@@ -30,7 +30,7 @@
         self.assertEqual(self.shares.find_lead_s(BUSY, 0.0), 0.0)
 
     def test_use_of_idle_capacity_costs_nothing(self):
-        self.shares.is_short = False
+        self.shares.is_capacity_short = False
         for number in range(40):
             self.shares.record_send(BUSY, 1.0, number / 20)
         self.assertFalse(self.shares.is_above_share(BUSY, 2.0))
@@ -65,7 +65,7 @@
 class ReportTests(unittest.TestCase):
     def setUp(self):
         self.shares = customer_shares.ServiceShares("pool")
-        self.shares.is_short = True
+        self.shares.is_capacity_short = True
 
     def report(self, work_ms, now_s, run="r1", scope=Scope.GROUP):
         report = customer_shares.CustomerWork("pool", 1, "busy", work_ms)
@@ -129,7 +129,7 @@
     def test_customer_is_reported_once_until_it_has_settled(self):
         # Guards against a line in each tick for a customer at the border.
         shares = customer_shares.ServiceShares("pool")
-        shares.is_short = True
+        shares.is_capacity_short = True
         observer = share_changes.ShareObserver()
         changes = []
         for step in range(300):
@@ -162,7 +162,7 @@
         builders.connect_entries([first, second], 0.0)
         for now_s in (0.0, customer_shares.REPORT_INTERVAL_S):
             (shares,) = first.list_shares()
-            shares.is_short = True
+            shares.is_capacity_short = True
             shares.record_send(BUSY, 2.0, now_s)
             digest = self.exchange(first, second, now_s)
             self.assertEqual(len(digest.customer_work), 1)
@@ -174,7 +174,7 @@
         # Guards against digests that name all customers, many times a second.
         entry = self.build_entry("e1")
         (shares,) = entry.list_shares()
-        shares.is_short = True
+        shares.is_capacity_short = True
         for number in range(10):
             shares.record_send((1, f"c{number}"), 0.2, 0.0)
         shares.record_send(BUSY, 2.0, 0.0)
@@ -188,7 +188,7 @@
         first, second = self.build_entry("e1"), self.build_entry("e2", is_fair=False)
         builders.connect_entries([first, second], 0.0)
         (shares,) = first.list_shares()
-        shares.is_short = True
+        shares.is_capacity_short = True
         shares.record_send(BUSY, 2.0, 0.0)
         self.exchange(first, second, 0.0)
         digest = self.exchange(second, first, 0.1)
--- a/packages/kernel/tests/test_request_admission.py
+++ b/packages/kernel/tests/test_request_admission.py
@@ -95,7 +95,7 @@
 
     def use_slots(self, customer):
         shares = self.dispatcher.order.shares
-        shares.is_short = True
+        shares.is_capacity_short = True
         shares.record_send((1, customer), 5.0, 0.41)
 
     def test_without_shares_the_order_is_that_of_arrival(self):
--- a/packages/kernel/wasabiknot_kernel/customer_shares.py
+++ b/packages/kernel/wasabiknot_kernel/customer_shares.py
@@ -116,7 +116,7 @@
         self._accounts = collections.OrderedDict()
         self._baselines = collections.OrderedDict()
         # Whether requests wait in the group, so that use is at the cost of others.
-        self.is_short = False
+        self.is_capacity_short = False
         # Largest use in seconds, and the time at which it was computed, by rank.
         self._largest_use_s = {}
         self._largest_at_s = {}
@@ -222,7 +222,7 @@
 
     def _add_work(self, account, work_s):
         account.virtual_s += work_s
-        if self.is_short:
+        if self.is_capacity_short:
             account.use_s = max(0.0, account.use_s + work_s)
 
     def apply_report(self, source, run, report, scope, now_s):
--- a/packages/kernel/wasabiknot_kernel/deployments.py
+++ b/packages/kernel/wasabiknot_kernel/deployments.py
@@ -477,10 +477,10 @@
             return None
         since_s = self.paths.find_unreached_since_s(ticket.service)
         return self.helpers.choose(
-            ticket.service, since_s, now_s, self._find_askable(ticket)
+            ticket.service, since_s, now_s, self._create_handover_filter(ticket)
         )
 
-    def _find_askable(self, ticket):
+    def _create_handover_filter(self, ticket):
         known = self.policy.region_map
         return lambda member: known.may_hand_over(ticket.allowed_regions, member.domain)
 
@@ -498,7 +498,7 @@
         if ticket.handovers >= helpers.MAX_HANDOVERS:
             return None
         return self.helpers.choose_owner(
-            ticket.service, names, now_s, self._find_askable(ticket)
+            ticket.service, names, now_s, self._create_handover_filter(ticket)
         )
 
     def is_path_lost(self, service, now_s):
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -63,7 +63,7 @@
 NO_SERVER = "no other server"
 # A server that takes no request for longer than this, by its limit or the retry time
 # that it has stated, doesn't keep requests from trying servers in a backoff.
-HELD_S = 1.0
+LONG_STATED_WAIT_S = 1.0
 # Bounds on the retry time of a refusal, before jitter.
 MIN_RETRY_AFTER_S = 0.25
 MAX_RETRY_AFTER_S = 4.0
@@ -300,7 +300,7 @@
         waiting = [
             item
             for item in self._waiting.values()
-            if not _is_returning(item) and not resends.is_waiting(item, now_s)
+            if not _is_returning(item) and not resends.is_backing_off(item, now_s)
         ]
         return self.order.list_ahead(ticket, waiting, now_s)
 
@@ -373,10 +373,12 @@
         if self._claims is not None:
             self._claims.record_head(source, head, now_s)
 
-    def _select_claims(self, now_s):
+    def _divide_free_slots(self, now_s):
         if self._claims is None:
             return
-        self.order.shares.is_short = len(self._claims) > 0 or len(self._waiting) > 1
+        self.order.shares.is_capacity_short = (
+            len(self._claims) > 0 or len(self._waiting) > 1
+        )
         if not self.is_engine:
             return
         members = [
@@ -463,7 +465,7 @@
         decisions = []
         if not self._waiting:
             return decisions
-        self._select_claims(now_s)
+        self._divide_free_slots(now_s)
         if not self.has_capacity(now_s):
             return decisions
         for ticket in self.order.sort(self._waiting.values(), now_s):
@@ -499,7 +501,7 @@
                 kind = exceptions.ErrorKind.NO_WORKER
                 reason = DRAINED if is_drained else NO_REGION
                 decisions.append(self._create_refusal(ticket, kind, reason))
-            elif ticket.is_begun or resends.is_retried(ticket, now_s):
+            elif ticket.is_begun or resends.is_backing_off_or_due(ticket, now_s):
                 continue
             elif waited_s > request_admission.compute_max_wait_s(ticket):
                 self.withdraw(ticket)
@@ -631,11 +633,11 @@
             candidates = [item for item in candidates if accepts(item)]
         return self._choose_best(ticket, candidates, now_s)
 
-    def _goes_first(self, waiting, silent, now_s):
-        # The rest of a response that has begun comes from no server while it waits.
-        if waiting.rank == silent.rank:
+    def _goes_first(self, waiting, ticket, now_s):
+        # A waiting request whose response has begun gets no events from any server.
+        if waiting.rank == ticket.rank:
             return waiting.is_begun and self.choose(waiting, now_s) is not None
-        return waiting.rank < silent.rank
+        return waiting.rank < ticket.rank
 
     def _estimate_first_event_s(self, ticket):
         if not self.is_engine:
@@ -719,8 +721,8 @@
             return False
         return self._eligibility.may_send(server.server_id, now_s)
 
-    def _is_held(self, server, now_s):
-        return self._estimate_stated_wait_s([server], 1, now_s) > HELD_S
+    def _has_long_stated_wait(self, server, now_s):
+        return self._estimate_stated_wait_s([server], 1, now_s) > LONG_STATED_WAIT_S
 
     def _is_available(self, server, now_s):
         if server.is_retired or server.is_avoided(now_s):
@@ -793,9 +795,11 @@
         candidates = self._list_available(usable, now_s)
         if not candidates:
             # If every server is avoided, an attempt is better than a refusal.
-            if resends.is_waiting(ticket, now_s):
+            if resends.is_backing_off(ticket, now_s):
                 return None
-            open_servers = [item for item in usable if not self._is_held(item, now_s)]
+            open_servers = [
+                item for item in usable if not self._has_long_stated_wait(item, now_s)
+            ]
             avoided_servers = [
                 item for item in open_servers if self._can_take(item, now_s)
             ]
--- a/packages/kernel/wasabiknot_kernel/resends.py
+++ b/packages/kernel/wasabiknot_kernel/resends.py
@@ -7,13 +7,13 @@
 
 # Failed connections of a request that are followed by another attempt at once: the
 # first failure may be due to an idle connection that the server had closed.
-FREE_TRIES = 1
+IMMEDIATE_RETRIES = 1
 # Wait before the next attempt. It doubles with each failure, up to the maximum.
 INITIAL_WAIT_S = 0.02
 MAX_WAIT_S = 0.16
 # Longest time from the end of the wait to the next attempt: queues are checked at this
 # interval.
-TURN_S = 0.1
+CHECK_INTERVAL_S = 0.1
 
 
 def compute_wait_s(unreached):
@@ -22,13 +22,13 @@
     :param unreached: number of connections that have failed for it.
     :return: seconds.
     """
-    waits = unreached - FREE_TRIES - 1
+    waits = unreached - IMMEDIATE_RETRIES - 1
     if waits < 0:
         return 0.0
     return min(INITIAL_WAIT_S * 2 ** min(waits, 10), MAX_WAIT_S)
 
 
-def is_waiting(ticket, now_s):
+def is_backing_off(ticket, now_s):
     """Tells whether a request waits before its next attempt to connect.
 
     :param ticket: ``arrivals.Ticket``.
@@ -37,11 +37,11 @@
     return now_s < ticket.resend_s
 
 
-def is_retried(ticket, now_s):
+def is_backing_off_or_due(ticket, now_s):
     """Tells whether a request waits for its next attempt, or is about to make it.
 
     :param ticket: ``arrivals.Ticket``.
     :param now_s: current time in seconds.
     :return: ``False`` if it waits for something else, such as a free slot.
     """
-    return now_s < ticket.resend_s + TURN_S
+    return now_s < ticket.resend_s + CHECK_INTERVAL_S
--- a/packages/kernel/wasabiknot_kernel/send_durations.py
+++ b/packages/kernel/wasabiknot_kernel/send_durations.py
@@ -62,11 +62,11 @@
     :param now_s: current time in seconds.
     :return: ``SendClass``.
     """
-    pace_ms = server.pace_ms * server.pace.estimate(now_s)
+    duration_ms = server.pace_ms * server.pace.estimate(now_s)
     return SendClass(
         ticket.route.name,
         int(ticket.prompt_tokens).bit_length(),
-        int(pace_ms).bit_length(),
+        int(duration_ms).bit_length(),
     )
 
 
--- a/packages/operator/wasabiknot_operator/main.py
+++ b/packages/operator/wasabiknot_operator/main.py
@@ -122,7 +122,7 @@
             return ExitCode.UNREACHABLE
         return _report_routes(configuration, in_force, json)
 
-    return _react(report_with_store)
+    return _run_in_reactor(report_with_store)
 
 
 def _report_routes(configuration, other, json):
@@ -232,10 +232,10 @@
         _print(report, formats.format_lines(report), json)
         return choose_code(report)
 
-    return _react(main)
+    return _run_in_reactor(main)
 
 
-def _react(main):
+def _run_in_reactor(main):
     codes = []
 
     async def run_main(reactor):
