--- a/packages/kernel/wasabiknot_kernel/slot_claims.py
+++ b/packages/kernel/wasabiknot_kernel/slot_claims.py
@@ -41,7 +41,7 @@
 
     @property
     def urgency(self):
-        """Sort key without the waiting time."""
+        """Sort key without the waiting time, like ``queue_orders.Urgency``."""
         return (self.rank, self.is_unbegun, self.is_above_share, self.is_late)
 
     @property
@@ -110,16 +110,10 @@
         :return: number of requests that are at the heads of their queues.
         """
         self._drop_expired(now_s)
-        order = (
-            urgency.rank,
-            urgency.is_unbegun,
-            urgency.is_above_share,
-            urgency.is_late,
-        )
         return sum(
             claim.head.count
             for claim in self._claims.values()
-            if claim.head.urgency <= order
+            if claim.head.urgency <= urgency
         )
 
     def _drop_expired(self, now_s):
