--- a/packages/kernel/wasabiknot_kernel/digest_builders.py
+++ b/packages/kernel/wasabiknot_kernel/digest_builders.py
@@ -18,8 +18,8 @@
 OWN_CHANNELS = frozenset({statements.Channel.OWN})
 GROUP_CHANNELS = frozenset({statements.Channel.OWN, statements.Channel.GROUP})
 REMOTE_CHANNELS = frozenset({statements.Channel.REMOTE})
-# Backend servers of other groups, by service, whose loads a group is told of: those
-# with the most free slots. It uses no others.
+# Largest number of backend servers of other groups, by service, whose loads the members
+# of a group get: those with the most free slots. They use no others.
 MAX_REMOTE_SERVERS = 16
 # Age up to which the newest response of a service's servers is reported.
 MAX_HEARD_AGE_S = 5.0
--- a/packages/kernel/wasabiknot_kernel/digest_streams.py
+++ b/packages/kernel/wasabiknot_kernel/digest_streams.py
@@ -77,7 +77,7 @@
         :param digest: ``members.Digest``.
         :param now_s: current time in seconds.
         :param omits_use: whether the tokens used may be left out, as a digest between
-            two regular ones tells of loads only.
+            two regular ones is sent for its loads only.
         :return: ``digest_datagrams.FullDigest`` or ``digest_datagrams.ChangedDigest``.
         """
         omitted = self._choose_omitted(digest, now_s, omits_use)
--- a/packages/kernel/wasabiknot_kernel/hedging.py
+++ b/packages/kernel/wasabiknot_kernel/hedging.py
@@ -8,7 +8,7 @@
 from wasabiknot_kernel import assignments, outcomes, send_durations
 
 # Share of busy slots of a service above which no hedge is sent. The rest is for
-# requests of peers that no digest has told of yet.
+# requests of peers that no digest has reported yet.
 MAX_BUSY_SHARE = 0.7
 # Largest number of unused hedges that the operators' share accumulates: slow sends come
 # in bursts.
--- a/packages/kernel/wasabiknot_kernel/leaving_servers.py
+++ b/packages/kernel/wasabiknot_kernel/leaving_servers.py
@@ -47,7 +47,7 @@
         self._changes.append(statements.Change(server_id, kind, None, source))
 
     def list_reports(self, now_s, channels):
-        """Lists the servers that have lately stated that they leave, for a digest.
+        """Lists the servers that have recently stated that they leave, for a digest.
 
         :param now_s: current time in seconds.
         :param channels: set of ``statements.Channel``; only what came by one of them is
--- a/packages/kernel/wasabiknot_kernel/members.py
+++ b/packages/kernel/wasabiknot_kernel/members.py
@@ -122,8 +122,8 @@
     :param is_reading_group: whether members of the sender's group read the store.
     :param queue_heads: first request of each queue, by service.
     :param customer_work: work of the customers that are furthest above their shares.
-    :param paces: paces that the sender has lately read from backend servers.
-    :param broken_servers: backend servers that have lately refused or reset a
+    :param paces: paces that the sender has recently read from backend servers.
+    :param broken_servers: backend servers that have recently refused or reset a
         connection, if their services limit cold ones.
     """
 
--- a/packages/kernel/wasabiknot_kernel/outcomes.py
+++ b/packages/kernel/wasabiknot_kernel/outcomes.py
@@ -31,7 +31,7 @@
 NOT_EXECUTED = frozenset({Outcome.REJECTED, Outcome.UNREACHABLE, Outcome.WITHDRAWN})
 # Outcomes of requests that were not sent; they count as no attempt.
 NOT_SENT = frozenset({Outcome.UNREACHABLE, Outcome.WITHDRAWN})
-# Outcomes that say nothing of the backend server.
+# Outcomes by which the backend server is not judged.
 UNJUDGED = frozenset({Outcome.CANCELLED, Outcome.WITHDRAWN})
 # Failures after which the backend server is left alone for a time.
 BACKED_OFF = frozenset({Outcome.UNREACHABLE, Outcome.TIMED_OUT, Outcome.ENDLESS})
--- a/packages/kernel/wasabiknot_kernel/server_paces.py
+++ b/packages/kernel/wasabiknot_kernel/server_paces.py
@@ -38,7 +38,7 @@
 MAX_REPORTS = 16
 # Age up to which a value is reported. Several digests are sent within this time.
 MAX_REPORT_AGE_S = 0.3
-# Largest number of peers whose reports on one server are told apart.
+# Largest number of peers for which the time of the newest report on a server is kept.
 MAX_SOURCES = 64
 # Reports of one peer whose times differ by less are taken to be of the same value: ages
 # are rounded to milliseconds, and digests take different times to arrive.
--- a/packages/kernel/wasabiknot_kernel/warmups.py
+++ b/packages/kernel/wasabiknot_kernel/warmups.py
@@ -159,7 +159,7 @@
         self._presume(server_id, until_s, Cause.CONNECTION_LOST, now_s)
 
     def list_broken_connections(self, now_s, channels):
-        """Lists the servers that have lately refused or reset a connection.
+        """Lists the servers that have recently refused or reset a connection.
 
         :param now_s: current time in seconds.
         :param channels: set of ``statements.Channel``; only what came by one of them is
