--- a/packages/kernel/tests/test_digest_streams.py
+++ b/packages/kernel/tests/test_digest_streams.py
@@ -270,7 +270,7 @@
         reports = {
             "limits": (statements.LimitReport(SERVERS[1], 4.5, 20),),
             "leaving_servers": (statements.LeavingReport(SERVERS[2], 7),),
-            "broken_servers": (statements.BreakReport(SERVERS[3], 7, 3),),
+            "broken_servers": (statements.BrokenConnectionReport(SERVERS[3], 7, 3),),
             "brittle_services": (brittleness.BrittleReport("pool", 2, 10),),
             "recent_crashes": (crash_records.Crash("f1", SERVERS[1]),),
         }
--- a/packages/kernel/wasabiknot_kernel/dispatch.py
+++ b/packages/kernel/wasabiknot_kernel/dispatch.py
@@ -453,7 +453,7 @@
         wait_s = self.order.caller_retries.schedule(
             ticket, delay.wait_s, delay.interval_s, now_s
         )
-        retry_after_s = wait_s * self._rng.uniform(*request_admission.RETURN_JITTER)
+        retry_after_s = wait_s * self._rng.uniform(*request_admission.RETRY_TIME_JITTER)
         return assignments.Refusal(ticket, kind, retry_after_s, reason)
 
     def dispatch_waiting(self, now_s):
