Leave loads that change shortly before a regular digest to it

Cause: an announcement of loads and a regular digest could follow each other within milliseconds, up to 30 digests a second to each member of the group.

Ruled out: longer pauses between announcements, which would leave peers with old loads for the whole pause.

Change: where there are several groups, no announcement is scheduled for the last 30 ms before a regular digest. A single group announces as before.

--- a/packages/entry/wasabiknot_entry/gossip.py
+++ b/packages/entry/wasabiknot_entry/gossip.py
@@ -26,6 +26,8 @@
 UNCHANGED_DIGEST_INTERVALS = 3
 # Shortest time between two digests that tell of changed loads.
 MIN_ANNOUNCEMENT_INTERVAL_S = 0.05
+# Loads that change so shortly before a regular digest are left to it.
+REGULAR_MARGIN_S = 0.03
 # Rate of bytes to peers up to which changed loads are sent between two regular digests.
 # All bytes to peers must stay under ``peer_traffic.MAX_BYTES_PER_S``.
 ANNOUNCED_BYTES_PER_S = 16_000
@@ -83,6 +85,8 @@
         self._positions = {}
         self._positions_changed_s = 0.0
         self._sent_s = 0.0
+        # Time of the last regular digest, sent or skipped.
+        self._regular_s = 0.0
         self._announcement = None
         self._schedule = summaries.SummarySchedule()
         deployment.handle_load_change = self.announce_loads
@@ -92,6 +96,7 @@
         if self.transport is None:
             return
         now_s = self._reactor.seconds()
+        self._regular_s = now_s
         if self._pacer.compute_delay_s(now_s) > 0:
             return
         roster = self._deployment.roster
@@ -121,7 +126,15 @@
             self._pacer.compute_delay_s(now_s),
             self._announcement_pacer.compute_delay_s(now_s),
         )
-        self._announcement = self._reactor.callLater(delay_s, self._announce)
+        if not self._is_regular_due(now_s + delay_s):
+            self._announcement = self._reactor.callLater(delay_s, self._announce)
+
+    def _is_regular_due(self, at_s):
+        # Each digest costs every member of the group processor time.
+        if not self._deployment.roster.has_several_groups:
+            return False
+        next_s = self._regular_s + members.DIGEST_INTERVAL_S
+        return at_s > next_s - REGULAR_MARGIN_S
 
     def _announce(self):
         self._announcement = None
