--- a/packages/entry/wasabiknot_entry/gossip.py
+++ b/packages/entry/wasabiknot_entry/gossip.py
@@ -272,7 +272,7 @@
         self._fetch_from(peer.member)
 
     @defer.inlineCallbacks
-    def _fetch(self, member, timeout_s):
+    def _fetch(self, member, timeout_s=FETCH_TIMEOUT_S):
         address = f"{member.host}:{member.port}"
         target = fact_pages.build_target(self._deployment.topics.values())
         request = calls.build_request("GET", target, address)
