--- a/packages/entry/tests/gatewaycases.py
+++ b/packages/entry/tests/gatewaycases.py
@@ -209,3 +209,27 @@
         """Reads the only answer that a caller has got."""
         (answer,) = self.read_answers(channel)
         return answer
+
+
+def send_stream_request(gateway, clock, route, request_id, extra=()):
+    """Sends a request for a stream over a new connection of a caller.
+
+    :return: ``Transport`` of the caller.
+    """
+    channel = gateway.create_factory().buildProtocol(None)
+    transport = Transport()
+    channel.callLater = clock.callLater
+    channel.makeConnection(transport)
+    lines = (
+        b"POST /%s/x HTTP/1.1" % route,
+        b"host: a.example",
+        b"x-wasabiknot-attempt-id: %s" % request_id,
+        b"x-wasabiknot-deadline-ms: 10000",
+        b"x-wasabiknot-token-count: 200,60",
+        b"content-length: 0",
+        *extra,
+        b"",
+        b"",
+    )
+    channel.dataReceived(b"\r\n".join(lines))
+    return transport
--- a/packages/entry/tests/hedgecases.py
+++ b/packages/entry/tests/hedgecases.py
@@ -116,23 +116,9 @@
                 self.deployment.hedging.durations.add(expectation, USUAL_S)
 
     def request(self, route, request_id=b"q1", extra=()):
-        channel = self.gateway.create_factory().buildProtocol(None)
-        transport = gatewaycases.Transport()
-        channel.callLater = self.clock.callLater
-        channel.makeConnection(transport)
-        lines = (
-            b"POST /%s/x HTTP/1.1" % route,
-            b"host: a.example",
-            b"x-wasabiknot-attempt-id: %s" % request_id,
-            b"x-wasabiknot-deadline-ms: 10000",
-            b"x-wasabiknot-token-count: 200,60",
-            b"content-length: 0",
-            *extra,
-            b"",
-            b"",
+        return gatewaycases.send_stream_request(
+            self.gateway, self.clock, route, request_id, extra
         )
-        channel.dataReceived(b"\r\n".join(lines))
-        return transport
 
     def hedge(self, route, request_id=b"q1"):
         """Sends a request and waits for its hedge.
--- a/packages/entry/tests/test_silent_servers.py
+++ b/packages/entry/tests/test_silent_servers.py
@@ -173,22 +173,9 @@
         budget.set_bounds(0.0, 10.0, count / budgets.SAFETY_FACTOR + 0.01)
 
     def request(self, route, request_id=b"q1"):
-        channel = self.gateway.create_factory().buildProtocol(None)
-        transport = gatewaycases.Transport()
-        channel.callLater = self.clock.callLater
-        channel.makeConnection(transport)
-        lines = (
-            b"POST /%s/x HTTP/1.1" % route,
-            b"host: a.example",
-            b"x-wasabiknot-attempt-id: %s" % request_id,
-            b"x-wasabiknot-deadline-ms: 10000",
-            b"x-wasabiknot-token-count: 200,60",
-            b"content-length: 0",
-            b"",
-            b"",
+        return gatewaycases.send_stream_request(
+            self.gateway, self.clock, route, request_id
         )
-        channel.dataReceived(b"\r\n".join(lines))
-        return transport
 
     def wait(self, seconds):
         for _ in range(round(seconds / 0.05)):
